Serve a search through entry, gathers and searchers

Cause: the project had no code; everything else builds on a whole path.

Ruled out: protobuf messages, since MessagePack of frozen data classes needs no generator and no second set of types.

--- /dev/null
+++ b/foxtailseam/clocks/__init__.py
@@ -0,0 +1,14 @@
+"""Clocks: the interface that is passed in, hybrid timestamps, pause detection."""
+
+from foxtailseam.clocks._clock import Clock, ManualClock, SystemClock
+from foxtailseam.clocks._hybrid import HybridClock, HybridTimestamp
+from foxtailseam.clocks._pause import PauseDetector
+
+__all__ = [
+    "Clock",
+    "HybridClock",
+    "HybridTimestamp",
+    "ManualClock",
+    "PauseDetector",
+    "SystemClock",
+]
--- /dev/null
+++ b/foxtailseam/daemons/_gather.py
@@ -0,0 +1,166 @@
+"""The gather process: owns the connections to a set of searchers."""
+
+import asyncio
+import math
+from datetime import timedelta
+
+import msgspec
+
+from foxtailseam.daemons._node import Node
+from foxtailseam.daemons._shutdown import WorkCounter
+from foxtailseam.logs import EventCode
+from foxtailseam.outcomes import RefusalReason
+from foxtailseam.publications import PublicationName
+from foxtailseam.rpc import (
+    GatherService,
+    SearchReply,
+    SearchRequest,
+    SubmitReply,
+    SubmitRequest,
+    SubmitStatus,
+)
+from foxtailseam.searchers import (
+    Answered,
+    Attempt,
+    Dispatcher,
+    NotSent,
+    SearcherController,
+    ShardRequest,
+    Shed,
+    VersionGone,
+)
+
+REPLY_MARGIN = timedelta(milliseconds=5)
+UPKEEP = timedelta(milliseconds=100)
+
+
+class Gather:
+    """Runs sub-requests for entries.
+
+    Parameters
+    ----------
+    node : Node
+        The process it runs in.
+    """
+
+    def __init__(self, node: Node):
+        self.node = node
+        self._searchers = SearcherController(node.clock, node.recorder)
+        self._dispatcher = Dispatcher(
+            self._searchers,
+            node.settings.gather.threads,
+            node.clock,
+            node.metrics,
+        )
+        self._work = WorkCounter()
+        self._tasks: list[asyncio.Task] = []
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many calls are being served."""
+        return self._work.count
+
+    @property
+    def services(self) -> list:
+        """Return what is served to the system's other processes."""
+        return [GatherService(self, self.node.peers.heard)]
+
+    async def start(self) -> None:
+        """Begin the upkeep of searchers' states."""
+        self.node.published.listen(self._published)
+        self._published(PublicationName.HOSTS)
+        self._tasks.append(asyncio.create_task(self._keep_up()))
+
+    async def stop(self) -> None:
+        """End worker threads and connections."""
+        for task in self._tasks:
+            task.cancel()
+        self._dispatcher.close()
+
+    async def search(self, request: SearchRequest) -> SearchReply:
+        """Run all sub-requests of one query."""
+        with self._work:
+            body = msgspec.json.encode({"query": request.query})
+            deadline = self._deadline(request.remaining_ms)
+            policy = self.node.published.rules.rules.policy(request.family)
+            self.node.recorder.record(
+                EventCode.BATCH_RECEIVED,
+                request.request_id,
+                shards=len(request.shards),
+            )
+            runs = (
+                self._dispatcher.search(
+                    ShardRequest(
+                        request.request_id,
+                        request.family,
+                        request.index_version,
+                        body,
+                        shard,
+                        self._share(request.slots),
+                        request.connections,
+                        deadline,
+                        policy,
+                        request.suspect,
+                    )
+                )
+                for shard in request.shards
+            )
+            results = await asyncio.gather(*runs)
+            delay = max(delay for _, delay in results)
+            return SearchReply(
+                self.node.peers.envelope(),
+                request.request_id,
+                tuple(answer for answer, _ in results),
+                delay / timedelta(milliseconds=1),
+            )
+
+    async def submit(self, request: SubmitRequest) -> SubmitReply:
+        """Run a request that may not be repeated, at most once."""
+        with self._work:
+            attempt = await self._dispatcher.submit(
+                ShardRequest(
+                    request.request_id,
+                    request.family,
+                    0,
+                    request.body.encode(),
+                    request.shard,
+                    self._share(request.slots),
+                    request.connections,
+                    self._deadline(request.remaining_ms),
+                    self.node.published.rules.rules.policy(request.family),
+                )
+            )
+            status, detail = _submit_status(attempt)
+            envelope = self.node.peers.envelope()
+            return SubmitReply(envelope, request.request_id, status, detail)
+
+    def _deadline(self, remaining_ms: float) -> float:
+        remaining = timedelta(milliseconds=remaining_ms) - REPLY_MARGIN
+        return self.node.clock.monotonic() + remaining.total_seconds()
+
+    def _share(self, slots: int) -> int:
+        return max(1, math.ceil(slots * self.node.settings.gather.slot_share))
+
+    def _published(self, name: PublicationName) -> None:
+        if name is PublicationName.HOSTS:
+            hosts = self.node.published.hosts.value
+            self._searchers.list_changed(hosts.leaving_searchers)
+
+    async def _keep_up(self) -> None:
+        while True:
+            await asyncio.sleep(UPKEEP.total_seconds())
+            self._searchers.renew_leaving()
+            self._dispatcher.serve_waiting()
+            await self._dispatcher.check_health()
+
+
+def _submit_status(attempt: Attempt) -> tuple[SubmitStatus, str]:
+    match attempt:
+        case Answered(receipt=receipt):
+            return SubmitStatus.RAN, receipt
+        case NotSent():
+            return SubmitStatus.NOT_RUN, RefusalReason.NO_SEARCHER
+        case Shed() | VersionGone():
+            return SubmitStatus.NOT_RUN, RefusalReason.SHED
+        case _:
+            return SubmitStatus.UNKNOWN, type(attempt).__name__
--- /dev/null
+++ b/foxtailseam/outcomes/__init__.py
@@ -0,0 +1,30 @@
+"""What a request comes to: outcomes, coverage, and the merge of sub-answers."""
+
+from foxtailseam.outcomes._coverage import Coverage, Lack, LackReason
+from foxtailseam.outcomes._merge import merge_answers
+from foxtailseam.outcomes._outcomes import (
+    Accepted,
+    Complete,
+    Outcome,
+    Partial,
+    RefusalReason,
+    Refused,
+    Unknown,
+)
+from foxtailseam.outcomes._sub_answers import Hit, SubAnswer
+
+__all__ = [
+    "Accepted",
+    "Complete",
+    "Coverage",
+    "Hit",
+    "Lack",
+    "LackReason",
+    "Outcome",
+    "Partial",
+    "RefusalReason",
+    "Refused",
+    "SubAnswer",
+    "Unknown",
+    "merge_answers",
+]
--- /dev/null
+++ b/foxtailseam/peers/__init__.py
@@ -0,0 +1,17 @@
+"""State shared among processes: published values, peers, exchange of news."""
+
+from foxtailseam.peers._controller import PeerController
+from foxtailseam.peers._identity import Identity
+from foxtailseam.peers._platform import PlatformController
+from foxtailseam.peers._published import PublishedState
+from foxtailseam.peers._table import PeerEvent, PeerState, PeerTable
+
+__all__ = [
+    "Identity",
+    "PeerController",
+    "PeerEvent",
+    "PeerState",
+    "PeerTable",
+    "PlatformController",
+    "PublishedState",
+]
--- /dev/null
+++ b/foxtailseam/peers/_controller.py
@@ -0,0 +1,252 @@
+"""Exchanges soft state with peers and pulls what is newer there."""
+
+import asyncio
+import random
+from datetime import timedelta
+
+from foxtailseam.clocks import Clock, HybridClock
+from foxtailseam.configuration import Revision
+from foxtailseam.logs import EventCode
+from foxtailseam.metrics import Metrics
+from foxtailseam.peers._identity import Identity
+from foxtailseam.peers._published import PublishedState
+from foxtailseam.peers._table import PeerEvent, PeerTable
+from foxtailseam.publications import Publication, PublicationStore
+from foxtailseam.quarantine import QuarantineController
+from foxtailseam.rpc import (
+    Envelope,
+    ExchangeReply,
+    ExchangeRequest,
+    PeerChannels,
+    PullReply,
+    PullRequest,
+    QuarantineNotice,
+)
+from foxtailseam.settings import PeerSettings
+from foxtailseam.timeline import Recorder
+
+SMALL_FLEET = 16
+
+
+class PeerController:
+    """One process's side of the exchange; used from one event loop.
+
+    In each round a few random peers are asked; in a small fleet, all of them.
+    Every message carries the sender's revisions, and whoever is behind pulls
+    the difference. News is passed on at once.
+
+    Parameters
+    ----------
+    identity : Identity
+        This process.
+    settings : PeerSettings
+        Intervals and bounds.
+    published : PublishedState
+        Values to keep level with the peers'.
+    quarantine : QuarantineController
+        Suspicions to keep level with the peers'.
+    table : PeerTable
+        States of the peers.
+    clock : Clock
+        Source of monotonic time.
+    hybrid : HybridClock
+        Stamps messages.
+    recorder : Recorder
+        Where news is reported.
+    metrics : Metrics
+        Counts messages.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        settings: PeerSettings,
+        published: PublishedState,
+        quarantine: QuarantineController,
+        table: PeerTable,
+        clock: Clock,
+        hybrid: HybridClock,
+        recorder: Recorder,
+        metrics: Metrics,
+    ):
+        self.identity = identity
+        self.settings = settings
+        self.published = published
+        self.quarantine = quarantine
+        self.table = table
+        self.clock = clock
+        self.hybrid = hybrid
+        self.recorder = recorder
+        self.metrics = metrics
+        self._channels = PeerChannels(self.heard)
+        self._draining = False
+        self._pulling: set[str] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def channels(self) -> PeerChannels:
+        """Return the channels to the peers."""
+        return self._channels
+
+    def start(self) -> None:
+        """Begin the rounds; to be called in the event loop."""
+        self.published.listen(lambda _: self.spread_news())
+        self._spawn(self._rounds())
+
+    def stop(self) -> None:
+        """End the rounds and close the channels."""
+        for task in list(self._tasks):
+            task.cancel()
+        self._channels.close()
+
+    def drain(self) -> None:
+        """Tell the peers that this process is leaving."""
+        self._draining = True
+        self.spread_news()
+
+    def envelope(self) -> Envelope:
+        """Return the state that rides on each message."""
+        published = self.published
+        return Envelope(
+            stamp=self.hybrid.tick(),
+            sender=self.identity.address,
+            incarnation=self.identity.incarnation,
+            draining=self._draining,
+            rules=published.rules.revision,
+            snapshots=published.snapshots.revision,
+            hosts=published.hosts.revision,
+        )
+
+    def heard(self, envelope: Envelope) -> None:
+        """Take note of a sender's state, and pull what it has newer."""
+        self.hybrid.receive(envelope.stamp)
+        event = PeerEvent.SAID_DRAINING if envelope.draining else PeerEvent.HEARD
+        self.table.apply(envelope.sender, event)
+        if self._is_behind(envelope) and envelope.sender not in self._pulling:
+            self._pulling.add(envelope.sender)
+            self._spawn(self._pull_from(envelope.sender))
+
+    async def exchange(self, request: ExchangeRequest) -> ExchangeReply:
+        """Answer a peer's round."""
+        self.metrics.add("exchanges_answered")
+        self._learn(request.quarantined, request.suspects)
+        return ExchangeReply(self.envelope(), *self._notices())
+
+    async def pull(self, request: PullRequest) -> PullReply:
+        """Return what a peer lacks."""
+        self.metrics.add("pulls_answered")
+        theirs = request.envelope
+        published = self.published
+        return PullReply(
+            self.envelope(),
+            published.rules.difference_since(theirs.rules),
+            _newer(published.snapshots, theirs.snapshots),
+            _newer(published.hosts, theirs.hosts),
+        )
+
+    async def exchange_with(self, peer: str) -> bool:
+        """Run one exchange; tell whether the peer replied."""
+        request = ExchangeRequest(self.envelope(), *self._notices())
+        self.metrics.add("exchanges_sent")
+        timeout = self.settings.timeout
+        outcome = await self._channels.exchange(peer, request, timeout)
+        if outcome.is_err():
+            sent = outcome.unwrap_err().sent
+            event = PeerEvent.NO_REPLY if sent else PeerEvent.REFUSED
+            self.table.apply(peer, event)
+            return False
+        reply = outcome.unwrap()
+        self._learn(reply.quarantined, reply.suspects)
+        return True
+
+    async def catch_up(self) -> bool:
+        """Pull from seeds and some peers; tell whether any replied."""
+        peers = {*self.settings.seeds, *self._choose()}
+        peers.discard(self.identity.address)
+        replies = await asyncio.gather(*(self._pull_from(peer) for peer in peers))
+        return any(replies)
+
+    def spread_news(self) -> None:
+        """Exchange with some peers at once."""
+        for peer in self._choose():
+            self._spawn(self.exchange_with(peer))
+
+    async def _rounds(self) -> None:
+        while True:
+            await asyncio.sleep(self.settings.interval.total_seconds())
+            listed = frozenset(self.published.hosts.value.processes)
+            self.table.forget_old(listed)
+            await asyncio.gather(*(self.exchange_with(p) for p in self._choose()))
+
+    def _choose(self) -> list[str]:
+        listed = set(self.published.hosts.value.processes)
+        others = sorted(listed - {self.identity.address})
+        if len(others) <= SMALL_FLEET:
+            return others
+        return random.sample(others, self.settings.fanout)
+
+    def _is_behind(self, envelope: Envelope) -> bool:
+        published = self.published
+        return (
+            envelope.rules > published.rules.revision
+            or envelope.snapshots > published.snapshots.revision
+            or envelope.hosts > published.hosts.revision
+        )
+
+    async def _pull_from(self, peer: str) -> bool:
+        try:
+            request = PullRequest(self.envelope())
+            timeout = max(self.settings.timeout, timedelta(seconds=1))
+            outcome = await self._channels.pull(peer, request, timeout)
+        finally:
+            self._pulling.discard(peer)
+        if outcome.is_err():
+            return False
+        reply = outcome.unwrap()
+        if reply.rules is not None:
+            self.published.merge_rules(reply.rules)
+        for publication in (reply.snapshots, reply.hosts):
+            if publication is not None:
+                self.published.offer(publication)
+        return True
+
+    def _notices(
+        self,
+    ) -> tuple[tuple[QuarantineNotice, ...], tuple[QuarantineNotice, ...]]:
+        quarantine = self.quarantine
+        return (
+            tuple(self._notice(item) for item in quarantine.quarantined()),
+            tuple(self._notice(item) for item in quarantine.suspects()),
+        )
+
+    def _notice(self, fingerprint: str) -> QuarantineNotice:
+        remaining = self.quarantine.remaining(fingerprint)
+        milliseconds = remaining // timedelta(milliseconds=1)
+        return QuarantineNotice(fingerprint, milliseconds)
+
+    def _learn(
+        self,
+        quarantined: tuple[QuarantineNotice, ...],
+        suspects: tuple[QuarantineNotice, ...],
+    ) -> None:
+        for notice in suspects:
+            remaining = timedelta(milliseconds=notice.remaining_ms)
+            self.quarantine.learn_suspect(notice.fingerprint, remaining)
+        news = False
+        for notice in quarantined:
+            remaining = timedelta(milliseconds=notice.remaining_ms)
+            fingerprint = notice.fingerprint
+            if self.quarantine.learn_quarantined(fingerprint, remaining):
+                news = True
+                self.recorder.record(EventCode.QUARANTINED, fingerprint=fingerprint)
+        if news:
+            self.spread_news()
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _newer(store: PublicationStore, theirs: Revision) -> Publication | None:
+    return store.publication if store.revision > theirs else None
--- /dev/null
+++ b/foxtailseam/quarantine/__init__.py
@@ -0,0 +1,11 @@
+"""Requests that crash searchers: found, refused, and spread to peers."""
+
+from foxtailseam.quarantine._controller import QuarantineController, fingerprint_of
+from foxtailseam.quarantine._transitions import SuspicionEvent, SuspicionState
+
+__all__ = [
+    "QuarantineController",
+    "SuspicionEvent",
+    "SuspicionState",
+    "fingerprint_of",
+]
--- /dev/null
+++ b/foxtailseam/rpc/__init__.py
@@ -0,0 +1,45 @@
+"""Messages and calls between the system's own processes, over grpclib."""
+
+from foxtailseam.rpc._client import CallError, PeerChannels
+from foxtailseam.rpc._codec import MessagePackCodec
+from foxtailseam.rpc._messages import (
+    Envelope,
+    ExchangeReply,
+    ExchangeRequest,
+    PullReply,
+    PullRequest,
+    QuarantineNotice,
+    SearchReply,
+    SearchRequest,
+    SubmitReply,
+    SubmitRequest,
+    SubmitStatus,
+    TicketReply,
+    TicketRequest,
+    TicketStatus,
+)
+from foxtailseam.rpc._services import EntryService, GatherService, Method, PeerService
+
+__all__ = [
+    "CallError",
+    "EntryService",
+    "Envelope",
+    "ExchangeReply",
+    "ExchangeRequest",
+    "GatherService",
+    "MessagePackCodec",
+    "Method",
+    "PeerChannels",
+    "PeerService",
+    "PullReply",
+    "PullRequest",
+    "QuarantineNotice",
+    "SearchReply",
+    "SearchRequest",
+    "SubmitReply",
+    "SubmitRequest",
+    "SubmitStatus",
+    "TicketReply",
+    "TicketRequest",
+    "TicketStatus",
+]
--- /dev/null
+++ b/foxtailseam/searchers/__init__.py
@@ -0,0 +1,46 @@
+"""The upstream side: calls to searchers, their state, slots, hedges, retries."""
+
+from foxtailseam.searchers._attempts import (
+    Answered,
+    Attempt,
+    Broken,
+    Mismatched,
+    NotSent,
+    Shed,
+    TimedOut,
+    VersionGone,
+)
+from foxtailseam.searchers._budget import RateBudget, RatioBudget
+from foxtailseam.searchers._client import SearcherClient, SubRequest
+from foxtailseam.searchers._controller import SearcherController
+from foxtailseam.searchers._dispatcher import Dispatcher, ShardRequest
+from foxtailseam.searchers._latency import LatencyWindow
+from foxtailseam.searchers._searcher import Searcher
+from foxtailseam.searchers._state import (
+    SearcherEvent,
+    SearcherState,
+    SearcherStateMachine,
+)
+
+__all__ = [
+    "Answered",
+    "Attempt",
+    "Broken",
+    "Dispatcher",
+    "LatencyWindow",
+    "Mismatched",
+    "NotSent",
+    "RateBudget",
+    "RatioBudget",
+    "Searcher",
+    "SearcherClient",
+    "SearcherController",
+    "SearcherEvent",
+    "SearcherState",
+    "SearcherStateMachine",
+    "ShardRequest",
+    "Shed",
+    "SubRequest",
+    "TimedOut",
+    "VersionGone",
+]
--- /dev/null
+++ b/foxtailseam/searchers/_controller.py
@@ -0,0 +1,95 @@
+"""All searchers that this gather uses."""
+
+from collections.abc import Iterable
+
+from foxtailseam.clocks import Clock
+from foxtailseam.logs import EventCode
+from foxtailseam.searchers._searcher import Searcher
+from foxtailseam.searchers._state import SearcherEvent, SearcherState
+from foxtailseam.timeline import Recorder
+
+MAX_EJECTED_SHARE = 0.5
+
+
+class SearcherController:
+    """Keeps the searchers and applies what is learnt of them.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    recorder : Recorder
+        Where changes of state are reported.
+    """
+
+    def __init__(self, clock: Clock, recorder: Recorder):
+        self.clock = clock
+        self.recorder = recorder
+        self._searchers: dict[str, Searcher] = {}
+        self._listed_leaving: frozenset[str] = frozenset()
+
+    @property
+    def searchers(self) -> tuple[Searcher, ...]:
+        """Return all searchers used so far."""
+        return tuple(self._searchers.values())
+
+    def find(self, address: str, slots: int, connections: int) -> Searcher:
+        """Return the searcher at `address`."""
+        searcher = self._searchers.get(address)
+        if searcher is None:
+            searcher = Searcher(address, slots, connections, self.clock)
+            self._searchers[address] = searcher
+            if address in self._listed_leaving:
+                self.apply(searcher, SearcherEvent.LISTED_LEAVING)
+        return searcher
+
+    def apply(self, searcher: Searcher, event: SearcherEvent) -> None:
+        """Apply an event and report a change of state."""
+        self.report(searcher, event, searcher.apply(event))
+
+    def report(self, searcher: Searcher, event: SearcherEvent, changed: bool) -> None:
+        """Report a change of state, if there was one."""
+        if changed:
+            self.recorder.record(
+                EventCode.SEARCHER_STATE,
+                searcher=searcher.address,
+                state=searcher.state,
+                event=event,
+            )
+
+    def failed(self, searcher: Searcher) -> None:
+        """Take note of a failure; eject unless too many are ejected already."""
+        if self._ejected_share() < MAX_EJECTED_SHARE:
+            event = SearcherEvent.FAILED_OFTEN
+            self.report(searcher, event, searcher.failed())
+
+    def list_changed(self, leaving: Iterable[str]) -> None:
+        """Apply a new list of leaving searchers."""
+        self._listed_leaving = frozenset(leaving)
+        self.renew_leaving()
+
+    def renew_leaving(self) -> None:
+        """Keep those on the list leaving; to be called more often than the hold."""
+        for address in self._listed_leaving:
+            searcher = self._searchers.get(address)
+            if searcher is not None:
+                self.apply(searcher, SearcherEvent.LISTED_LEAVING)
+
+    def health_checked(self, searcher: Searcher, is_ready: bool) -> None:
+        """Apply what a leaving searcher's health endpoint said."""
+        event = SearcherEvent.HEALTH_READY if is_ready else SearcherEvent.DRAIN_SIGNAL
+        self.apply(searcher, event)
+
+    def distrust(self) -> None:
+        """Forget connections after a pause; the far ends may have closed them."""
+        for searcher in self._searchers.values():
+            searcher.client.drop_connections()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for searcher in self._searchers.values():
+            searcher.client.close()
+
+    def _ejected_share(self) -> float:
+        states = [searcher.state for searcher in self._searchers.values()]
+        return states.count(SearcherState.EJECTED) / len(states)
--- /dev/null
+++ b/foxtailseam/settings/__init__.py
@@ -0,0 +1,30 @@
+"""Settings of a process: YAML read into frozen data classes, and checked."""
+
+from foxtailseam.settings._loader import load_settings, parse_settings
+from foxtailseam.settings._model import (
+    EntrySettings,
+    GatherSettings,
+    LogSettings,
+    PeerSettings,
+    PlatformSettings,
+    ProcessSettings,
+    Role,
+    Routing,
+    Settings,
+    ShutdownSettings,
+)
+
+__all__ = [
+    "EntrySettings",
+    "GatherSettings",
+    "LogSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "ProcessSettings",
+    "Role",
+    "Routing",
+    "Settings",
+    "ShutdownSettings",
+    "load_settings",
+    "parse_settings",
+]
--- /dev/null
+++ b/foxtailseam/settings/_loader.py
@@ -0,0 +1,58 @@
+"""Reads settings from YAML."""
+
+import re
+from datetime import timedelta
+from pathlib import Path
+
+import dacite
+import yaml
+from result import Err, Ok, Result
+
+from foxtailseam.settings._checks import check_settings
+from foxtailseam.settings._model import Role, Routing, Settings
+from foxtailseam.utils import ValidationProblem
+
+_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s|min)")
+_UNITS = {
+    "ms": timedelta(milliseconds=1),
+    "s": timedelta(seconds=1),
+    "min": timedelta(minutes=1),
+}
+
+
+def load_settings(path: Path) -> Result[Settings, list[ValidationProblem]]:
+    """Read and check a settings file; an error lists every problem found."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err([ValidationProblem(str(path), str(error), "a readable file")])
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Result[Settings, list[ValidationProblem]]:
+    """Parse and check settings; an error lists every problem found."""
+    try:
+        document = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        return Err([ValidationProblem("settings", str(error), "YAML")])
+    if not isinstance(document, dict):
+        kind = type(document).__name__
+        return Err([ValidationProblem("settings", kind, "a YAML mapping")])
+    config = dacite.Config(
+        strict=True,
+        type_hooks={timedelta: _read_duration},
+        cast=[Role, Routing, tuple],
+    )
+    try:
+        settings = dacite.from_dict(Settings, document, config)
+    except (dacite.DaciteError, ValueError, TypeError) as error:
+        return Err([ValidationProblem("settings", str(error), "docs/settings.md")])
+    problems = check_settings(settings)
+    return Err(problems) if problems else Ok(settings)
+
+
+def _read_duration(value: object) -> timedelta:
+    match = _DURATION.fullmatch(str(value))
+    if match is None:
+        raise ValueError(f"found {value!r}, expected a duration such as 250ms or 2s")
+    return float(match[1]) * _UNITS[match[2]]
--- /dev/null
+++ b/foxtailseam/utils/__init__.py
@@ -0,0 +1,6 @@
+"""Helpers shared by the subpackages."""
+
+from foxtailseam.utils._identifiers import new_identifier
+from foxtailseam.utils._validation import ValidationProblem, check_range, check_unique
+
+__all__ = ["ValidationProblem", "check_range", "check_unique", "new_identifier"]
--- /dev/null
+++ b/foxtailseam_bench/demo.py
@@ -0,0 +1,59 @@
+"""A small deployment on loopback, a few queries, and the time line."""
+
+import sys
+
+from foxtailseam.cli import main as foxtailseam
+from foxtailseam_bench._processes import wait_until
+from foxtailseam_bench.deployment import Deployment, DeploymentPlan, FamilyPlan
+
+RULES = """\
+* deadline 500ms  # Demo, all families
+certificate-lookup least-coverage 100%  # Qureshi, gate checks
+letter-sender repeatable no  # Lakeshore, letters
+"""
+
+
+def main() -> int:
+    """Run the demonstration; return an exit code."""
+    families = (
+        FamilyPlan("certificate-lookup", shards=3),
+        FamilyPlan("letter-sender", shards=2),
+    )
+    with Deployment(DeploymentPlan(families, RULES)) as deployment:
+        host = deployment.hosts[0]
+        processes = ",".join(deployment.operator_addresses())
+        _title("status of all processes")
+        foxtailseam(["status", processes])
+        _title("a search with complete coverage")
+        foxtailseam(["search", host.callers, "certificate-lookup", "climber 1"])
+        _title("the same with all searchers of one shard down: partial, with reason")
+        for address in deployment.searchers["certificate-lookup-01"]:
+            deployment.processes.kill(deployment.searcher_name(address))
+        foxtailseam(["search", host.callers, "certificate-lookup", "climber 1"])
+        _title("a search of a family that the rules mark as not repeatable: refused")
+        foxtailseam(["search", host.callers, "letter-sender", "climber 1"])
+        _title("a letter, sent twice with one ticket: run once")
+        ticket = deployment.ticket(host, "letter-sender")
+        for entry in deployment.hosts:
+            print(deployment.submit(entry, "letter-sender", ticket, "letter 1").body)
+        _title("a changed rule, in force in every process")
+        revision = deployment.hand_over("rules", RULES.replace("500ms", "400ms"))
+        seconds = wait_until(
+            lambda: all(
+                status["rules"] == revision for status in deployment.statuses().values()
+            ),
+            3.0,
+            "the rules in force everywhere",
+        )
+        print(f"revision {revision} in force everywhere after {seconds:.2f} s")
+        _title("the time line over all processes")
+        foxtailseam(["timeline", processes])
+    return 0
+
+
+def _title(text: str) -> None:
+    print(f"\n== {text}", flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/foxtailseam_bench/load.py
@@ -0,0 +1,105 @@
+"""Background load of searches, and what came of each."""
+
+import itertools
+import threading
+import time
+from dataclasses import dataclass, field
+
+import urllib3
+
+from foxtailseam_bench.deployment import Deployment, HostAddresses, Reply
+
+
+@dataclass(frozen=True)
+class Observation:
+    """One search as its caller saw it; `reply` is None if it was cut."""
+
+    entry: str
+    query: str
+    started: float
+    ended: float
+    reply: Reply | None
+    error: str = ""
+
+
+@dataclass
+class BackgroundLoad:
+    """Threads that search, one query after the other, until stopped.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Where to search.
+    family : str
+        Service family.
+    threads : int
+        Searches at a time.
+    queries : list of str
+        Sent in turn.
+    pause : float
+        Seconds between two searches of a thread.
+    """
+
+    deployment: Deployment
+    family: str
+    threads: int = 4
+    queries: list[str] = field(
+        default_factory=lambda: ["climber 0", "climber 1", "climber 2"]
+    )
+    pause: float = 0.01
+
+    def __post_init__(self):
+        self.observations: list[Observation] = []
+        self._targets: list[HostAddresses] = list(self.deployment.hosts)
+        self._stop = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(index,), daemon=True)
+            for index in range(self.threads)
+        ]
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    def stop(self) -> None:
+        """Finish the searches in flight."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def leave_out(self, host: HostAddresses) -> None:
+        """Send nothing to a host any more, as a balancer does after a while."""
+        self._targets = [item for item in self._targets if item is not host]
+
+    def take_in(self, host: HostAddresses) -> None:
+        """Send to a host again."""
+        self._targets = [*self._targets, host]
+
+    def since(self, started: float) -> list[Observation]:
+        """Return the searches that started at or after a monotonic time."""
+        return [item for item in list(self.observations) if item.started >= started]
+
+    def _run(self, offset: int) -> None:
+        for number in itertools.count(offset):
+            if self._stop.is_set():
+                return
+            targets = self._targets
+            if targets:
+                host = targets[number % len(targets)]
+                query = self.queries[number % len(self.queries)]
+                self.observations.append(self._search(host, query))
+            time.sleep(self.pause)
+
+    def _search(self, host: HostAddresses, query: str) -> Observation:
+        started = time.monotonic()
+        reply, error = None, ""
+        try:
+            reply = self.deployment.search(host, self.family, query, timeout=10.0)
+        except urllib3.exceptions.HTTPError as fault:
+            error = repr(fault)
+        ended = time.monotonic()
+        return Observation(host.name, query, started, ended, reply, error)
