Remember which searchers lack a version or shed

Cause: with one searcher a version behind, or shedding half, each sub-request tried it first (it has the lowest latency, since a refusal is quick), so the retry budget ran dry and shards went lacking although a good replica stood by.

Ruled out: a larger retry budget; it hides the choice and adds load.

Change: a searcher that answered that it lacks a version is left out for that version for 1 s; one that sheds more than a tenth is chosen last, but for a request now and then. The stand-in's silence fault spares the connection that set it.

Conclusion: what a process sees itself decides the choice; budgets stay small.

--- a/foxtailseam/daemons/_gather.py
+++ b/foxtailseam/daemons/_gather.py
@@ -20,6 +20,7 @@
     SubmitStatus,
 )
 from foxtailseam.searchers import (
+    ANY_VERSION,
     Answered,
     Attempt,
     Dispatcher,
@@ -121,7 +122,7 @@
                 ShardRequest(
                     request.request_id,
                     request.family,
-                    0,
+                    ANY_VERSION,
                     request.body.encode(),
                     request.shard,
                     self._share(request.slots),
--- a/foxtailseam/searchers/__init__.py
+++ b/foxtailseam/searchers/__init__.py
@@ -13,7 +13,7 @@
 from foxtailseam.searchers._budget import RateBudget, RatioBudget
 from foxtailseam.searchers._client import SearcherClient, SubRequest
 from foxtailseam.searchers._controller import SearcherController
-from foxtailseam.searchers._dispatcher import Dispatcher, ShardRequest
+from foxtailseam.searchers._dispatcher import ANY_VERSION, Dispatcher, ShardRequest
 from foxtailseam.searchers._latency import LatencyWindow
 from foxtailseam.searchers._searcher import Searcher
 from foxtailseam.searchers._state import (
@@ -23,6 +23,7 @@
 )
 
 __all__ = [
+    "ANY_VERSION",
     "Answered",
     "Attempt",
     "Broken",
--- a/foxtailseam/searchers/_dispatcher.py
+++ b/foxtailseam/searchers/_dispatcher.py
@@ -35,6 +35,7 @@
 LEAST_SILENCE = timedelta(milliseconds=50)
 DEFAULT_HEDGE_DELAY = timedelta(milliseconds=50)
 LEAST_HEDGE_DELAY = timedelta(milliseconds=5)
+ANY_VERSION = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +49,7 @@
     family : str
         Service family.
     index_version : int
-        Pinned version.
+        Pinned version; `ANY_VERSION` for a request that may not be repeated.
     body : bytes
         The query, as sent to searchers.
     shard : Shard
@@ -176,22 +177,35 @@
         self._pool.shutdown(wait=False, cancel_futures=True)
         self.searchers.close()
 
+    def _replicas(self, request: ShardRequest) -> list[Searcher]:
+        find = self.searchers.find
+        return [
+            find(address, request.slots, request.connections)
+            for address in request.shard.searchers
+        ]
+
     def _candidates(
         self, request: ShardRequest, excluded: set[str]
     ) -> tuple[Searcher, ...]:
-        found = (
-            self.searchers.find(address, request.slots, request.connections)
-            for address in request.shard.searchers
-            if address not in excluded
+        return tuple(
+            searcher
+            for searcher in self._replicas(request)
+            if searcher.address not in excluded
+            and searcher.limit
+            and searcher.holds_version(request.index_version)
         )
-        return tuple(searcher for searcher in found if searcher.limit)
+
+    def _reason_for_none(self, request: ShardRequest) -> LackReason:
+        if any(searcher.limit for searcher in self._replicas(request)):
+            return LackReason.WRONG_VERSION
+        return LackReason.NO_SEARCHER
 
     async def _first_slot(
         self, request: ShardRequest, progress: _Progress
     ) -> Searcher | None:
         candidates = self._candidates(request, progress.tried)
         if not candidates:
-            progress.lack = LackReason.NO_SEARCHER
+            progress.lack = self._reason_for_none(request)
             return None
         searcher = self._slots.take_now(candidates)
         if searcher is not None:
@@ -382,8 +396,9 @@
         duration: timedelta,
     ) -> None:
         learners: dict[type, Callable[[], None]] = {
-            Answered: lambda: self._learn_answer(searcher, attempt, duration),
+            Answered: lambda: self._learn_answer(searcher, request, attempt, duration),
             Shed: lambda: self._learn_shed(searcher, attempt),
+            VersionGone: lambda: searcher.lacked_version(request.index_version),
             NotSent: lambda: self._learn_not_sent(searcher, request),
             Broken: lambda: self._learn_broken(searcher, request, attempt),
             TimedOut: lambda: self._learn_timeout(searcher, request, duration),
@@ -394,16 +409,23 @@
             learn()
 
     def _learn_answer(
-        self, searcher: Searcher, attempt: Answered, duration: timedelta
+        self,
+        searcher: Searcher,
+        request: ShardRequest,
+        attempt: Answered,
+        duration: timedelta,
     ) -> None:
         self.metrics.observe("sub_request_latency", duration)
         changed = searcher.answered(duration, attempt.incarnation)
         self.searchers.report(searcher, SearcherEvent.ANSWERED, changed)
+        if request.index_version not in (ANY_VERSION, attempt.index_version):
+            searcher.lacked_version(request.index_version)
         if attempt.draining:
             self.searchers.apply(searcher, SearcherEvent.DRAIN_SIGNAL)
 
     def _learn_shed(self, searcher: Searcher, attempt: Shed) -> None:
         self.metrics.add("sheds_received")
+        searcher.shed()
         if attempt.draining:
             self.searchers.apply(searcher, SearcherEvent.DRAIN_SIGNAL)
 
--- a/foxtailseam/searchers/_searcher.py
+++ b/foxtailseam/searchers/_searcher.py
@@ -16,7 +16,9 @@
 WARMING_ANSWERS = 20
 SMOOTHING = 0.2
 DROPS_A_SECOND = 1.0
-SLOW_PROBE_SECONDS = 1.0
+PROBE_SECONDS = 1.0
+POOR_SHED_SHARE = 0.1
+VERSION_MEMORY_SECONDS = 1.0
 
 
 class Searcher:
@@ -49,6 +51,8 @@
         self._warm_answers = 0
         self._smoothed: float | None = None
         self._used_at = float("-inf")
+        self._shed_share = 0.0
+        self._missing_versions: dict[int, float] = {}
 
     @property
     def client(self) -> SearcherClient:
@@ -99,8 +103,18 @@
 
     @property
     def due_for_probe(self) -> bool:
-        """Return whether a slow searcher was left unused long enough to try it."""
-        return self.clock.monotonic() - self._used_at >= SLOW_PROBE_SECONDS
+        """Return whether the searcher was left unused long enough to try it."""
+        return self.clock.monotonic() - self._used_at >= PROBE_SECONDS
+
+    @property
+    def sheds_often(self) -> bool:
+        """Return whether it turned away a good share of its latest requests."""
+        return self._shed_share > POOR_SHED_SHARE
+
+    def holds_version(self, index_version: int) -> bool:
+        """Return False if it lacked an index version a moment ago."""
+        missing_until = self._missing_versions.get(index_version, float("-inf"))
+        return self.clock.monotonic() >= missing_until
 
     def take_slot(self) -> None:
         """Count a request as in flight."""
@@ -118,6 +132,7 @@
     def answered(self, duration: timedelta, incarnation: str) -> bool:
         """Take note of an answer; tell whether the state changed."""
         self._failures = 0
+        self._note_shed(False)
         self._latency.record(duration)
         seconds = duration.total_seconds()
         before = seconds if self._smoothed is None else self._smoothed
@@ -132,6 +147,20 @@
             return self.apply(SearcherEvent.WARMED)
         return self.apply(SearcherEvent.ANSWERED)
 
+    def shed(self) -> None:
+        """Take note of a request that it turned away."""
+        self._note_shed(True)
+
+    def lacked_version(self, index_version: int) -> None:
+        """Take note that it does not answer from an index version."""
+        current = self.clock.monotonic()
+        self._missing_versions = {
+            version: until
+            for version, until in self._missing_versions.items()
+            if until > current
+        }
+        self._missing_versions[index_version] = current + VERSION_MEMORY_SECONDS
+
     def slowed(self, duration: timedelta) -> None:
         """Take note of a request given up after `duration`."""
         seconds = duration.total_seconds()
@@ -153,3 +182,6 @@
             return False
         self._client.drop_connections()
         return True
+
+    def _note_shed(self, shed: bool) -> None:
+        self._shed_share += SMOOTHING * (shed - self._shed_share)
--- a/foxtailseam/searchers/_slots.py
+++ b/foxtailseam/searchers/_slots.py
@@ -130,8 +130,10 @@
     return min(usable, key=_preference, default=None)
 
 
-def _preference(searcher: Searcher) -> tuple[int, int, float]:
-    return _RANKS[searcher.state], searcher.in_flight, _latency(searcher)
+def _preference(searcher: Searcher) -> tuple[int, bool, int, float]:
+    avoid = searcher.sheds_often and not searcher.due_for_probe
+    rank = _RANKS[searcher.state]
+    return rank, avoid, searcher.in_flight, _latency(searcher)
 
 
 def _expected_latency(candidates: tuple[Searcher, ...]) -> float:
--- a/foxtailseam_bench/searcher.py
+++ b/foxtailseam_bench/searcher.py
@@ -67,6 +67,8 @@
         Connections open now go silent for good; new ones work.
     crossed : bool
         Answers carry the identifier of the request before.
+    double : bool
+        Each answer is sent twice.
     cut : str
         ``before``, ``within`` or ``after`` the run: the connection is reset.
     """
@@ -89,6 +91,7 @@
     crash_on: str = ""
     silence: bool = False
     crossed: bool = False
+    double: bool = False
     cut: str = ""
 
 
@@ -170,7 +173,7 @@
             case "/search" | "/submit":
                 return await self._run(connection, request)
             case "/control":
-                return self._control(request)
+                return self._control(connection, request)
             case "/runs":
                 log = RunLog(
                     self._runs, self._received, self._opened, self._cancel_count
@@ -189,12 +192,12 @@
         while len(self._cancelled) > RUN_LOG_LENGTH:
             self._cancelled.popitem(last=False)
 
-    def _control(self, request: HttpRequest) -> HttpAnswer:
+    def _control(self, caller: Connection, request: HttpRequest) -> HttpAnswer:
         changes = msgspec.json.decode(request.body)
         silence = changes.pop("silence", False)
         self.behaviour = replace(self.behaviour, **changes)
         if silence:
-            for connection in self._open:
+            for connection in self._open - {caller}:
                 connection.silent = True
         return HttpAnswer()
 
@@ -263,10 +266,11 @@
         if behaviour.crossed and self._previous_id:
             headers = headers | {"X-Request-Id": self._previous_id}
         self._previous_id = request_id
+        shown = behaviour.answer_version or version
         answer = {
             "request_id": headers["X-Request-Id"],
-            "index_version": behaviour.answer_version or version,
-            "hits": self._matching(body) if request.path == "/search" else [],
+            "index_version": shown,
+            "hits": self._matching(body, shown) if request.path == "/search" else [],
             "receipt": f"receipt-{request_id}",
         }
         asyncio.get_running_loop().call_later(
@@ -274,12 +278,17 @@
             _send,
             connection,
             HttpAnswer(200, msgspec.json.encode(answer), headers),
+            2 if behaviour.double else 1,
         )
         return None
 
-    def _matching(self, body: str) -> list[Record]:
+    def _matching(self, body: str, version: int) -> list[Record]:
         query = msgspec.json.decode(body)["query"]
-        return [record for record in self.records if query in record.text]
+        return [
+            replace(record, text=f"{record.text} at version {version}")
+            for record in self.records
+            if query in record.text
+        ]
 
     def _log(self, run: Run) -> None:
         self._runs.append(run)
@@ -301,9 +310,9 @@
         return behaviour.service_ms * factor * vary / 1000
 
 
-def _send(connection: Connection, answer: HttpAnswer) -> None:
+def _send(connection: Connection, answer: HttpAnswer, times: int) -> None:
     if not connection.silent and not connection.transport.is_closing():
-        connection.transport.write(answer.encode())
+        connection.transport.write(answer.encode() * times)
 
 
 @dataclass(frozen=True)
