--- a/features/judges.py
+++ b/features/judges.py
@@ -36,13 +36,3 @@
     """Return whether an answer is complete."""
     reply = observation.reply
     return reply is not None and reply.body.get("outcome") == "complete"
-
-
-def runs_of(deployment, content):
-    """Return how often the searchers ran a request with this content."""
-    count = 0
-    for address in deployment.all_searchers():
-        if deployment.processes.is_running(deployment.searcher_name(address)):
-            runs = deployment.run_log(address).runs
-            count += sum(content in run.body for run in runs)
-    return count
--- /dev/null
+++ b/features/leaving.feature
@@ -0,0 +1,54 @@
+Feature: Leaving and stopping
+  An upstream that leaves gets no new work after 3 s, whoever says so.
+  A graceful shutdown of our own processes cuts no request.
+
+  @leaving
+  Scenario Outline: No new work for a searcher when <signal>
+    Given a deployment under load
+    When a searcher leaves: <signal>
+    And 3 s pass
+    Then the searcher gets no work for 1.5 s
+    And every answer is truthful
+    And answers are complete at the end
+
+    Examples:
+      | signal                                          |
+      | it refuses work and says that it drains         |
+      | it serves on and says that it drains            |
+      | only the list says so                           |
+      | it drains while its health endpoint lags        |
+      | the list says so, then the platform is lost     |
+      | the list takes it back while it drains          |
+      | the list flips and ends on leaving              |
+      | it refuses connections                          |
+
+  @shutdown
+  Scenario Outline: SIGTERM to <processes>, <times> times
+    Given a deployment whose searchers take 150 ms
+    And a load
+    When SIGTERM is sent <times> times to <processes>, and the balancer lags 0.3 s
+    Then <processes> end with exit code 0
+    And no request was cut
+    And every answer is truthful
+    And each answer is complete
+
+    Examples:
+      | processes                       | times |
+      | host-2-entry                    | 1     |
+      | host-2-entry                    | 2     |
+      | host-2-gather-0                 | 1     |
+      | host-2-gather-0                 | 2     |
+      | host-2-entry host-2-gather-0    | 1     |
+
+  @shutdown
+  Scenario: A letter in flight is not cut by the shutdown of its entry
+    Given a deployment whose searchers take 300 ms
+    When a letter is in flight and its entry and gather get SIGTERM
+    Then the letter is accepted
+
+  @shutdown
+  Scenario: A drain ends at its bound, and says so
+    Given a deployment with a drain bound of 500ms
+    When a letter is in flight for 3 s and its entry gets SIGTERM
+    Then the entry ends within 3 s with exit code 5
+    And the letter's outcome is unknown
--- /dev/null
+++ b/features/steps/configuration_steps.py
@@ -0,0 +1,197 @@
+"""Steps of the rules that are in force."""
+
+import threading
+import time
+
+from behave import given, then, when
+
+from features.steps.path_steps import FAMILY, LETTERS, RULES
+from foxtailseam_bench.deployment import DeploymentPlan, FamilyPlan
+from foxtailseam_bench.split import SplitDeployment
+
+MANY_RULES = 12_000
+
+
+def revisions(deployment):
+    return {name: item["rules"] for name, item in deployment.statuses().items()}
+
+
+def running(deployment):
+    return [
+        f"{host.name}-{process}"
+        for host in deployment.hosts
+        for process in ("entry", "gather-0")
+        if deployment.processes.is_running(f"{host.name}-{process}")
+    ]
+
+
+@when("a new rule is handed over")
+def step_hand_over(context):
+    line = "* priority 3  # Test\n"
+    context.revision = context.deployment.hand_over("rules", RULES + line)
+
+
+@then("it is in force in each process within {seconds:g} s")
+def step_in_force(context, seconds):
+    wait_in_force(context, running(context.deployment), seconds)
+
+
+def wait_in_force(context, names, seconds):
+    deadline = time.monotonic() + seconds
+    while True:
+        found = revisions(context.deployment)
+        if all(found.get(name) == context.revision for name in names):
+            return
+        assert time.monotonic() < deadline, (context.revision, found)
+        time.sleep(0.02)
+
+
+@when("an invalid file is handed over")
+def step_invalid(context):
+    context.before = revisions(context.deployment)
+    context.deployment.hand_over("rules", RULES + "* deadline soon  # Test\n")
+
+
+@then("the rules in force have not changed")
+def step_unchanged(context):
+    assert revisions(context.deployment) == context.before
+
+
+@then("each process logs line, column and what was expected")
+def step_logged(context):
+    for name in running(context.deployment):
+        output = context.deployment.processes.output(name)
+        assert "line 6, column 12" in output, output[-1000:]
+        assert "expected a duration" in output, output[-1000:]
+
+
+@when("{operators:d} operators hand over {count:d} files each at once")
+def step_operators(context, operators, count):
+    def hand_over(operator):
+        for number in range(count):
+            line = f"* limit {100 * operator + number + 1}  # Operator {operator}\n"
+            context.deployment.hand_over("rules", RULES + line)
+
+    threads = [
+        threading.Thread(target=hand_over, args=(operator,))
+        for operator in range(operators)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    context.revision = 1 + operators * count
+
+
+@then("each process has the same rules within {seconds:g} s")
+def step_same(context, seconds):
+    wait_in_force(context, running(context.deployment), seconds)
+    statuses = context.deployment.statuses().values()
+    assert len({item["rules_digest"] for item in statuses}) == 1
+
+
+@when("each process is replaced, one after the other")
+def step_replace(context):
+    deployment = context.deployment
+    context.seen = {}
+    for host in deployment.hosts:
+        for process in ("gather-0", "entry"):
+            name = f"{host.name}-{process}"
+            deployment.processes.kill(name)
+            deployment.processes.restart(name)
+            deployment.wait_ready(host)
+            context.seen[name] = revisions(deployment)
+    time.sleep(1.5)
+    context.seen["at the end"] = revisions(deployment)
+
+
+@then("no process ever had an older revision")
+def step_never_older(context):
+    for moment, found in context.seen.items():
+        assert len(found) == 4, (moment, found)
+        assert set(found.values()) == {context.revision}, (moment, found)
+
+
+@when("{name} is frozen while {count:d} rules are handed over")
+def step_frozen(context, name, count):
+    context.deployment.processes.freeze(name)
+    for number in range(count):
+        line = f"* limit {number + 50}  # Test\n"
+        context.revision = context.deployment.hand_over("rules", RULES + line)
+        time.sleep(0.4)
+    context.deployment.processes.wake(name)
+
+
+@when("{name} is frozen while the family becomes not repeatable")
+def step_frozen_change(context, name):
+    deployment = context.deployment
+    deployment.processes.freeze(name)
+    # Long enough for the process to know on waking that it was paused.
+    time.sleep(1.5)
+    deployment.hand_over("rules", RULES + f"{FAMILY} repeatable no  # Test\n")
+    time.sleep(0.3)
+    deployment.processes.wake(name)
+    context.reply = deployment.search(deployment.hosts[0], FAMILY, "climber 1")
+
+
+@then("its first answer after waking is a refusal as {reason}")
+def step_first_answer(context, reason):
+    assert context.reply.body.get("reason") == reason, context.reply
+
+
+@given("a deployment in two parts")
+def step_parts(context):
+    families = (FamilyPlan(FAMILY), FamilyPlan(LETTERS, shards=1))
+    context.deployment = SplitDeployment(DeploymentPlan(families, RULES))
+    context.cleanup.append(context.deployment.stop)
+    context.deployment.start()
+
+
+@when("the parts are split")
+def step_split(context):
+    context.deployment.relays.cut()
+    time.sleep(1.0)
+
+
+@when("a new rule is handed over to the first part")
+def step_hand_over_near(context):
+    line = "* priority 3  # Test\n"
+    context.revision = context.deployment.hand_over_near("rules", RULES + line)
+
+
+@then("the first part has it within {seconds:g} s")
+def step_first_part(context, seconds):
+    wait_in_force(context, ["host-1-entry", "host-1-gather-0"], seconds)
+
+
+@then("both parts serve")
+def step_both_serve(context):
+    for host in context.deployment.hosts:
+        reply = context.deployment.search(host, FAMILY, "climber 1")
+        assert reply.body["outcome"] == "complete", reply
+
+
+@when("the split heals")
+def step_heal(context):
+    context.deployment.relays.heal()
+
+
+def many_rules(limit):
+    requester = "# Desk " + "x" * 46
+    return "".join(
+        f"family-{number:05} limit {limit}  {requester}\n"
+        for number in range(MANY_RULES)
+    )
+
+
+@when("a million bytes of rules are handed over")
+def step_million(context):
+    text = RULES + many_rules(10)
+    assert 900_000 < len(text) <= 1_000_000, len(text)
+    context.revision = context.deployment.hand_over("rules", text)
+
+
+@when("every rule of them is changed at once")
+def step_release(context):
+    text = RULES.replace("500ms", "600ms") + many_rules(20)
+    context.revision = context.deployment.hand_over("rules", text)
--- /dev/null
+++ b/features/steps/leaving_steps.py
@@ -0,0 +1,172 @@
+"""Steps of leaving searchers and of shutdowns."""
+
+import signal
+import threading
+import time
+
+from behave import given, then, when
+
+from features.faults import first_shard, platform_killed
+from features.judges import is_complete
+from features.steps.load_steps import begin_load
+from features.steps.path_steps import LETTERS, RULES, start
+
+
+def say(**changes):
+    def change(deployment, address):
+        deployment.behave(address, **changes)
+
+    return change
+
+
+def list_leaving(deployment, address):
+    deployment.publish_hosts(leaving_searchers={address})
+
+
+def list_then_lose_platform(deployment, address):
+    list_leaving(deployment, address)
+    time.sleep(0.5)
+    platform_killed(deployment)
+
+
+def list_takes_back(deployment, address):
+    deployment.behave(address, draining=True)
+    list_leaving(deployment, address)
+    time.sleep(0.3)
+    deployment.publish_hosts(leaving_searchers=set())
+
+
+def list_flips(deployment, address):
+    for leaving in ({address}, set(), {address}):
+        deployment.publish_hosts(leaving_searchers=leaving)
+        time.sleep(0.2)
+
+
+def refuse_connections(deployment, address):
+    deployment.behave(address, connections=0, cut="before")
+
+
+SIGNALS = {
+    "it refuses work and says that it drains": say(draining=True),
+    "it serves on and says that it drains": say(drain_quietly=True),
+    "only the list says so": list_leaving,
+    "it drains while its health endpoint lags": say(draining=True, health_lag=True),
+    "the list says so, then the platform is lost": list_then_lose_platform,
+    "the list takes it back while it drains": list_takes_back,
+    "the list flips and ends on leaving": list_flips,
+    "it refuses connections": refuse_connections,
+}
+
+
+@when("a searcher leaves: {name}")
+def step_leaves(context, name):
+    context.searcher = first_shard(context.deployment)[0]
+    SIGNALS[name](context.deployment, context.searcher)
+    context.signal = name
+
+
+@then("the searcher gets no work for {seconds:g} s")
+def step_no_work(context, seconds):
+    if context.signal == "it refuses connections":
+        # Attempts that are refused are no work; none may be run.
+        context.deployment.behave(context.searcher, connections=25)
+    before = context.deployment.run_log(context.searcher).received
+    if context.signal == "it refuses connections":
+        context.deployment.behave(context.searcher, connections=0)
+    time.sleep(seconds)
+    after = context.deployment.run_log(context.searcher).received
+    assert after == before, f"{after - before} requests"
+
+
+@given("a load")
+def step_load(context):
+    begin_load(context)
+    time.sleep(0.5)
+
+
+@when("SIGTERM is sent {times:d} times to {names}, and the balancer lags {lag:g} s")
+def step_sigterm(context, times, names, lag):
+    processes = context.deployment.processes
+    for _ in range(times):
+        for name in names.split():
+            processes.signal(name, signal.SIGTERM)
+        time.sleep(lag / times)
+    for host in context.deployment.hosts:
+        if f"{host.name}-entry" in names.split():
+            context.load.leave_out(host)
+
+
+@then("{names} end with exit code {code:d}")
+def step_exit(context, names, code):
+    for name in names.split():
+        ended = context.deployment.processes.wait(name, 10.0)
+        assert ended == code, f"{name}: {ended}"
+    time.sleep(0.3)
+    context.load.stop()
+
+
+@then("no request was cut")
+def step_not_cut(context):
+    for item in context.load.observations:
+        assert item.reply is not None, item
+
+
+@then("each answer is complete")
+def step_each_complete(context):
+    for item in context.load.observations:
+        assert is_complete(item), item
+
+
+@given("a deployment with a drain bound of {bound}")
+def step_bound(context, bound):
+    rules = RULES.replace("* deadline 500ms", "* deadline 5s")
+    start(context, rules=rules, settings={"shutdown": {"bound": bound}})
+
+
+def send_letter(context):
+    deployment = context.deployment
+    host = deployment.hosts[0]
+    ticket = deployment.ticket(host, LETTERS)
+
+    def send():
+        try:
+            context.reply = deployment.submit(host, LETTERS, ticket, "letter")
+        except Exception as error:
+            context.reply = error
+
+    context.sender = threading.Thread(target=send, daemon=True)
+    context.sender.start()
+    time.sleep(0.1)
+
+
+@when("a letter is in flight and its entry and gather get SIGTERM")
+def step_letter_in_flight(context):
+    send_letter(context)
+    for host in context.deployment.hosts:
+        context.deployment.processes.signal(f"{host.name}-gather-0", signal.SIGTERM)
+    context.deployment.processes.signal("host-1-entry", signal.SIGTERM)
+
+
+@then("the letter is accepted")
+def step_letter_accepted(context):
+    context.sender.join(5.0)
+    assert context.reply.body["outcome"] == "accepted", context.reply
+
+
+@when("a letter is in flight for {seconds:g} s and its entry gets SIGTERM")
+def step_long_letter(context, seconds):
+    context.deployment.behave_all(service_ms=seconds * 1000)
+    send_letter(context)
+    context.deployment.processes.signal("host-1-entry", signal.SIGTERM)
+
+
+@then("the entry ends within {seconds:g} s with exit code {code:d}")
+def step_entry_ends(context, seconds, code):
+    ended = context.deployment.processes.wait("host-1-entry", seconds)
+    assert ended == code, ended
+
+
+@then("the letter's outcome is unknown")
+def step_letter_unknown(context):
+    context.sender.join(5.0)
+    assert context.reply.body["outcome"] == "unknown", context.reply
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -59,4 +59,12 @@
     last = sorted(context.load.observations, key=lambda item: item.started)[-LAST:]
     complete = sum(is_complete(item) for item in last)
     expected = {"complete": LAST, "partial": 0}
-    assert kind == "any" or complete == expected[kind], last
+    shown = [describe(item) for item in last if not is_complete(item)]
+    assert kind == "any" or complete == expected[kind], shown
+
+
+def describe(observation):
+    """Return what an incomplete answer says, and when it came."""
+    body = observation.reply.body if observation.reply else observation.error
+    duration = observation.ended - observation.started
+    return round(observation.started, 3), round(duration, 3), body
--- a/foxtailseam/daemons/_callers.py
+++ b/foxtailseam/daemons/_callers.py
@@ -3,7 +3,7 @@
 import asyncio
 import re
 import threading
-from concurrent.futures import CancelledError
+from concurrent.futures import CancelledError, Future
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import TYPE_CHECKING
@@ -15,6 +15,7 @@
 from foxtailseam.daemons._node import Node
 from foxtailseam.daemons._render import HttpReply, render_outcome
 from foxtailseam.filters import CallerRequest, Search, Submit
+from foxtailseam.outcomes import Unknown
 from foxtailseam.utils import ValidationProblem, check_range, new_identifier
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
 HEADER_LIMIT = 16_384
 KEPT_CONNECTIONS = 4_096
 BACKLOG = 1_024
+STOP_SECONDS = 1
 HIGHEST_DEADLINE_MS = 60_000
 TEXT_LIMIT = 32_768
 _PATH = re.compile(r"/v1/families/([a-z][a-z0-9-]{0,62})/(search|submit|tickets)")
@@ -72,12 +74,14 @@
             numthreads=settings.threads,
             timeout=settings.read_timeout.total_seconds(),
             request_queue_size=BACKLOG,
+            shutdown_timeout=STOP_SECONDS,
         )
         self._server.max_request_body_size = settings.body_limit
         self._server.max_request_header_size = HEADER_LIMIT
         self._server.keep_alive_conn_limit = KEPT_CONNECTIONS
         self._lock = threading.Lock()
         self._in_flight = 0
+        self._running: set[Future] = set()
 
     @property
     def in_flight(self) -> int:
@@ -90,7 +94,9 @@
         threading.Thread(target=self._server.serve, daemon=True).start()
 
     def stop(self) -> None:
-        """Stop listening, and close idle connections."""
+        """Give up what still runs, stop listening, and close connections."""
+        for future in list(self._running):
+            future.cancel()
         self._server.stop()
 
     def _application(self, environ, start_response) -> list[bytes]:
@@ -143,10 +149,13 @@
 
     def _run(self, request: CallerRequest) -> HttpReply:
         future = asyncio.run_coroutine_threadsafe(self.entry.serve(request), self.loop)
+        self._running.add(future)
         try:
             outcome = future.result()
         except CancelledError:
-            return HttpReply("503 Service Unavailable")
+            outcome = Unknown(request.request_id, "the process ended its drain")
+        finally:
+            self._running.discard(future)
         return render_outcome(outcome)
 
 
--- a/foxtailseam/daemons/_gather.py
+++ b/foxtailseam/daemons/_gather.py
@@ -23,6 +23,7 @@
     ANY_VERSION,
     Answered,
     Attempt,
+    BatchEvidence,
     Dispatcher,
     NotSent,
     SearcherController,
@@ -73,7 +74,7 @@
         self._tasks.append(asyncio.create_task(self._keep_up()))
 
     async def stop(self) -> None:
-        """End worker threads and connections."""
+        """End the upkeep and close connections."""
         for task in self._tasks:
             task.cancel()
         self._dispatcher.close()
@@ -89,6 +90,7 @@
                 request.request_id,
                 shards=len(request.shards),
             )
+            evidence = BatchEvidence(request.query_shards)
             runs = (
                 self._dispatcher.search(
                     ShardRequest(
@@ -102,7 +104,8 @@
                         deadline,
                         policy,
                         request.suspect,
-                    )
+                    ),
+                    evidence,
                 )
                 for shard in request.shards
             )
--- a/foxtailseam/daemons/_node.py
+++ b/foxtailseam/daemons/_node.py
@@ -57,7 +57,7 @@
             self.hybrid,
         )
         self.published = PublishedState(self.recorder)
-        self.quarantine = QuarantineController(self.clock)
+        self.quarantine = QuarantineController(self.clock, self.hybrid)
         self.table = PeerTable(self.clock, self.recorder)
         self.peers = PeerController(
             self.identity,
--- a/foxtailseam/daemons/_search.py
+++ b/foxtailseam/daemons/_search.py
@@ -8,6 +8,7 @@
 from foxtailseam.daemons._node import Node
 from foxtailseam.daemons._routing import Router
 from foxtailseam.filters import RequestContext
+from foxtailseam.hosts import rendezvous_order
 from foxtailseam.outcomes import (
     Complete,
     LackReason,
@@ -24,6 +25,7 @@
 
 MAX_ROUNDS = 3
 LEAST_REMAINING = timedelta(milliseconds=10)
+_NOT_SENT = (LackReason.SHED, LackReason.NO_SEARCHER)
 _TRY_AGAIN = (LackReason.UPSTREAM_LOST, LackReason.GATHER_LOST)
 
 
@@ -69,15 +71,9 @@
         answers = {
             name: SubAnswer(name, lack=LackReason.GATHER_LOST) for name in shards
         }
-        pending: Iterable[Shard] = shards.values()
-        if context.suspect:
-            # A suspect runs on one shard alone before the rest is risked.
-            canary = snapshot.shard_for(context.fingerprint)
-            first = await self._round(context, snapshot, [canary], frozenset())
-            self._take(context, first, answers)
-            if answers[canary.name].lack is not None:
-                return answers
-            pending = [shard for shard in pending if shard.name != canary.name]
+        if context.suspect and not await self._survives(context, snapshot, answers):
+            return answers
+        pending = [shard for shard in shards.values() if answers[shard.name].lack]
         excluded: frozenset[str] = frozenset()
         for _ in range(MAX_ROUNDS):
             if not pending or self._remaining(context) < LEAST_REMAINING:
@@ -88,6 +84,28 @@
             pending = self._worth_another_round(context, shards, answers)
         return answers
 
+    async def _survives(
+        self,
+        context: RequestContext,
+        snapshot: Snapshot,
+        answers: dict[str, SubAnswer],
+    ) -> bool:
+        """Run a suspect on one shard alone; return whether that was answered.
+
+        A shard where nothing could be sent proves nothing; the next is tried.
+        """
+        names = rendezvous_order(context.fingerprint, answers)
+        answers.update(
+            {name: SubAnswer(name, lack=LackReason.SUSPECT) for name in names}
+        )
+        shards = {shard.name: shard for shard in snapshot.shards}
+        for name in names:
+            outcome = await self._round(context, snapshot, [shards[name]], frozenset())
+            self._take(context, outcome, answers)
+            if answers[name].lack not in _NOT_SENT:
+                return answers[name].lack is None
+        return False
+
     def _worth_another_round(
         self,
         context: RequestContext,
@@ -167,6 +185,7 @@
             context.request.query,
             remaining / timedelta(milliseconds=1),
             shards,
+            len(snapshot.shards),
             snapshot.slots,
             snapshot.connections,
             context.suspect,
@@ -209,7 +228,8 @@
         request_id = context.request.request_id
         policy = context.policy
         if _was_not_run(answers.values()):
-            reason = RefusalReason.SHED
+            shed = any(answer.lack is LackReason.SHED for answer in answers.values())
+            reason = RefusalReason.SHED if shed else RefusalReason.NO_SEARCHER
             return Refused(request_id, reason, policy.retry_after)
         hits, coverage = merge_answers(
             (shard.name for shard in snapshot.shards),
@@ -228,7 +248,5 @@
 
 
 def _was_not_run(answers: Iterable[SubAnswer]) -> bool:
-    """Return whether every shard was shed before anything was sent."""
-    return all(
-        answer.lack is LackReason.SHED and answer.attempts == 0 for answer in answers
-    )
+    """Return whether no shard had a slot or a searcher, so that nothing was sent."""
+    return all(answer.lack in _NOT_SENT and answer.attempts == 0 for answer in answers)
--- a/foxtailseam/filters/_quarantine.py
+++ b/foxtailseam/filters/_quarantine.py
@@ -53,14 +53,18 @@
 
     def _learn(self, context: RequestContext) -> None:
         answers = context.result.answers
+        answered = any(answer.lack is None for answer in answers)
         if any(answer.lost_searchers for answer in answers):
             self._lost(context)
-        elif context.suspect and any(answer.lack is None for answer in answers):
-            self.quarantine.survived(context.fingerprint)
+        elif not (context.suspect and answered):
+            return
+        elif self.quarantine.survived(context.fingerprint):
+            self.spread()
 
     def _lost(self, context: RequestContext) -> None:
         duration = context.policy.quarantine
-        if not self.quarantine.lost(context.fingerprint, duration):
+        alone = context.suspect
+        if not self.quarantine.lost(context.fingerprint, duration, alone):
             return
         state = self.quarantine.state(context.fingerprint)
         if state is SuspicionState.QUARANTINED:
--- a/foxtailseam/outcomes/_coverage.py
+++ b/foxtailseam/outcomes/_coverage.py
@@ -14,6 +14,7 @@
     WRONG_VERSION = "wrong-version"
     WRONG_ANSWER = "wrong-answer"
     GATHER_LOST = "gather-lost"
+    SUSPECT = "suspect"
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailseam/peers/_controller.py
+++ b/foxtailseam/peers/_controller.py
@@ -12,7 +12,7 @@
 from foxtailseam.peers._published import PublishedState
 from foxtailseam.peers._table import PeerEvent, PeerTable
 from foxtailseam.publications import Publication, PublicationStore
-from foxtailseam.quarantine import QuarantineController
+from foxtailseam.quarantine import QuarantineController, SuspicionNotice
 from foxtailseam.rpc import (
     Envelope,
     ExchangeReply,
@@ -20,7 +20,6 @@
     PeerChannels,
     PullReply,
     PullRequest,
-    QuarantineNotice,
 )
 from foxtailseam.settings import PeerSettings
 from foxtailseam.timeline import Recorder
@@ -129,8 +128,8 @@
     async def exchange(self, request: ExchangeRequest) -> ExchangeReply:
         """Answer a peer's round."""
         self.metrics.add("exchanges_answered")
-        self._learn(request.quarantined, request.suspects)
-        return ExchangeReply(self.envelope(), *self._notices())
+        self._learn(request.suspicions)
+        return ExchangeReply(self.envelope(), self.quarantine.notices())
 
     async def pull(self, request: PullRequest) -> PullReply:
         """Return what a peer lacks."""
@@ -146,7 +145,7 @@
 
     async def exchange_with(self, peer: str) -> bool:
         """Run one exchange; tell whether the peer replied."""
-        request = ExchangeRequest(self.envelope(), *self._notices())
+        request = ExchangeRequest(self.envelope(), self.quarantine.notices())
         self.metrics.add("exchanges_sent")
         timeout = self.settings.timeout
         outcome = await self._channels.exchange(peer, request, timeout)
@@ -156,7 +155,7 @@
             self.table.apply(peer, event)
             return False
         reply = outcome.unwrap()
-        self._learn(reply.quarantined, reply.suspects)
+        self._learn(reply.suspicions)
         return True
 
     async def catch_up(self) -> bool:
@@ -210,35 +209,10 @@
                 self.published.offer(publication)
         return True
 
-    def _notices(
-        self,
-    ) -> tuple[tuple[QuarantineNotice, ...], tuple[QuarantineNotice, ...]]:
-        quarantine = self.quarantine
-        return (
-            tuple(self._notice(item) for item in quarantine.quarantined()),
-            tuple(self._notice(item) for item in quarantine.suspects()),
-        )
-
-    def _notice(self, fingerprint: str) -> QuarantineNotice:
-        remaining = self.quarantine.remaining(fingerprint)
-        milliseconds = remaining // timedelta(milliseconds=1)
-        return QuarantineNotice(fingerprint, milliseconds)
-
-    def _learn(
-        self,
-        quarantined: tuple[QuarantineNotice, ...],
-        suspects: tuple[QuarantineNotice, ...],
-    ) -> None:
-        for notice in suspects:
-            remaining = timedelta(milliseconds=notice.remaining_ms)
-            self.quarantine.learn_suspect(notice.fingerprint, remaining)
-        news = False
-        for notice in quarantined:
-            remaining = timedelta(milliseconds=notice.remaining_ms)
-            fingerprint = notice.fingerprint
-            if self.quarantine.learn_quarantined(fingerprint, remaining):
-                news = True
-                self.recorder.record(EventCode.QUARANTINED, fingerprint=fingerprint)
+    def _learn(self, suspicions: tuple[SuspicionNotice, ...]) -> None:
+        news = self.quarantine.merge(suspicions)
+        for fingerprint in news:
+            self.recorder.record(EventCode.QUARANTINED, fingerprint=fingerprint)
         if news:
             self.spread_news()
 
--- a/foxtailseam/quarantine/__init__.py
+++ b/foxtailseam/quarantine/__init__.py
@@ -1,11 +1,16 @@
 """Requests that crash searchers: found, refused, and spread to peers."""
 
-from foxtailseam.quarantine._controller import QuarantineController, fingerprint_of
+from foxtailseam.quarantine._controller import (
+    QuarantineController,
+    SuspicionNotice,
+    fingerprint_of,
+)
 from foxtailseam.quarantine._transitions import SuspicionEvent, SuspicionState
 
 __all__ = [
     "QuarantineController",
     "SuspicionEvent",
+    "SuspicionNotice",
     "SuspicionState",
     "fingerprint_of",
 ]
--- a/foxtailseam/quarantine/_controller.py
+++ b/foxtailseam/quarantine/_controller.py
@@ -1,10 +1,11 @@
-"""Keeps suspicion by fingerprint, in one entry process."""
+"""Keeps suspicion by fingerprint, in one process, level with its peers."""
 
 import hashlib
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
-from foxtailseam.clocks import Clock
+from foxtailseam.clocks import Clock, HybridClock, HybridTimestamp
 from foxtailseam.quarantine._transitions import (
     TRANSITIONS,
     SuspicionEvent,
@@ -12,7 +13,9 @@
 )
 
 LOSS_SEPARATION = timedelta(seconds=1)
+LOSSES_ALONE = 2
 SUSPICION_LIFE = timedelta(minutes=10)
+CLEARED_LIFE = timedelta(seconds=30)
 MAX_RECORDS = 10_000
 
 
@@ -22,11 +25,38 @@
     return hashlib.blake2b(text, digest_size=12).hexdigest()
 
 
+@dataclass(frozen=True, slots=True)
+class SuspicionNotice:
+    """What one process tells another of a request.
+
+    Parameters
+    ----------
+    fingerprint : str
+        The request.
+    state : SuspicionState
+        How it is treated; `SuspicionState.CLEAR` undoes an earlier suspicion.
+    remaining_ms : int
+        How much longer that lasts, in milliseconds.
+    lost_alone : int
+        Searchers that it lost as the only request of a run.
+    stamp : HybridTimestamp
+        When the state was entered; the later one counts.
+    """
+
+    fingerprint: str
+    state: SuspicionState
+    remaining_ms: int
+    lost_alone: int
+    stamp: HybridTimestamp
+
+
 @dataclass(frozen=True, slots=True)
 class _Record:
     state: SuspicionState
+    stamp: HybridTimestamp
     last_loss: float
     expires_at: float
+    lost_alone: int = 0
 
 
 class QuarantineController:
@@ -34,16 +64,20 @@
 
     Searchers lost within `LOSS_SEPARATION` count as one loss, so that the
     requests in flight when a rack goes are suspects at most. A suspect runs on
-    one shard alone first; surviving that clears it.
+    one shard alone first; surviving that clears it, and losing a searcher
+    twice when alone condemns it whatever the time between.
 
     Parameters
     ----------
     clock : Clock
         Source of monotonic time.
+    hybrid : HybridClock
+        Orders what several processes learnt of one request.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, hybrid: HybridClock):
         self.clock = clock
+        self.hybrid = hybrid
         self._records: dict[str, _Record] = {}
 
     def state(self, fingerprint: str) -> SuspicionState:
@@ -51,10 +85,13 @@
         record = self._records.get(fingerprint)
         if record is None:
             return SuspicionState.CLEAR
-        if self.clock.monotonic() >= record.expires_at:
-            self._apply(fingerprint, SuspicionEvent.EXPIRED, SUSPICION_LIFE)
-            return self.state(fingerprint)
-        return record.state
+        if self.clock.monotonic() < record.expires_at:
+            return record.state
+        if record.state is SuspicionState.CLEAR:
+            del self._records[fingerprint]
+            return SuspicionState.CLEAR
+        self._apply(fingerprint, SuspicionEvent.EXPIRED, SUSPICION_LIFE)
+        return self._records[fingerprint].state
 
     def remaining(self, fingerprint: str) -> timedelta:
         """Return how much longer the present state lasts."""
@@ -64,64 +101,118 @@
         seconds = record.expires_at - self.clock.monotonic()
         return timedelta(seconds=max(0.0, seconds))
 
-    def lost(self, fingerprint: str, quarantine: timedelta) -> bool:
-        """Take note that searchers were lost; tell whether the state changed."""
-        record = self._records.get(fingerprint)
-        current = self.clock.monotonic()
-        if record is not None and self.state(fingerprint) is not SuspicionState.CLEAR:
-            elapsed = current - record.last_loss
-            if elapsed < LOSS_SEPARATION.total_seconds():
-                return False
+    def lost(self, fingerprint: str, quarantine: timedelta, alone: bool) -> bool:
+        """Take note that searchers were lost.
+
+        Parameters
+        ----------
+        fingerprint : str
+            The request that was in flight there.
+        quarantine : timedelta
+            How long a second loss condemns it.
+        alone : bool
+            Whether it ran as a suspect, on one shard alone.
+
+        Returns
+        -------
+        bool
+            Whether there is news for the peers.
+        """
         before = self.state(fingerprint)
-        is_second = before is SuspicionState.SUSPECT
-        life = quarantine if is_second else SUSPICION_LIFE
-        self._apply(fingerprint, SuspicionEvent.LOSS, life)
-        return self.state(fingerprint) is not before
-
-    def survived(self, fingerprint: str) -> None:
-        """Take note that a suspect ran alone without a loss."""
-        self._apply(fingerprint, SuspicionEvent.SURVIVED, timedelta())
-
-    def suspects(self) -> tuple[str, ...]:
-        """Return the suspects, for peers."""
-        return self._in_state(SuspicionState.SUSPECT)
-
-    def quarantined(self) -> tuple[str, ...]:
-        """Return the quarantined fingerprints, for peers."""
-        return self._in_state(SuspicionState.QUARANTINED)
-
-    def learn_suspect(self, fingerprint: str, remaining: timedelta) -> None:
-        """Merge a peer's suspect; it expires when the peer's does."""
-        is_news = self.state(fingerprint) is SuspicionState.CLEAR
-        if is_news and remaining > timedelta():
-            self._put(fingerprint, SuspicionState.SUSPECT, remaining)
-
-    def learn_quarantined(self, fingerprint: str, remaining: timedelta) -> bool:
-        """Merge a peer's quarantine; tell whether it was news."""
-        if self.state(fingerprint) is SuspicionState.QUARANTINED:
+        is_suspect = before is SuspicionState.SUSPECT
+        if is_suspect and self._is_same_loss(fingerprint, alone):
+            return alone
+        life = quarantine if is_suspect else SUSPICION_LIFE
+        return self._apply(fingerprint, SuspicionEvent.LOSS, life)
+
+    def survived(self, fingerprint: str) -> bool:
+        """Take note that a suspect ran alone without a loss; tell if it is news."""
+        return self._apply(fingerprint, SuspicionEvent.SURVIVED, CLEARED_LIFE)
+
+    def notices(self) -> tuple[SuspicionNotice, ...]:
+        """Return all that peers should know."""
+        return tuple(
+            self._notice(fingerprint, record)
+            for fingerprint, record in list(self._records.items())
+            if self.clock.monotonic() < record.expires_at
+        )
+
+    def merge(self, notices: Iterable[SuspicionNotice]) -> tuple[str, ...]:
+        """Merge what a peer knows; return the newly quarantined fingerprints."""
+        return tuple(
+            notice.fingerprint
+            for notice in notices
+            if self._merge(notice) and notice.state is SuspicionState.QUARANTINED
+        )
+
+    def _merge(self, notice: SuspicionNotice) -> bool:
+        remaining = timedelta(milliseconds=notice.remaining_ms)
+        before = self.state(notice.fingerprint)
+        record = self._records.get(notice.fingerprint)
+        if before is SuspicionState.QUARANTINED or remaining <= timedelta():
             return False
-        if remaining <= timedelta():
+        is_condemned = notice.state is SuspicionState.QUARANTINED
+        if record and not is_condemned and notice.stamp <= record.stamp:
             return False
-        self._put(fingerprint, SuspicionState.QUARANTINED, remaining)
+        if before is notice.state and record:
+            lost_alone = max(record.lost_alone, notice.lost_alone)
+            self._records[notice.fingerprint] = replace(
+                record, lost_alone=lost_alone, stamp=notice.stamp
+            )
+            return False
+        self._put(
+            notice.fingerprint,
+            notice.state,
+            notice.stamp,
+            remaining,
+            notice.lost_alone,
+        )
         return True
 
-    def _in_state(self, state: SuspicionState) -> tuple[str, ...]:
-        return tuple(item for item in list(self._records) if self.state(item) is state)
-
-    def _apply(self, fingerprint: str, event: SuspicionEvent, life: timedelta) -> None:
+    def _notice(self, fingerprint: str, record: _Record) -> SuspicionNotice:
+        remaining = self.remaining(fingerprint)
+        return SuspicionNotice(
+            fingerprint,
+            record.state,
+            remaining // timedelta(milliseconds=1),
+            record.lost_alone,
+            record.stamp,
+        )
+
+    def _is_same_loss(self, fingerprint: str, alone: bool) -> bool:
+        """Return whether a loss is to be taken as one with the last."""
+        record = self._records[fingerprint]
+        elapsed = self.clock.monotonic() - record.last_loss
+        lost_alone = record.lost_alone + alone
+        self._records[fingerprint] = replace(
+            record, lost_alone=lost_alone, stamp=self.hybrid.tick()
+        )
+        is_close = elapsed < LOSS_SEPARATION.total_seconds()
+        return is_close and lost_alone < LOSSES_ALONE
+
+    def _apply(self, fingerprint: str, event: SuspicionEvent, life: timedelta) -> bool:
         record = self._records.get(fingerprint)
         before = record.state if record else SuspicionState.CLEAR
         target = TRANSITIONS.get((before, event))
         if target is None:
-            return
-        if target is SuspicionState.CLEAR:
-            self._records.pop(fingerprint, None)
-            return
-        self._put(fingerprint, target, life)
+            return False
+        is_kept = record and target is not SuspicionState.CLEAR
+        lost_alone = record.lost_alone if is_kept else 0
+        self._put(fingerprint, target, self.hybrid.tick(), life, lost_alone)
+        return True
 
-    def _put(self, fingerprint: str, state: SuspicionState, life: timedelta) -> None:
+    def _put(
+        self,
+        fingerprint: str,
+        state: SuspicionState,
+        stamp: HybridTimestamp,
+        life: timedelta,
+        lost_alone: int,
+    ) -> None:
         if len(self._records) >= MAX_RECORDS and fingerprint not in self._records:
             self._records.pop(next(iter(self._records)))
         current = self.clock.monotonic()
         expires_at = current + life.total_seconds()
-        self._records[fingerprint] = _Record(state, current, expires_at)
+        self._records[fingerprint] = _Record(
+            state, stamp, current, expires_at, lost_alone
+        )
--- a/foxtailseam/rpc/_messages.py
+++ b/foxtailseam/rpc/_messages.py
@@ -7,6 +7,7 @@
 from foxtailseam.configuration import Revision, RulesDifference
 from foxtailseam.outcomes import SubAnswer
 from foxtailseam.publications import Publication
+from foxtailseam.quarantine import SuspicionNotice
 from foxtailseam.snapshots import Shard
 
 
@@ -37,21 +38,12 @@
     hosts: Revision
 
 
-@dataclass(frozen=True, slots=True)
-class QuarantineNotice:
-    """A request under suspicion or in quarantine, and for how much longer."""
-
-    fingerprint: str
-    remaining_ms: int
-
-
 @dataclass(frozen=True, slots=True)
 class ExchangeRequest:
     """Soft state sent to a peer."""
 
     envelope: Envelope
-    quarantined: tuple[QuarantineNotice, ...]
-    suspects: tuple[QuarantineNotice, ...]
+    suspicions: tuple[SuspicionNotice, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,8 +51,7 @@
     """Soft state of the peer."""
 
     envelope: Envelope
-    quarantined: tuple[QuarantineNotice, ...]
-    suspects: tuple[QuarantineNotice, ...]
+    suspicions: tuple[SuspicionNotice, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +73,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SearchRequest:
-    """All sub-requests of one query that one gather owns."""
+    """All sub-requests of one query that one gather owns.
+
+    `query_shards` is the number of shards that the whole query asks.
+    """
 
     envelope: Envelope
     request_id: str
@@ -91,6 +85,7 @@
     query: str
     remaining_ms: float
     shards: tuple[Shard, ...]
+    query_shards: int
     slots: int
     connections: int
     suspect: bool
--- a/foxtailseam/searchers/__init__.py
+++ b/foxtailseam/searchers/__init__.py
@@ -13,8 +13,9 @@
 from foxtailseam.searchers._budget import RateBudget, RatioBudget
 from foxtailseam.searchers._client import SearcherClient, SubRequest
 from foxtailseam.searchers._controller import SearcherController
-from foxtailseam.searchers._dispatcher import ANY_VERSION, Dispatcher, ShardRequest
+from foxtailseam.searchers._dispatcher import Dispatcher
 from foxtailseam.searchers._latency import LatencyWindow
+from foxtailseam.searchers._request import ANY_VERSION, BatchEvidence, ShardRequest
 from foxtailseam.searchers._searcher import Searcher
 from foxtailseam.searchers._state import (
     SearcherEvent,
@@ -26,6 +27,7 @@
     "ANY_VERSION",
     "Answered",
     "Attempt",
+    "BatchEvidence",
     "Broken",
     "Dispatcher",
     "LatencyWindow",
--- a/foxtailseam/searchers/_client.py
+++ b/foxtailseam/searchers/_client.py
@@ -1,6 +1,7 @@
 """HTTP calls to one searcher, over urllib3. Blocking; for worker threads."""
 
 import socket
+import time
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -28,6 +29,7 @@
 OK = 200
 VERSION_GONE = 409
 UNAVAILABLE = 503
+PROBE_DELAY_SECONDS = 0.02
 PROBE_SECONDS = 0.05
 CONNECT_SECONDS = 0.25
 
@@ -160,6 +162,8 @@
         self._pool.close()
 
     def _accepts_connections(self) -> bool:
+        # A process that crashed may still listen while it is taken down.
+        time.sleep(PROBE_DELAY_SECONDS)
         try:
             address = (self._host, self._port)
             with socket.create_connection(address, PROBE_SECONDS):
--- a/foxtailseam/searchers/_dispatcher.py
+++ b/foxtailseam/searchers/_dispatcher.py
@@ -2,13 +2,10 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from foxtailseam.clocks import Clock
-from foxtailseam.configuration import FamilyPolicy
 from foxtailseam.logs import EventCode
 from foxtailseam.metrics import Metrics
 from foxtailseam.outcomes import LackReason, SubAnswer
@@ -25,55 +22,14 @@
 from foxtailseam.searchers._budget import RatioBudget
 from foxtailseam.searchers._client import SubRequest
 from foxtailseam.searchers._controller import SearcherController
+from foxtailseam.searchers._request import BatchEvidence, ShardRequest
 from foxtailseam.searchers._searcher import Searcher
+from foxtailseam.searchers._sender import AttemptSender
 from foxtailseam.searchers._slots import SlotQueue
-from foxtailseam.searchers._state import SearcherEvent
-from foxtailseam.snapshots import Shard
-from foxtailseam.utils import new_identifier
+from foxtailseam.utils import WorkerThreads, new_identifier
 
-SILENCE_FACTOR = 4
-LEAST_SILENCE = timedelta(milliseconds=50)
 DEFAULT_HEDGE_DELAY = timedelta(milliseconds=50)
 LEAST_HEDGE_DELAY = timedelta(milliseconds=5)
-ANY_VERSION = 0
-
-
-@dataclass(frozen=True, slots=True)
-class ShardRequest:
-    """One sub-request: a query for one shard.
-
-    Parameters
-    ----------
-    request_id : str
-        The caller's request.
-    family : str
-        Service family.
-    index_version : int
-        Pinned version; `ANY_VERSION` for a request that may not be repeated.
-    body : bytes
-        The query, as sent to searchers.
-    shard : Shard
-        The shard and its searchers.
-    slots, connections : int
-        What one searcher accepts.
-    deadline : float
-        Monotonic time, in seconds, after which the answer is of no use.
-    policy : FamilyPolicy
-        The rules in force.
-    suspect : bool
-        The request may crash searchers: send it once, to one searcher.
-    """
-
-    request_id: str
-    family: str
-    index_version: int
-    body: bytes
-    shard: Shard
-    slots: int
-    connections: int
-    deadline: float
-    policy: FamilyPolicy
-    suspect: bool = False
 
 
 @dataclass
@@ -115,14 +71,26 @@
         self.threads = threads
         self.clock = clock
         self.metrics = metrics
-        self._pool = ThreadPoolExecutor(threads, thread_name_prefix="searcher-call")
+        self._workers = WorkerThreads(threads, "searcher-call")
         self._slots = SlotQueue(clock)
+        self._sender = AttemptSender(
+            searchers, self._slots, self._workers, clock, metrics
+        )
         self._hedges: defaultdict[str, RatioBudget] = defaultdict(RatioBudget)
         self._retries: defaultdict[str, RatioBudget] = defaultdict(RatioBudget)
 
-    async def search(self, request: ShardRequest) -> tuple[SubAnswer, timedelta]:
+    async def search(
+        self, request: ShardRequest, evidence: BatchEvidence
+    ) -> tuple[SubAnswer, timedelta]:
         """Run a repeatable sub-request.
 
+        Parameters
+        ----------
+        request : ShardRequest
+            What to run.
+        evidence : BatchEvidence
+            Shared by the sub-requests of one query.
+
         Returns
         -------
         answer : SubAnswer
@@ -139,7 +107,7 @@
         if searcher is None:
             return self._lacking(request, progress), queue_delay
         self._start(searcher, request, progress)
-        answer = await self._until_answered(request, progress)
+        answer = await self._until_answered(request, evidence, progress)
         self._abandon(progress)
         return answer or self._lacking(request, progress), queue_delay
 
@@ -155,7 +123,7 @@
                 return NotSent()
             progress.tried.add(searcher.address)
             sub_request = self._sub_request(request, "/submit")
-            attempt = await self._attempt(searcher, request, sub_request)
+            attempt = await self._sender.send(searcher, request, sub_request)
             if not isinstance(attempt, NotSent):
                 return attempt
 
@@ -166,15 +134,12 @@
     async def check_health(self) -> None:
         """Ask leaving searchers whose hold is over whether they came back."""
         due = [item for item in self.searchers.searchers if item.wants_health_check]
-        loop = asyncio.get_running_loop()
         for searcher in due:
-            check = searcher.client.is_ready
-            is_ready = await loop.run_in_executor(self._pool, check)
+            is_ready = await self._workers.run(searcher.client.is_ready)
             self.searchers.health_checked(searcher, is_ready)
 
     def close(self) -> None:
-        """End the worker threads and close connections."""
-        self._pool.shutdown(wait=False, cancel_futures=True)
+        """Close connections."""
         self.searchers.close()
 
     def _replicas(self, request: ShardRequest) -> list[Searcher]:
@@ -223,7 +188,7 @@
         self, searcher: Searcher, request: ShardRequest, progress: _Progress
     ) -> None:
         sub_request = self._sub_request(request, "/search")
-        task = asyncio.create_task(self._attempt(searcher, request, sub_request))
+        task = asyncio.create_task(self._sender.send(searcher, request, sub_request))
         progress.running[task] = searcher
         progress.ids[task] = sub_request.request_id
         progress.tried.add(searcher.address)
@@ -231,9 +196,10 @@
         self.metrics.add("sub_requests_sent")
 
     async def _until_answered(
-        self, request: ShardRequest, progress: _Progress
+        self, request: ShardRequest, evidence: BatchEvidence, progress: _Progress
     ) -> SubAnswer | None:
-        hedge_at = self.clock.monotonic() + self._hedge_delay(request).total_seconds()
+        delay = self._hedge_delay(request).total_seconds()
+        hedge_at = self.clock.monotonic() + delay
         while progress.running:
             current = self.clock.monotonic()
             if current >= request.deadline:
@@ -250,11 +216,13 @@
             for task in done:
                 answer = self._finish(task, request, progress)
                 if answer is not None:
+                    evidence.answered += 1
                     return answer
             if not done and not progress.hedged:
-                self._hedge(request, progress)
+                self._hedge(request, evidence, progress)
+                hedge_at += delay
             if not progress.running:
-                self._retry(request, progress)
+                await self._retry(request, progress)
         return None
 
     def _finish(
@@ -287,7 +255,11 @@
                 progress.lack = LackReason.WRONG_ANSWER
         return None
 
-    def _hedge(self, request: ShardRequest, progress: _Progress) -> None:
+    def _hedge(
+        self, request: ShardRequest, evidence: BatchEvidence, progress: _Progress
+    ) -> None:
+        if not evidence.allows_hedge:
+            return
         progress.hedged = True
         if request.suspect or progress.lost:
             return
@@ -307,16 +279,21 @@
         )
         self._start(searcher, request, progress)
 
-    def _retry(self, request: ShardRequest, progress: _Progress) -> None:
+    async def _retry(self, request: ShardRequest, progress: _Progress) -> None:
+        # Where nothing was sent, trying elsewhere adds no load and no risk.
+        is_free = progress.lack is LackReason.NO_SEARCHER
         # After a loss the request itself may be the cause; the entry decides.
-        if request.suspect or progress.lost:
+        if progress.lost or (request.suspect and not is_free):
             return
         candidates = self._candidates(request, progress.tried)
         if not candidates or not self._slots.can_serve(candidates, request.deadline):
             return
-        if not self._retries[request.family].withdraw():
+        if not is_free and not self._retries[request.family].withdraw():
             return
         searcher = self._slots.take_now(candidates)
+        if searcher is None:
+            priority = request.policy.priority
+            searcher = await self._slots.take(candidates, priority, request.deadline)
         if searcher is None:
             return
         self.metrics.add("retries_sent")
@@ -341,10 +318,8 @@
         return max(delay, LEAST_HEDGE_DELAY)
 
     def _abandon(self, progress: _Progress) -> None:
-        loop = asyncio.get_running_loop()
         for task, searcher in progress.running.items():
-            request_id = progress.ids[task]
-            loop.run_in_executor(self._pool, searcher.client.cancel, request_id)
+            self._workers.run(searcher.client.cancel, progress.ids[task])
 
     def _lacking(self, request: ShardRequest, progress: _Progress) -> SubAnswer:
         self.metrics.add(f"shards_lacking_{progress.lack.replace('-', '_')}")
@@ -357,108 +332,3 @@
 
     def _sub_request(self, request: ShardRequest, path: str) -> SubRequest:
         return SubRequest(new_identifier(), path, request.index_version, request.body)
-
-    async def _attempt(
-        self, searcher: Searcher, request: ShardRequest, sub_request: SubRequest
-    ) -> Attempt:
-        """Run one attempt in a worker thread; the caller has taken the slot."""
-        loop = asyncio.get_running_loop()
-        silence = self._silence(searcher) if sub_request.path == "/search" else None
-        started = self.clock.monotonic()
-
-        def send() -> Attempt:
-            # A pause may have passed since the slot was taken.
-            remaining = timedelta(seconds=request.deadline - self.clock.monotonic())
-            if remaining <= timedelta():
-                return NotSent()
-            timeout = min(remaining, silence) if silence else remaining
-            return searcher.client.send(sub_request, timeout)
-
-        try:
-            attempt = await loop.run_in_executor(self._pool, send)
-        finally:
-            self._slots.release(searcher)
-        duration = timedelta(seconds=self.clock.monotonic() - started)
-        self._learn(searcher, request, attempt, duration)
-        return attempt
-
-    def _silence(self, searcher: Searcher) -> timedelta | None:
-        quantile = searcher.latency.quantile(0.99)
-        if quantile is None:
-            return None
-        return max(LEAST_SILENCE, SILENCE_FACTOR * quantile)
-
-    def _learn(
-        self,
-        searcher: Searcher,
-        request: ShardRequest,
-        attempt: Attempt,
-        duration: timedelta,
-    ) -> None:
-        learners: dict[type, Callable[[], None]] = {
-            Answered: lambda: self._learn_answer(searcher, request, attempt, duration),
-            Shed: lambda: self._learn_shed(searcher, attempt),
-            VersionGone: lambda: searcher.lacked_version(request.index_version),
-            NotSent: lambda: self._learn_not_sent(searcher, request),
-            Broken: lambda: self._learn_broken(searcher, request, attempt),
-            TimedOut: lambda: self._learn_timeout(searcher, request, duration),
-            Mismatched: lambda: self._learn_mismatch(searcher, request),
-        }
-        learn = learners.get(type(attempt))
-        if learn is not None:
-            learn()
-
-    def _learn_answer(
-        self,
-        searcher: Searcher,
-        request: ShardRequest,
-        attempt: Answered,
-        duration: timedelta,
-    ) -> None:
-        self.metrics.observe("sub_request_latency", duration)
-        changed = searcher.answered(duration, attempt.incarnation)
-        self.searchers.report(searcher, SearcherEvent.ANSWERED, changed)
-        if request.index_version not in (ANY_VERSION, attempt.index_version):
-            searcher.lacked_version(request.index_version)
-        if attempt.draining:
-            self.searchers.apply(searcher, SearcherEvent.DRAIN_SIGNAL)
-
-    def _learn_shed(self, searcher: Searcher, attempt: Shed) -> None:
-        self.metrics.add("sheds_received")
-        searcher.shed()
-        if attempt.draining:
-            self.searchers.apply(searcher, SearcherEvent.DRAIN_SIGNAL)
-
-    def _learn_not_sent(self, searcher: Searcher, request: ShardRequest) -> None:
-        if self.clock.monotonic() < request.deadline:
-            self.searchers.apply(searcher, SearcherEvent.UNREACHABLE)
-
-    def _learn_broken(
-        self, searcher: Searcher, request: ShardRequest, attempt: Broken
-    ) -> None:
-        if not attempt.lost:
-            self.searchers.failed(searcher)
-            return
-        self.searchers.apply(searcher, SearcherEvent.UNREACHABLE)
-        self.searchers.recorder.record(
-            EventCode.SEARCHER_LOST, request.request_id, searcher=searcher.address
-        )
-
-    def _learn_timeout(
-        self, searcher: Searcher, request: ShardRequest, duration: timedelta
-    ) -> None:
-        searcher.slowed(duration)
-        if searcher.drop_connections():
-            self.searchers.recorder.record(
-                EventCode.CONNECTIONS_DROPPED,
-                request.request_id,
-                searcher=searcher.address,
-            )
-
-    def _learn_mismatch(self, searcher: Searcher, request: ShardRequest) -> None:
-        self.metrics.add("answers_mismatched")
-        self.searchers.recorder.record(
-            EventCode.ANSWER_MISMATCHED,
-            request.request_id,
-            searcher=searcher.address,
-        )
--- a/foxtailseam/utils/__init__.py
+++ b/foxtailseam/utils/__init__.py
@@ -2,5 +2,12 @@
 
 from foxtailseam.utils._identifiers import new_identifier
 from foxtailseam.utils._validation import ValidationProblem, check_range, check_unique
+from foxtailseam.utils._workers import WorkerThreads
 
-__all__ = ["ValidationProblem", "check_range", "check_unique", "new_identifier"]
+__all__ = [
+    "ValidationProblem",
+    "WorkerThreads",
+    "check_range",
+    "check_unique",
+    "new_identifier",
+]
--- a/foxtailseam_bench/_processes.py
+++ b/foxtailseam_bench/_processes.py
@@ -1,6 +1,8 @@
 """Starts, stops, freezes and kills processes; the one place that does."""
 
 import contextlib
+import itertools
+import os
 import signal
 import socket
 import subprocess
@@ -11,21 +13,35 @@
 from pathlib import Path
 
 STOP_SECONDS = 40.0
+FIRST_PORT = 12_000
+PORT_COUNT = 20_000
+# Processes that run at the same time begin at different places.
+_PORT_NUMBERS = itertools.count(os.getpid() * 1_201)
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback interface that are free now."""
-    sockets = []
-    for _ in range(count):
-        item = socket.socket()
-        item.bind(("127.0.0.1", 0))
-        sockets.append(item)
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    """Return ports of the loopback interface that are free now.
+
+    They lie below the range that the system gives to outgoing connections,
+    which could take a port between this call and its use.
+    """
+    ports = []
+    while len(ports) < count:
+        port = FIRST_PORT + next(_PORT_NUMBERS) % PORT_COUNT
+        if _is_free(port):
+            ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as item:
+        try:
+            item.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
+
+
 def wait_until(
     condition: Callable[[], bool], seconds: float, what: str, step: float = 0.02
 ) -> float:
--- a/foxtailseam_bench/deployment.py
+++ b/foxtailseam_bench/deployment.py
@@ -64,6 +64,8 @@
         Of every searcher at the start.
     searchers_per_process : int
         1 lets each searcher be killed alone.
+    keep_runs : bool
+        Searchers write their runs to files, which outlive them.
     settings : dict
         Sections that overlay the settings of every process.
     """
@@ -75,6 +77,7 @@
     failure_domains: tuple[str, ...] = ("west", "central")
     behaviour: SearcherBehaviour = field(default_factory=SearcherBehaviour)
     searchers_per_process: int = 1
+    keep_runs: bool = True
     settings: dict = field(default_factory=dict)
 
 
@@ -113,8 +116,9 @@
         self.plan = plan
         self._directory = tempfile.TemporaryDirectory(prefix="foxtailseam-")
         self.directory = Path(self._directory.name)
+        self._run_file = self.directory / "runs.txt"
         self.processes = ProcessGroup(self.directory)
-        self.http = urllib3.PoolManager(num_pools=200, maxsize=8, retries=False)
+        self.http = urllib3.PoolManager(num_pools=200, maxsize=64, retries=False)
         self.platform = ""
         self.hosts: list[HostAddresses] = []
         self.searchers: dict[str, list[str]] = {}
@@ -218,20 +222,20 @@
             self._leaving_hosts = leaving_hosts
         if leaving_searchers is not None:
             self._leaving_searchers = leaving_searchers
-        hosts = [
-            {
-                "name": host.name,
-                "failure_domain": host.failure_domain,
-                "state": "leaving" if host.name in self._leaving_hosts else "live",
-                "entry": host.entry,
-                "gathers": list(host.gathers),
-            }
-            for host in self.hosts
-        ]
+        hosts = [self._listed(host) for host in self.hosts]
         leaving = sorted(self._leaving_searchers)
         value = {"hosts": hosts, "leaving_searchers": leaving}
         return self.hand_over("hosts", _json(value))
 
+    def _listed(self, host: HostAddresses) -> dict:
+        return {
+            "name": host.name,
+            "failure_domain": host.failure_domain,
+            "state": "leaving" if host.name in self._leaving_hosts else "live",
+            "entry": host.entry,
+            "gathers": list(host.gathers),
+        }
+
     def behave(self, address: str, **changes: object) -> None:
         """Change the behaviour of a searcher."""
         self._control("POST", address, "/control", _json(changes))
@@ -245,6 +249,13 @@
         """Return the addresses of all searchers."""
         return [item for items in self.searchers.values() for item in items]
 
+    def runs_with(self, text: str) -> int:
+        """Return how many runs had `text` in their body; the dead count too."""
+        if not self._run_file.exists():
+            return 0
+        lines = self._run_file.read_text().splitlines()
+        return sum(text in line for line in lines)
+
     def run_log(self, address: str) -> RunLog:
         """Return what a searcher has run."""
         reply = self.http.request("GET", f"http://{address}/runs", timeout=5.0)
@@ -341,6 +352,7 @@
                 _records(name),
                 self.plan.behaviour,
                 seed=index,
+                run_file=str(self._run_file) if self.plan.keep_runs else "",
             )
             for index, (name, address) in enumerate(
                 (name, address)
--- a/foxtailseam_bench/load.py
+++ b/foxtailseam_bench/load.py
@@ -9,6 +9,8 @@
 
 from foxtailseam_bench.deployment import Deployment, HostAddresses, Reply
 
+QUERIES_APART = 1_000
+
 
 @dataclass(frozen=True)
 class Observation:
@@ -84,7 +86,7 @@
         return [item for item in list(self.observations) if item.started >= started]
 
     def _run(self, offset: int) -> None:
-        for number in itertools.count(offset):
+        for number in itertools.count(offset * QUERIES_APART):
             if self._stop.is_set():
                 return
             targets = self._targets
--- a/foxtailseam_bench/searcher.py
+++ b/foxtailseam_bench/searcher.py
@@ -11,6 +11,7 @@
 import secrets
 from collections import OrderedDict
 from dataclasses import dataclass, field, replace
+from pathlib import Path
 
 import msgspec
 
@@ -126,12 +127,22 @@
         How it behaves.
     seed : int
         Seed of the service times.
+    run_file : str
+        Where each run is written as it starts, so that it outlives the
+        process; empty for nowhere.
     """
 
-    def __init__(self, records: list[Record], behaviour: SearcherBehaviour, seed: int):
+    def __init__(
+        self,
+        records: list[Record],
+        behaviour: SearcherBehaviour,
+        seed: int,
+        run_file: str = "",
+    ):
         self.records = records
         self.behaviour = behaviour
         self.seed = seed
+        self.run_file = run_file
         self._random = random.Random(seed)
         self._incarnation = secrets.token_hex(4)
         self._slots = asyncio.Semaphore(behaviour.slots)
@@ -252,10 +263,10 @@
     ) -> HttpAnswer | None:
         behaviour = self.behaviour
         body = request.body.decode()
-        if behaviour.crash_on and behaviour.crash_on in body:
-            os._exit(3)
         request_id = headers["X-Request-Id"]
         self._log(Run(request.path, request_id, body, version))
+        if behaviour.crash_on and behaviour.crash_on in body:
+            os._exit(3)
         if behaviour.cut == "within":
             connection.abort()
             return None
@@ -292,6 +303,9 @@
 
     def _log(self, run: Run) -> None:
         self._runs.append(run)
+        if self.run_file:
+            with Path(self.run_file).open("a") as file:
+                file.write(f"{run.path} {run.body}\n")
         if len(self._runs) > RUN_LOG_LENGTH:
             del self._runs[: RUN_LOG_LENGTH // 2]
 
@@ -317,13 +331,14 @@
 
 @dataclass(frozen=True)
 class SearcherSpec:
-    """One searcher of a process: address, shard, behaviour, seed."""
+    """One searcher of a process."""
 
     address: str
     shard: str
     records: list[Record]
     behaviour: SearcherBehaviour = field(default_factory=SearcherBehaviour)
     seed: int = 0
+    run_file: str = ""
 
 
 async def serve_searchers(specs: list[SearcherSpec]) -> None:
@@ -331,7 +346,7 @@
     loop = asyncio.get_running_loop()
     servers = []
     for spec in specs:
-        searcher = Searcher(spec.records, spec.behaviour, spec.seed)
+        searcher = Searcher(spec.records, spec.behaviour, spec.seed, spec.run_file)
         host, _, port = spec.address.rpartition(":")
         servers.append(await loop.create_server(_factory(searcher), host, int(port)))
     await asyncio.gather(*(server.serve_forever() for server in servers))
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -9,12 +9,14 @@
 import sys
 import tempfile
 import xml.etree.ElementTree as ElementTree
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 BIN = Path(sys.executable).parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+FEATURES_AT_A_TIME = 3
 
 
 @dataclass(frozen=True)
@@ -57,22 +59,36 @@
     return results or [TestResult("pytest", False, "no test was run")]
 
 
-def run_behave(directory: Path) -> list[TestResult]:
-    """Run the scenarios."""
-    report = directory / "behave.json"
+def run_features(directory: Path) -> list[TestResult]:
+    """Run the scenarios, some features at a time; the longest first."""
+    features = sorted(
+        ROOT.glob("features/*.feature"),
+        key=lambda path: (-path.read_text().count("\n"), path.name),
+    )
+    with ThreadPoolExecutor(FEATURES_AT_A_TIME) as pool:
+        runs = pool.map(lambda path: run_feature(directory, path), features)
+        return [result for results in runs for result in results]
+
+
+def run_feature(directory: Path, path: Path) -> list[TestResult]:
+    """Run the scenarios of one feature."""
+    report = directory / f"{path.stem}.json"
     done = subprocess.run(
         [
-            *(sys.executable, "-m", "behave", "--no-capture"),
+            *(sys.executable, "-m", "behave", "--no-capture", str(path)),
             *("--format", "json", "--outfile", str(report)),
             *("--format", "progress"),
         ],
         cwd=ROOT,
+        capture_output=True,
+        text=True,
         check=False,
     )
+    print(done.stdout, flush=True)
     try:
         features = json.loads(report.read_text())
     except (OSError, ValueError):
-        return [TestResult("behave", False, f"exit code {done.returncode}")]
+        return [TestResult(path.name, False, f"{done.returncode}: {done.stderr}")]
     results = []
     for feature in features:
         for scenario in feature.get("elements", []):
@@ -81,7 +97,7 @@
             name = f"{feature['name']}: {scenario['name']}"
             passed = scenario["status"] == "passed"
             results.append(TestResult(name, passed, scenario["status"]))
-    return results or [TestResult("behave", False, "no scenario was run")]
+    return results or [TestResult(path.name, False, "no scenario was run")]
 
 
 def known_red() -> dict[str, str]:
@@ -100,7 +116,7 @@
     ]
     with tempfile.TemporaryDirectory() as name:
         results += run_pytest(Path(name))
-        results += run_behave(Path(name))
+        results += run_features(Path(name))
     red = known_red()
     failed = [item for item in results if not item.passed]
     for item in failed:
