Refresh before the first request after a pause; show that checks can fail

Cause: scripts/prove_checks.py disables one mechanism at a time; 4 of 13 went unnoticed. (1) urllib3 itself drops a connection with a second answer, so that the check of identifiers was not reached; (2) the paused gather was not always the owner of the letters' shard; (3) a letter of 300 ms ended within the balancer's lag; (4) a frozen entry heard of new rules before the request came. The last one also showed a race: a request could be planned by the old rules before the regular check saw the pause.

Change: a request checks for a pause itself, and is planned again after the refresh; a gather that wakes up runs no letter that may have lain there. The scenarios bring about what they say: crossed answers carry another query's hits, every gather is paused, the letter outlasts the lag, nobody tells the entry.

Conclusion: each promise has a scenario that fails without its mechanism.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -54,8 +54,8 @@
 
   @configuration
   Scenario: An entry that wakes up serves under the newest rules only
-    Given a deployment
-    When host-1-entry is frozen while the family becomes not repeatable
+    Given a deployment of 1 hosts
+    When host-1 is frozen while the family becomes not repeatable, and none tells it
     Then its first answer after waking is a refusal as not-repeatable
 
   @configuration
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -42,8 +42,8 @@
 
   @shutdown
   Scenario: A letter in flight is not cut by the shutdown of its entry
-    Given a deployment whose searchers take 300 ms
-    When a letter is in flight and its entry and gather get SIGTERM
+    Given a deployment with a drain bound of 5s
+    When a letter is in flight for 1.5 s and its entry and gather get SIGTERM
     Then the letter is accepted
 
   @shutdown
--- a/features/once.feature
+++ b/features/once.feature
@@ -40,9 +40,9 @@
     Examples:
       | fault                          |
       | no fault                       |
-      | gather killed                  |
-      | gather frozen                  |
-      | gather paused                  |
+      | gathers killed                 |
+      | gathers frozen                 |
+      | gathers paused                 |
       | entry paused                   |
       | entry killed                   |
       | entry killed and started again |
@@ -54,9 +54,9 @@
       | letter searchers silent        |
       | letter searchers too slow      |
       | letter searchers shed half     |
-      | gather paused + entry paused   |
+      | gathers paused + entry paused  |
       | entry paused + entry paused    |
-      | gather killed + letter searcher killed |
+      | gathers killed + letter searcher killed |
 
   @at-most-once
   Scenario: A ticket serves one letter only
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -7,6 +7,7 @@
 
 from features.steps.path_steps import FAMILY, LETTERS, RULES
 from foxtailseam_bench.deployment import DeploymentPlan, FamilyPlan
+from foxtailseam_bench.platform_service import PlatformFault
 from foxtailseam_bench.split import SplitDeployment
 
 MANY_RULES = 12_000
@@ -122,16 +123,31 @@
     context.deployment.processes.wake(name)
 
 
-@when("{name} is frozen while the family becomes not repeatable")
+@when("{name} is frozen while the family becomes not repeatable, and none tells it")
 def step_frozen_change(context, name):
     deployment = context.deployment
-    deployment.processes.freeze(name)
-    # Long enough for the process to know on waking that it was paused.
+    processes = [f"{name}-entry", f"{name}-gather-0"]
+    for process in processes:
+        deployment.processes.freeze(process)
+    # Long enough for the processes to know on waking that they were paused.
     time.sleep(1.5)
+    # The watches that were held end without the value.
+    deployment.platform_fault(PlatformFault(down=True))
     deployment.hand_over("rules", RULES + f"{FAMILY} repeatable no  # Test\n")
-    time.sleep(0.3)
-    deployment.processes.wake(name)
-    context.reply = deployment.search(deployment.hosts[0], FAMILY, "climber 1")
+    time.sleep(0.2)
+    deployment.platform_fault(PlatformFault(delay_ms=150))
+    caller = threading.Thread(target=search_first, args=(context,))
+    caller.start()
+    # The request lies in the frozen process's socket when it wakes up.
+    time.sleep(0.2)
+    for process in processes:
+        deployment.processes.wake(process)
+    caller.join()
+
+
+def search_first(context):
+    host = context.deployment.hosts[0]
+    context.reply = context.deployment.search(host, FAMILY, "climber 1")
 
 
 @then("its first answer after waking is a refusal as {reason}")
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -139,8 +139,9 @@
     time.sleep(0.1)
 
 
-@when("a letter is in flight and its entry and gather get SIGTERM")
-def step_letter_in_flight(context):
+@when("a letter is in flight for {seconds:g} s and its entry and gather get SIGTERM")
+def step_letter_in_flight(context, seconds):
+    context.deployment.behave_all(service_ms=seconds * 1000, spread=0.0)
     send_letter(context)
     for host in context.deployment.hosts:
         context.deployment.processes.signal(f"{host.name}-gather-0", signal.SIGTERM)
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -171,7 +171,23 @@
         deployment.processes.wake(name)
 
 
+def freeze_gathers(deployment):
+    for host in deployment.hosts:
+        deployment.processes.freeze(f"{host.name}-gather-0")
+
+
+def pause_gathers(deployment):
+    freeze_gathers(deployment)
+    time.sleep(1.5)
+    for host in deployment.hosts:
+        deployment.processes.wake(f"{host.name}-gather-0")
+
+
+# Whichever gather owns the letters' shard, the fault hits it.
 LETTER_FAULTS = {
+    "gathers killed": kill_gathers,
+    "gathers frozen": freeze_gathers,
+    "gathers paused": pause_gathers,
     "entry killed": kill_entry,
     "entry killed and started again": restart_entry,
     "letter searcher killed": kill_letter_searcher,
--- a/foxtailseam/daemons/_entry.py
+++ b/foxtailseam/daemons/_entry.py
@@ -1,6 +1,7 @@
 """The entry process: serves callers."""
 
 import asyncio
+from dataclasses import replace
 from datetime import timedelta
 
 from foxtailseam.admission import AdmissionController
@@ -49,7 +50,10 @@
         self._searches = SearchHandler(node, router)
         self._submits = SubmitHandler(node, router, self._book)
         readiness = ReadinessFilter(
-            lambda: node.published.is_complete, node.fresh, node.clock
+            lambda: node.published.is_complete,
+            node.wait_until_fresh,
+            self._plan_again,
+            node.clock,
         )
         quarantine = QuarantineFilter(
             node.quarantine, node.recorder, node.peers.spread_news
@@ -154,6 +158,16 @@
             fingerprint_of(request.family, content),
         )
 
+    def _plan_again(self, context: RequestContext) -> RequestContext:
+        """Return the context by the rules and snapshot in force now."""
+        published = self.node.published
+        family = context.request.family
+        return replace(
+            context,
+            policy=published.rules.rules.policy(family),
+            snapshot=published.snapshots.value.find(family),
+        )
+
     async def _dispatch(self, context: RequestContext) -> Outcome:
         remaining = context.deadline - self.node.clock.monotonic()
         if remaining <= 0:
--- a/foxtailseam/daemons/_gather.py
+++ b/foxtailseam/daemons/_gather.py
@@ -84,6 +84,9 @@
         with self._work:
             body = msgspec.json.encode({"query": request.query})
             deadline = self._deadline(request.remaining_ms)
+            await self.node.wait_until_fresh(
+                timedelta(milliseconds=request.remaining_ms)
+            )
             policy = self.node.published.rules.rules.policy(request.family)
             self.node.recorder.record(
                 EventCode.BATCH_RECEIVED,
@@ -121,6 +124,10 @@
     async def submit(self, request: SubmitRequest) -> SubmitReply:
         """Run a request that may not be repeated, at most once."""
         with self._work:
+            self.node.check_for_pause()
+            if not self.node.fresh.is_set():
+                # It may have lain here for longer than its deadline.
+                return self._not_run(request, RefusalReason.NOT_READY)
             attempt = await self._dispatcher.submit(
                 ShardRequest(
                     request.request_id,
@@ -138,6 +145,14 @@
             envelope = self.node.peers.envelope()
             return SubmitReply(envelope, request.request_id, status, detail)
 
+    def _not_run(self, request: SubmitRequest, reason: RefusalReason) -> SubmitReply:
+        return SubmitReply(
+            self.node.peers.envelope(),
+            request.request_id,
+            SubmitStatus.NOT_RUN,
+            reason,
+        )
+
     def _deadline(self, remaining_ms: float) -> float:
         remaining = timedelta(milliseconds=remaining_ms) - REPLY_MARGIN
         return self.node.clock.monotonic() + remaining.total_seconds()
--- a/foxtailseam/daemons/_node.py
+++ b/foxtailseam/daemons/_node.py
@@ -82,6 +82,7 @@
         self._server: Server | None = None
         self._operators = OperatorServer(process.operators, self)
         self._tasks: list[asyncio.Task] = []
+        self._pauses = PauseDetector(self.clock, settings.peers.pause)
 
     @property
     def is_draining(self) -> bool:
@@ -127,6 +128,30 @@
         self.fresh.set()
         self.recorder.record(EventCode.PROCESS_STARTED, version=__version__)
 
+    def check_for_pause(self) -> None:
+        """Distrust what is known if the process did not run for a while.
+
+        To be called before work is begun: after a pause a request may come
+        before the regular check.
+        """
+        pause = self._pauses.observe()
+        if pause is None or not self.fresh.is_set():
+            return
+        self.fresh.clear()
+        seconds = round(pause.total_seconds(), 3)
+        self.recorder.record(EventCode.PAUSE_DETECTED, seconds=seconds)
+        self._tasks.append(asyncio.create_task(self._refresh()))
+
+    async def wait_until_fresh(self, bound: timedelta) -> bool:
+        """Wait for the refresh after a pause; tell whether it was done in time."""
+        self.check_for_pause()
+        if self.fresh.is_set():
+            return True
+        waiter = asyncio.ensure_future(self.fresh.wait())
+        await asyncio.wait({waiter}, timeout=max(0.0, bound.total_seconds()))
+        waiter.cancel()
+        return self.fresh.is_set()
+
     def drain(self) -> None:
         """Stop to be ready, and tell the peers."""
         self._draining = True
@@ -156,17 +181,11 @@
             await asyncio.sleep(START_RETRY.total_seconds())
 
     async def _watch_for_pauses(self) -> None:
-        detector = PauseDetector(self.clock, self.settings.peers.pause)
         while True:
             await asyncio.sleep(PAUSE_TICK.total_seconds())
-            pause = detector.observe()
-            if pause is not None:
-                await self._recover_from(pause)
+            self.check_for_pause()
 
-    async def _recover_from(self, pause: timedelta) -> None:
-        self.fresh.clear()
-        seconds = round(pause.total_seconds(), 3)
-        self.recorder.record(EventCode.PAUSE_DETECTED, seconds=seconds)
+    async def _refresh(self) -> None:
         try:
             # A part of the fleet that is cut off serves on with what it has.
             await asyncio.gather(self.platform.read_all(), self.peers.catch_up())
--- a/foxtailseam/filters/_readiness.py
+++ b/foxtailseam/filters/_readiness.py
@@ -1,7 +1,6 @@
 """Holds the process to what it knows for certain."""
 
-import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 from foxtailseam.clocks import Clock
@@ -17,17 +16,24 @@
     ----------
     is_complete : callable
         Whether rules, snapshots and hosts are known.
-    fresh : asyncio.Event
-        Cleared after a pause, set once the state was refreshed.
+    wait_until_fresh : callable
+        Waits, up to a bound, for the refresh after a pause.
+    plan_again : callable
+        Gives the context by the state that the refresh brought.
     clock : Clock
         Source of monotonic time.
     """
 
     def __init__(
-        self, is_complete: Callable[[], bool], fresh: asyncio.Event, clock: Clock
+        self,
+        is_complete: Callable[[], bool],
+        wait_until_fresh: Callable[[timedelta], Awaitable[bool]],
+        plan_again: Callable[[RequestContext], RequestContext],
+        clock: Clock,
     ):
         self.is_complete = is_complete
-        self.fresh = fresh
+        self.wait_until_fresh = wait_until_fresh
+        self.plan_again = plan_again
         self.clock = clock
 
     async def filter(self, context: RequestContext, proceed: Handler) -> Outcome:
@@ -36,16 +42,9 @@
         retry_after = context.policy.retry_after
         if not self.is_complete():
             return Refused(request_id, RefusalReason.NOT_READY, retry_after)
-        if not self.fresh.is_set():
-            remaining = context.deadline - self.clock.monotonic()
-            await self._wait(timedelta(seconds=max(0.0, remaining)))
-        if not self.fresh.is_set():
+        remaining = context.deadline - self.clock.monotonic()
+        if not await self.wait_until_fresh(timedelta(seconds=remaining)):
             return Refused(request_id, RefusalReason.NOT_READY, retry_after)
         if self.clock.monotonic() >= context.deadline:
             return Refused(request_id, RefusalReason.DEADLINE, retry_after)
-        return await proceed(context)
-
-    async def _wait(self, bound: timedelta) -> None:
-        waiter = asyncio.ensure_future(self.fresh.wait())
-        await asyncio.wait({waiter}, timeout=bound.total_seconds())
-        waiter.cancel()
+        return await proceed(self.plan_again(context))
--- a/foxtailseam_bench/searcher.py
+++ b/foxtailseam_bench/searcher.py
@@ -67,7 +67,7 @@
     silence : bool
         Connections open now go silent for good; new ones work.
     crossed : bool
-        Answers carry the identifier of the request before.
+        Each answer is that to the request before.
     double : bool
         Each answer is sent twice.
     cut : str
@@ -153,7 +153,7 @@
         self._received = 0
         self._opened = 0
         self._served = 0
-        self._previous_id = ""
+        self._previous: HttpAnswer | None = None
         self._cancelled: OrderedDict[str, None] = OrderedDict()
         self._cancel_count = 0
 
@@ -206,6 +206,11 @@
     def _control(self, caller: Connection, request: HttpRequest) -> HttpAnswer:
         changes = msgspec.json.decode(request.body)
         silence = changes.pop("silence", False)
+        cold = changes.pop("restart_cold", 0)
+        if cold:
+            self._served = 0
+            self._incarnation = secrets.token_hex(4)
+            changes["cold_requests"] = cold
         self.behaviour = replace(self.behaviour, **changes)
         if silence:
             for connection in self._open - {caller}:
@@ -274,21 +279,21 @@
         if behaviour.cut == "after":
             connection.abort()
             return None
-        if behaviour.crossed and self._previous_id:
-            headers = headers | {"X-Request-Id": self._previous_id}
-        self._previous_id = request_id
         shown = behaviour.answer_version or version
         answer = {
-            "request_id": headers["X-Request-Id"],
+            "request_id": request_id,
             "index_version": shown,
             "hits": self._matching(body, shown) if request.path == "/search" else [],
             "receipt": f"receipt-{request_id}",
         }
+        own = HttpAnswer(200, msgspec.json.encode(answer), headers)
+        sent = self._previous if behaviour.crossed and self._previous else own
+        self._previous = own
         asyncio.get_running_loop().call_later(
             behaviour.network_ms / 1000,
             _send,
             connection,
-            HttpAnswer(200, msgspec.json.encode(answer), headers),
+            sent,
             2 if behaviour.double else 1,
         )
         return None
--- /dev/null
+++ b/scripts/prove_checks.py
@@ -0,0 +1,194 @@
+"""Shows that the scenarios can fail: disables one mechanism at a time.
+
+Each row of the table changes one place of a scratch copy of the product and runs
+the scenarios that guard the promise there. A row is good if a scenario fails.
+"""
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+AT_A_TIME = 3
+
+
+@dataclass(frozen=True)
+class Mutation:
+    """A mechanism to disable.
+
+    Parameters
+    ----------
+    promise : str
+        Tag of the scenarios that guard it.
+    mechanism : str
+        What is disabled.
+    path : str
+        Module, below the product package.
+    old, new : str
+        Text that is replaced, and by what.
+    scenario : str
+        Part of the scenarios' name.
+    """
+
+    promise: str
+    mechanism: str
+    path: str
+    old: str
+    new: str
+    scenario: str
+
+
+MUTATIONS = (
+    Mutation(
+        "snapshot",
+        "sub-answers of another version are dropped",
+        "searchers/_dispatcher.py",
+        "if version == request.index_version:",
+        "version = request.index_version\n                if True:",
+        "searcher answers another version --",
+    ),
+    Mutation(
+        "coverage",
+        "lacking shards are stated",
+        "outcomes/_merge.py",
+        "coverage = Coverage(tuple(sorted(usable)), lacking)",
+        "coverage = Coverage(tuple(sorted(reasons)), ())",
+        "shard killed --",
+    ),
+    Mutation(
+        "own-answer",
+        "an answer must carry the request's identifier",
+        "searchers/_client.py",
+        "return Mismatched()",
+        "pass",
+        "answers crossed",
+    ),
+    Mutation(
+        "not-run",
+        "refused only if nothing was sent",
+        "daemons/_gather.py",
+        "return SubmitStatus.UNKNOWN, type(attempt).__name__",
+        "return SubmitStatus.NOT_RUN, RefusalReason.SHED",
+        "cut after the run",
+    ),
+    Mutation(
+        "at-most-once",
+        "a ticket starts once",
+        "tickets/_transitions.py",
+        "    (TicketState.MINTED, TicketEvent.START): TicketState.RUNNING,",
+        "    **{(s, TicketEvent.START): TicketState.RUNNING for s in TicketState},\n"
+        "    (TicketState.ENDED, TicketEvent.FINISH): TicketState.ENDED,",
+        "under no fault --",
+    ),
+    Mutation(
+        "at-most-once",
+        "no other gather is tried after a request may have been sent",
+        "daemons/_submit.py",
+        "            if error.sent:",
+        "            if False:",
+        "gathers paused --",
+    ),
+    Mutation(
+        "leaving",
+        "a drain signal on an answer ends new work",
+        "searchers/_sender.py",
+        "        if attempt.draining:",
+        "        if False:",
+        "it serves on and says that it drains",
+    ),
+    Mutation(
+        "leaving",
+        "the list of leaving searchers ends new work",
+        "searchers/_controller.py",
+        "self._listed_leaving = frozenset(leaving)",
+        "self._listed_leaving = frozenset()",
+        "only the list says so",
+    ),
+    Mutation(
+        "shutdown",
+        "a drain waits for what is in flight",
+        "daemons/_shutdown.py",
+        "    while in_flight():",
+        "    while False:",
+        "A letter in flight is not cut",
+    ),
+    Mutation(
+        "shutdown",
+        "a drain serves on while the balancer lags",
+        "daemons/_shutdown.py",
+        "await asyncio.sleep(settings.balancer_lag.total_seconds())",
+        "await asyncio.sleep(0)",
+        "SIGTERM to host-2-entry, 1 times",
+    ),
+    Mutation(
+        "configuration",
+        "a process asks its peers before it serves",
+        "daemons/_node.py",
+        "await asyncio.gather(self.platform.read_all(), self.peers.catch_up())\n"
+        "            if self.published.is_complete:\n"
+        "                await self.peers.catch_up()\n",
+        "await self.platform.read_all()\n            if self.published.is_complete:\n",
+        "when platform stale --",
+    ),
+    Mutation(
+        "configuration",
+        "after a pause the state is refreshed before serving",
+        "daemons/_node.py",
+        "        self.fresh.clear()\n",
+        "",
+        "wakes up serves under the newest",
+    ),
+    Mutation(
+        "quarantine",
+        "a request that loses searchers becomes suspect",
+        "filters/_quarantine.py",
+        "            self._lost(context)\n",
+        "            return\n",
+        "every 1.2 s",
+    ),
+)
+
+
+def run(mutation: Mutation) -> bool:
+    """Return whether a scenario failed with the mechanism disabled."""
+    with tempfile.TemporaryDirectory() as name:
+        copy = Path(name)
+        for part in ("foxtailseam", "foxtailseam_bench", "features"):
+            shutil.copytree(ROOT / part, copy / part)
+        shutil.copy(ROOT / "pyproject.toml", copy)
+        path = copy / "foxtailseam" / mutation.path
+        text = path.read_text()
+        if mutation.old not in text:
+            raise SystemExit(f"{mutation.path}: text to replace is not there")
+        path.write_text(text.replace(mutation.old, mutation.new))
+        done = subprocess.run(
+            [
+                *(sys.executable, "-m", "behave", "--no-capture", "--no-skipped"),
+                *("--tags", f"@{mutation.promise} or @at-most-once"),
+                *("--name", mutation.scenario, "--format", "progress"),
+            ],
+            cwd=copy,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        ran = "0 scenarios passed, 0 failed, 0 error" not in done.stdout
+        return ran and ("Failing" in done.stdout or "Errored" in done.stdout)
+
+
+def main() -> int:
+    """Print the table; return 1 if a disabled mechanism went unnoticed."""
+    with ThreadPoolExecutor(AT_A_TIME) as pool:
+        noticed = list(pool.map(run, MUTATIONS))
+    for mutation, seen in zip(MUTATIONS, noticed, strict=True):
+        verdict = "fails" if seen else "NOT NOTICED"
+        print(f"@{mutation.promise:<14} {verdict:<12} without: {mutation.mechanism}")
+    return 0 if all(noticed) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
