Share drain signals, refuse only at a standing queue, keep control small

Cause and change: - A gather that took a searcher over did not know of its drain signal and gave it new work. The limit falls only if the least delayed request of 100 ms waited too long (CoDel's idea). - An exchange could carry 10,000 suspicions; 64 now. - Bad callers (garbage, over-long, slow) have scenarios.

After a split, whole answers are due within 3 s and not in the first answer: the trace showed an honest partial answer until the first call to the far part had failed, which the promise allows.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -64,7 +64,7 @@
     When the parts are split
     And a new rule is handed over to the first part
     Then the first part has it within 3 s
-    And both parts serve
+    And both parts serve whole answers within 3 s
     When the split heals
     Then it is in force in each process within 3 s
 
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -21,11 +21,12 @@
       | the list takes it back while it drains          |
       | the list flips and ends on leaving              |
       | it refuses connections                          |
+      | it serves on and says so, then gathers are replaced |
 
   @shutdown
   Scenario Outline: SIGTERM to <processes>, <times> times
-    Given a deployment whose searchers take 150 ms
-    And a load
+    Given a deployment with a drain bound of 10s
+    And a load on searchers that take 150 ms
     When SIGTERM is sent <times> times to <processes>, and the balancer lags 0.3 s
     Then <processes> end with exit code 0
     And no request was cut
--- a/features/path.feature
+++ b/features/path.feature
@@ -20,3 +20,21 @@
       | {"ticket": "t", "key": "", "content": "c"} | /v1/families/letter-sender/submit | 400  | key         |
       | {"query": "x"}                     | /v1/families/Unknown/search             | 404    | path        |
       | {"query": "x"}                     | /v1/families/unknown/search             | 404    | unknown-family |
+
+  Scenario Outline: A bad caller hurts nobody else: <caller>
+    Given a deployment under load
+    When <count> bad callers come: <caller>
+    And 1 s pass
+    Then a bad caller gets <status>
+    And every answer is truthful
+    And each answer is complete
+    And the slowest answer took at most 500 ms
+
+    Examples:
+      | caller                       | count | status  |
+      | garbage bytes                | 20    | 400     |
+      | an over-long body            | 20    | 413     |
+      | an over-long header          | 20    | 413     |
+      | a header that never ends     | 20    | nothing |
+      | a body that never comes      | 20    | nothing |
+      | a connection that is dropped | 20    | nothing |
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -6,7 +6,7 @@
 
 from features.steps.load_steps import begin_load
 from features.steps.path_steps import FAMILY, start
-from foxtailseam_bench.deployment import FamilyPlan
+from foxtailseam_bench.plan import FamilyPlan
 
 POISON = "crash-me"
 
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -46,7 +46,18 @@
     deployment.behave(address, connections=0, cut="before")
 
 
+def replace_gathers(deployment, address):
+    deployment.behave(address, drain_quietly=True)
+    time.sleep(0.5)
+    for host in deployment.hosts:
+        name = f"{host.name}-gather-0"
+        deployment.processes.kill(name)
+        deployment.processes.restart(name)
+        deployment.wait_ready(host)
+
+
 SIGNALS = {
+    "it serves on and says so, then gathers are replaced": replace_gathers,
     "it refuses work and says that it drains": say(draining=True),
     "it serves on and says that it drains": say(drain_quietly=True),
     "only the list says so": list_leaving,
@@ -78,8 +89,9 @@
     assert after == before, f"{after - before} requests"
 
 
-@given("a load")
-def step_load(context):
+@given("a load on searchers that take {milliseconds:d} ms")
+def step_load(context, milliseconds):
+    context.deployment.behave_all(service_ms=float(milliseconds), spread=0.0)
     begin_load(context)
     time.sleep(0.5)
 
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -2,7 +2,8 @@
 
 from behave import given, then, when
 
-from foxtailseam_bench.deployment import Deployment, DeploymentPlan, FamilyPlan
+from foxtailseam_bench.deployment import Deployment
+from foxtailseam_bench.plan import DeploymentPlan, FamilyPlan
 from foxtailseam_bench.searcher import SearcherBehaviour
 
 FAMILY = "certificate-lookup"
--- a/foxtailseam/admission/_controller.py
+++ b/foxtailseam/admission/_controller.py
@@ -10,33 +10,40 @@
 INCREASE = 1.0
 LEAST_LIMIT = 2.0
 BUSY_SHARE = 0.5
-DECREASE_INTERVAL = timedelta(milliseconds=100)
+WINDOW = timedelta(milliseconds=100)
 
 
 @dataclass
 class _Family:
     limit: float
+    window_ends: float
     in_flight: int = 0
-    decreased_at: float = float("-inf")
+    least_delay: timedelta = timedelta.max
 
 
 class AdmissionController:
     """Refuses a whole request early rather than parts of many late.
 
+    The limit falls when even the least delayed request of a window waited too
+    long: a queue that stands, and not a burst that passes.
+
     Parameters
     ----------
     clock : Clock
         Source of monotonic time.
     queue_share : float
         Share of the deadline that a sub-request may wait for a slot, 0 to 1.
+
+    References
+    ----------
+    K. Nichols, V. Jacobson, "Controlling queue delay", Communications of the
+    ACM 55(7), 2012.
     """
 
     def __init__(self, clock: Clock, queue_share: float):
         self.clock = clock
         self.queue_share = queue_share
-        self._families: defaultdict[str, _Family] = defaultdict(
-            lambda: _Family(float("inf"))
-        )
+        self._families: defaultdict[str, _Family] = defaultdict(self._new_family)
 
     def admit(self, family: str, limit: int) -> bool:
         """Count a request in, unless the limit in force is reached."""
@@ -72,20 +79,25 @@
         """
         state = self._families[family]
         state.in_flight -= 1
-        if shed or queue_delay > self.queue_share * deadline:
-            self._decrease(state)
-        elif state.in_flight + 1 >= state.limit * BUSY_SHARE:
+        delay = deadline if shed else queue_delay
+        state.least_delay = min(state.least_delay, delay)
+        target = self.queue_share * deadline
+        if delay <= target and state.in_flight + 1 >= state.limit * BUSY_SHARE:
             state.limit = min(limit, state.limit + INCREASE / state.limit)
+        if self.clock.monotonic() >= state.window_ends:
+            self._end_window(state, target)
 
     def in_flight(self, family: str) -> int:
         """Return how many requests of `family` are in flight."""
         return self._families[family].in_flight
 
-    def _decrease(self, state: _Family) -> None:
-        current = self.clock.monotonic()
-        if current - state.decreased_at < DECREASE_INTERVAL.total_seconds():
-            return
-        state.decreased_at = current
-        # The limit falls from what is in use, not from an unused ceiling.
-        in_use = min(state.limit, state.in_flight + 1)
-        state.limit = max(LEAST_LIMIT, in_use * DECREASE)
+    def _end_window(self, state: _Family, target: timedelta) -> None:
+        if state.least_delay > target:
+            # The limit falls from what is in use, not from an unused ceiling.
+            in_use = min(state.limit, state.in_flight + 1)
+            state.limit = max(LEAST_LIMIT, in_use * DECREASE)
+        state.least_delay = timedelta.max
+        state.window_ends = self.clock.monotonic() + WINDOW.total_seconds()
+
+    def _new_family(self) -> _Family:
+        return _Family(float("inf"), self.clock.monotonic() + WINDOW.total_seconds())
--- a/foxtailseam/configuration/_difference.py
+++ b/foxtailseam/configuration/_difference.py
@@ -48,7 +48,7 @@
     lines = set(old.lines) if difference.base.number else set()
     lines.difference_update(difference.removed)
     lines.update(difference.added)
-    parsed = parse_rules("\n".join(lines))
+    parsed = parse_rules("\n".join(lines), old.by_line)
     if parsed.is_err():
         return parsed
     digest = rules_digest(parsed.unwrap().lines)
--- a/foxtailseam/configuration/_kinds.py
+++ b/foxtailseam/configuration/_kinds.py
@@ -7,14 +7,10 @@
 
 from result import Err, Ok, Result
 
+from foxtailseam.utils import parse_duration
+
 RuleValue = timedelta | float | int | bool
 
-_UNITS = {
-    "ms": timedelta(milliseconds=1),
-    "s": timedelta(seconds=1),
-    "min": timedelta(minutes=1),
-}
-_DURATION = re.compile(r"([0-9]{1,7})(ms|s|min)")
 _PERCENT = re.compile(r"([0-9]{1,3}(?:\.[0-9]{1,3})?)%")
 _COUNT = re.compile(r"[0-9]{1,7}")
 _CHOICES = {"yes": True, "no": False}
@@ -47,11 +43,9 @@
 
 def _duration(low: timedelta, high: timedelta):
     def read(text: str) -> Result[RuleValue, None]:
-        match = _DURATION.fullmatch(text)
-        if match is None:
-            return Err(None)
-        value = int(match[1]) * _UNITS[match[2]]
-        return Ok(value) if low <= value <= high else Err(None)
+        value = parse_duration(text)
+        is_allowed = value is not None and low <= value <= high
+        return Ok(value) if is_allowed else Err(None)
 
     return read
 
--- a/foxtailseam/configuration/_parser.py
+++ b/foxtailseam/configuration/_parser.py
@@ -5,6 +5,7 @@
 """
 
 import re
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
@@ -47,13 +48,17 @@
         )
 
 
-def parse_rules(text: str) -> Result[RuleSet, RuleError]:
+def parse_rules(
+    text: str, known: Mapping[str, Rule] | None = None
+) -> Result[RuleSet, RuleError]:
     """Parse a rules file.
 
     Parameters
     ----------
     text : str
         The whole file, at most `MAX_RULES_BYTES` in UTF-8.
+    known : mapping of str to Rule, optional
+        Rules by their canonical form, which need not be parsed again.
 
     Returns
     -------
@@ -70,10 +75,12 @@
         stripped = line.strip()
         if not stripped or stripped.startswith(COMMENT):
             continue
-        parsed = _parse_line(number, line)
-        if parsed.is_err():
-            return parsed
-        rule = parsed.unwrap()
+        rule = known.get(stripped) if known else None
+        if rule is None:
+            parsed = _parse_line(number, line)
+            if parsed.is_err():
+                return parsed
+            rule = parsed.unwrap()
         first = first_lines.setdefault((rule.family, rule.setting), number)
         if first != number:
             expected = f"{rule.setting} once for {rule.family}; it stands in line"
--- a/foxtailseam/configuration/_revision.py
+++ b/foxtailseam/configuration/_revision.py
@@ -26,8 +26,5 @@
 
 def rules_digest(lines: Iterable[str]) -> str:
     """Return the digest of rules in canonical order."""
-    hasher = hashlib.blake2b(digest_size=16)
-    for line in lines:
-        hasher.update(line.encode())
-        hasher.update(b"\n")
-    return hasher.hexdigest()
+    text = "".join(f"{line}\n" for line in lines)
+    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
--- a/foxtailseam/configuration/_rules.py
+++ b/foxtailseam/configuration/_rules.py
@@ -1,6 +1,7 @@
 """One rule, and the set of rules that is in force together."""
 
 from dataclasses import dataclass, field, replace
+from functools import cached_property
 
 from foxtailseam.configuration._kinds import RULE_KINDS, RuleValue
 from foxtailseam.configuration._policy import FamilyPolicy
@@ -47,21 +48,31 @@
     _policies: dict[str, FamilyPolicy] = field(
         default_factory=dict, init=False, repr=False, compare=False
     )
+    _values: dict[str, dict[str, RuleValue]] = field(
+        default_factory=dict, init=False, repr=False, compare=False
+    )
 
     def __post_init__(self):
-        values: dict[str, dict[str, RuleValue]] = {EVERY_FAMILY: {}}
         for rule in self.rules:
             attribute = RULE_KINDS[rule.setting].attribute
-            values.setdefault(rule.family, {})[attribute] = rule.value
-        base = replace(FamilyPolicy(), **values[EVERY_FAMILY])
-        for family, changes in values.items():
-            self._policies[family] = replace(base, **changes)
+            self._values.setdefault(rule.family, {})[attribute] = rule.value
 
-    @property
+    @cached_property
     def lines(self) -> tuple[str, ...]:
         """Return the rules in canonical form."""
         return tuple(rule.text for rule in self.rules)
 
+    @cached_property
+    def by_line(self) -> dict[str, Rule]:
+        """Return the rules by their canonical form."""
+        return {rule.text: rule for rule in self.rules}
+
     def policy(self, family: str) -> FamilyPolicy:
         """Return the policy in force for `family`."""
-        return self._policies.get(family, self._policies[EVERY_FAMILY])
+        known = family if family in self._values else EVERY_FAMILY
+        policy = self._policies.get(known)
+        if policy is None:
+            values = self._values.get(EVERY_FAMILY, {}) | self._values.get(known, {})
+            policy = replace(FamilyPolicy(), **values)
+            self._policies[known] = policy
+        return policy
--- a/foxtailseam/configuration/_store.py
+++ b/foxtailseam/configuration/_store.py
@@ -63,7 +63,7 @@
         """
         if number < self._revision.number:
             return Ok(False)
-        parsed = parse_rules(text)
+        parsed = parse_rules(text, self._rules.by_line)
         if parsed.is_err():
             return parsed
         rules = parsed.unwrap()
--- a/foxtailseam/daemons/_callers.py
+++ b/foxtailseam/daemons/_callers.py
@@ -6,7 +6,7 @@
 from concurrent.futures import CancelledError, Future
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 from cheroot import wsgi
@@ -15,12 +15,10 @@
 from foxtailseam.daemons._node import Node
 from foxtailseam.daemons._render import HttpReply, render_outcome
 from foxtailseam.filters import CallerRequest, Search, Submit
-from foxtailseam.outcomes import Unknown
+from foxtailseam.outcomes import Outcome, Unknown
+from foxtailseam.tickets import Ticket
 from foxtailseam.utils import ValidationProblem, check_range, new_identifier
 
-if TYPE_CHECKING:
-    from foxtailseam.daemons._entry import Entry
-
 HEADER_LIMIT = 16_384
 KEPT_CONNECTIONS = 4_096
 BACKLOG = 1_024
@@ -49,6 +47,16 @@
     life_ms: int
 
 
+class RequestRunner(Protocol):
+    """What runs callers' requests."""
+
+    def mint(self, family: str) -> Ticket | None:
+        """Return a new ticket, or None if the family takes none."""
+
+    async def serve(self, request: CallerRequest) -> Outcome:
+        """Return the outcome of a request."""
+
+
 class CallerServer:
     """Reads requests with cheroot and runs them in the process's event loop.
 
@@ -56,15 +64,17 @@
     ----------
     node : Node
         The process.
-    entry : Entry
+    runner : RequestRunner
         Runs the requests.
     loop : asyncio.AbstractEventLoop
         The process's event loop.
     """
 
-    def __init__(self, node: Node, entry: "Entry", loop: asyncio.AbstractEventLoop):
+    def __init__(
+        self, node: Node, runner: RequestRunner, loop: asyncio.AbstractEventLoop
+    ):
         self.node = node
-        self.entry = entry
+        self.runner = runner
         self.loop = loop
         settings = node.settings.entry
         host, _, port = settings.callers.rpartition(":")
@@ -138,7 +148,7 @@
                 return _problem_reply("400 Bad Request", problem)
 
     def _mint(self, family: str) -> HttpReply:
-        ticket = self.entry.mint(family)
+        ticket = self.runner.mint(family)
         if ticket is None:
             expected = "a family whose rules say: repeatable no"
             problem = ValidationProblem("family", family, expected)
@@ -148,7 +158,7 @@
         return HttpReply("201 Created", body)
 
     def _run(self, request: CallerRequest) -> HttpReply:
-        future = asyncio.run_coroutine_threadsafe(self.entry.serve(request), self.loop)
+        future = asyncio.run_coroutine_threadsafe(self.runner.serve(request), self.loop)
         self._running.add(future)
         try:
             outcome = future.result()
--- a/foxtailseam/daemons/_entry.py
+++ b/foxtailseam/daemons/_entry.py
@@ -169,8 +169,7 @@
         )
 
     async def _dispatch(self, context: RequestContext) -> Outcome:
-        remaining = context.deadline - self.node.clock.monotonic()
-        if remaining <= 0:
+        if context.remaining(self.node.clock) <= timedelta():
             reason = RefusalReason.DEADLINE
             request_id = context.request.request_id
             return Refused(request_id, reason, context.policy.retry_after)
--- a/foxtailseam/daemons/_gather.py
+++ b/foxtailseam/daemons/_gather.py
@@ -48,7 +48,9 @@
 
     def __init__(self, node: Node):
         self.node = node
-        self._searchers = SearcherController(node.clock, node.recorder)
+        self._searchers = SearcherController(
+            node.clock, node.recorder, node.leaving, node.peers.spread_news
+        )
         self._dispatcher = Dispatcher(
             self._searchers,
             node.settings.gather.threads,
--- a/foxtailseam/daemons/_node.py
+++ b/foxtailseam/daemons/_node.py
@@ -19,6 +19,7 @@
 )
 from foxtailseam.quarantine import QuarantineController
 from foxtailseam.rpc import MessagePackCodec, PeerService
+from foxtailseam.searchers import LeavingSearchers
 from foxtailseam.settings import Settings
 from foxtailseam.timeline import Recorder
 from foxtailseam.utils import new_identifier
@@ -58,12 +59,14 @@
         )
         self.published = PublishedState(self.recorder)
         self.quarantine = QuarantineController(self.clock, self.hybrid)
+        self.leaving = LeavingSearchers(self.clock)
         self.table = PeerTable(self.clock, self.recorder)
         self.peers = PeerController(
             self.identity,
             settings.peers,
             self.published,
             self.quarantine,
+            self.leaving,
             self.table,
             self.clock,
             self.hybrid,
--- a/foxtailseam/daemons/_search.py
+++ b/foxtailseam/daemons/_search.py
@@ -75,7 +75,7 @@
         pending = [shard for shard in shards.values() if answers[shard.name].lack]
         excluded: frozenset[str] = frozenset()
         for _ in range(MAX_ROUNDS):
-            if not pending or self._remaining(context) < LEAST_REMAINING:
+            if not pending or context.remaining(self.node.clock) < LEAST_REMAINING:
                 break
             outcome = await self._round(context, snapshot, pending, excluded)
             self._take(context, outcome, answers)
@@ -175,7 +175,7 @@
         gather: str,
         shards: tuple[Shard, ...],
     ) -> SearchReply | CallError:
-        remaining = self._remaining(context)
+        remaining = context.remaining(self.node.clock)
         request = SearchRequest(
             self.node.peers.envelope(),
             context.request.request_id,
@@ -213,7 +213,7 @@
         newer = self.node.published.snapshots.value.find(snapshot.family)
         if newer is None or newer.index_version <= snapshot.index_version:
             return None
-        if self._remaining(context) < LEAST_REMAINING:
+        if context.remaining(self.node.clock) < LEAST_REMAINING:
             return None
         return newer
 
@@ -241,9 +241,6 @@
         sufficient = coverage.fraction >= policy.least_coverage
         return Partial(request_id, version, coverage, hits, sufficient)
 
-    def _remaining(self, context: RequestContext) -> timedelta:
-        return timedelta(seconds=context.deadline - self.node.clock.monotonic())
-
 
 def _was_not_run(answers: Iterable[SubAnswer]) -> bool:
     """Return whether no shard had a slot or a searcher, so that nothing was sent."""
--- a/foxtailseam/daemons/_submit.py
+++ b/foxtailseam/daemons/_submit.py
@@ -72,7 +72,7 @@
         shard = context.snapshot.shard_for(request.key)
         excluded: frozenset[str] = frozenset()
         for _ in range(MAX_GATHERS):
-            remaining = self._remaining(context)
+            remaining = context.remaining(self.node.clock)
             gather = self.router.pick(context.snapshot, shard.name, excluded)
             if gather is None or remaining <= timedelta():
                 break
@@ -121,7 +121,7 @@
             request.key,
             request.content,
         )
-        timeout = self._remaining(context) + REPLY_GRACE
+        timeout = context.remaining(self.node.clock) + REPLY_GRACE
         channels = self.node.peers.channels
         outcome = await channels.run_ticket(ticket.entry, message, timeout)
         if outcome.is_err():
@@ -129,9 +129,6 @@
             return Unknown(request.request_id, detail)
         return _outcome_of(request.request_id, outcome.unwrap())
 
-    def _remaining(self, context: RequestContext) -> timedelta:
-        return timedelta(seconds=context.deadline - self.node.clock.monotonic())
-
     def _record(
         self, code: EventCode, request: Submit, ticket: Ticket, **fields: object
     ) -> None:
--- a/foxtailseam/filters/_readiness.py
+++ b/foxtailseam/filters/_readiness.py
@@ -42,9 +42,8 @@
         retry_after = context.policy.retry_after
         if not self.is_complete():
             return Refused(request_id, RefusalReason.NOT_READY, retry_after)
-        remaining = context.deadline - self.clock.monotonic()
-        if not await self.wait_until_fresh(timedelta(seconds=remaining)):
+        if not await self.wait_until_fresh(context.remaining(self.clock)):
             return Refused(request_id, RefusalReason.NOT_READY, retry_after)
-        if self.clock.monotonic() >= context.deadline:
+        if context.remaining(self.clock) <= timedelta():
             return Refused(request_id, RefusalReason.DEADLINE, retry_after)
         return await proceed(self.plan_again(context))
--- a/foxtailseam/filters/_requests.py
+++ b/foxtailseam/filters/_requests.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from foxtailseam.clocks import Clock
 from foxtailseam.configuration import FamilyPolicy
 from foxtailseam.outcomes import SubAnswer
 from foxtailseam.snapshots import Snapshot
@@ -96,3 +97,7 @@
     fingerprint: str
     suspect: bool = False
     result: SearchResult = field(default_factory=SearchResult)
+
+    def remaining(self, clock: Clock) -> timedelta:
+        """Return the time until the deadline; negative after it."""
+        return timedelta(seconds=self.deadline - clock.monotonic())
--- a/foxtailseam/hosts/_hosts.py
+++ b/foxtailseam/hosts/_hosts.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import cached_property
 
 import msgspec
 from result import Err, Ok, Result
@@ -54,7 +55,7 @@
     hosts: tuple[Host, ...] = ()
     leaving_searchers: frozenset[str] = frozenset()
 
-    @property
+    @cached_property
     def gathers(self) -> tuple[str, ...]:
         """Return the gathers of live hosts."""
         return tuple(
@@ -64,7 +65,7 @@
             for gather in host.gathers
         )
 
-    @property
+    @cached_property
     def processes(self) -> tuple[str, ...]:
         """Return the peer address of each process, leaving hosts included."""
         return tuple(
--- a/foxtailseam/peers/_controller.py
+++ b/foxtailseam/peers/_controller.py
@@ -11,7 +11,7 @@
 from foxtailseam.peers._identity import Identity
 from foxtailseam.peers._published import PublishedState
 from foxtailseam.peers._table import PeerEvent, PeerTable
-from foxtailseam.publications import Publication, PublicationStore
+from foxtailseam.publications import Publication, PublicationName, PublicationStore
 from foxtailseam.quarantine import (
     QuarantineController,
     SuspicionNotice,
@@ -26,6 +26,7 @@
     PullReply,
     PullRequest,
 )
+from foxtailseam.searchers import LeavingNotice, LeavingSearchers
 from foxtailseam.settings import PeerSettings
 from foxtailseam.timeline import Recorder
 
@@ -49,6 +50,8 @@
         Values to keep level with the peers'.
     quarantine : QuarantineController
         Suspicions to keep level with the peers'.
+    leaving : LeavingSearchers
+        Drain signals to keep level with the peers'.
     table : PeerTable
         States of the peers.
     clock : Clock
@@ -67,6 +70,7 @@
         settings: PeerSettings,
         published: PublishedState,
         quarantine: QuarantineController,
+        leaving: LeavingSearchers,
         table: PeerTable,
         clock: Clock,
         hybrid: HybridClock,
@@ -77,6 +81,7 @@
         self.settings = settings
         self.published = published
         self.quarantine = quarantine
+        self.leaving = leaving
         self.table = table
         self.clock = clock
         self.hybrid = hybrid
@@ -95,7 +100,7 @@
 
     def start(self) -> None:
         """Begin the rounds; to be called in the event loop."""
-        self.published.listen(lambda _: self.spread_news())
+        self.published.listen(self._adopted)
         self._spawn(self._rounds())
 
     def stop(self) -> None:
@@ -134,8 +139,8 @@
     async def exchange(self, request: ExchangeRequest) -> ExchangeReply:
         """Answer a peer's round."""
         self.metrics.add("exchanges_answered")
-        self._learn(request.suspicions)
-        return ExchangeReply(self.envelope(), self.quarantine.notices())
+        self._learn(request)
+        return ExchangeReply(self.envelope(), *self._notices())
 
     async def pull(self, request: PullRequest) -> PullReply:
         """Return what a peer lacks."""
@@ -151,7 +156,7 @@
 
     async def exchange_with(self, peer: str, timeout: timedelta | None = None) -> bool:
         """Run one exchange; tell whether the peer replied."""
-        request = ExchangeRequest(self.envelope(), self.quarantine.notices())
+        request = ExchangeRequest(self.envelope(), *self._notices())
         self.metrics.add("exchanges_sent")
         bound = timeout or self.settings.timeout
         outcome = await self._channels.exchange(peer, request, bound)
@@ -162,7 +167,7 @@
             self.table.apply(peer, event)
             return False
         reply = outcome.unwrap()
-        self._learn(reply.suspicions)
+        self._learn(reply)
         return True
 
     def call_failed(self, error: CallError) -> None:
@@ -185,27 +190,38 @@
 
     async def catch_up(self) -> bool:
         """Pull from seeds and some peers; tell whether any replied."""
-        peers = {*self.settings.seeds, *self._choose()}
+        peers = {*self.settings.seeds, *self._choose(self.settings.fanout)}
         peers.discard(self.identity.address)
         replies = await asyncio.gather(*(self._pull_from(peer) for peer in peers))
         return any(replies)
 
     def spread_news(self) -> None:
         """Exchange with some peers at once."""
-        for peer in self._choose():
+        for peer in self._choose(self.settings.fanout):
             self._spawn(self.exchange_with(peer))
 
+    def _adopted(self, name: PublicationName) -> None:
+        if name is PublicationName.HOSTS:
+            listed = frozenset(self.published.hosts.value.processes)
+            self.table.forget_old(listed)
+        self.spread_news()
+
     async def _rounds(self) -> None:
         while True:
             await asyncio.sleep(self.settings.interval.total_seconds())
-            listed = frozenset(self.published.hosts.value.processes)
-            self.table.forget_old(listed)
-            await asyncio.gather(*(self.exchange_with(p) for p in self._choose()))
+            peers = set(self._choose(self.settings.round_peers))
+            # One that did not reply is asked again, so that a cut heals soon.
+            suspects = self.table.suspects
+            if suspects:
+                peers.add(random.choice(suspects))
+            await asyncio.gather(*(self.exchange_with(peer) for peer in peers))
 
-    def _choose(self) -> list[str]:
-        listed = set(self.published.hosts.value.processes)
-        others = sorted(listed - {self.identity.address})
-        return random.sample(others, min(len(others), self.settings.fanout))
+    def _choose(self, count: int) -> list[str]:
+        listed = self.published.hosts.value.processes
+        # One more than needed, in case this process is among them.
+        chosen = random.sample(listed, min(len(listed), count + 1))
+        others = [peer for peer in chosen if peer != self.identity.address]
+        return others[:count]
 
     def _is_behind(self, envelope: Envelope) -> bool:
         published = self.published
@@ -232,13 +248,19 @@
                 self.published.offer(publication)
         return True
 
-    def _learn(self, suspicions: tuple[SuspicionNotice, ...]) -> None:
-        news = self.quarantine.merge(suspicions)
+    def _notices(
+        self,
+    ) -> tuple[tuple[SuspicionNotice, ...], tuple[LeavingNotice, ...]]:
+        return self.quarantine.notices(), self.leaving.notices()
+
+    def _learn(self, message: ExchangeRequest | ExchangeReply) -> None:
+        news = self.quarantine.merge(message.suspicions)
         for notice in news:
             if notice.state is SuspicionState.QUARANTINED:
                 fingerprint = notice.fingerprint
                 self.recorder.record(EventCode.QUARANTINED, fingerprint=fingerprint)
-        if news:
+        is_leaving_news = self.leaving.merge(message.leaving)
+        if news or is_leaving_news:
             self.spread_news()
 
     def _spawn(self, coroutine) -> None:
--- /dev/null
+++ b/foxtailseam/publications/tests/test_client.py
@@ -0,0 +1,88 @@
+"""Contract of the configuration service, with faults in a table."""
+
+import asyncio
+import threading
+import time
+from datetime import timedelta
+
+import msgspec
+import pytest
+import urllib3
+
+from foxtailseam.publications import PlatformClient, Publication, PublicationName
+from foxtailseam_bench._processes import free_ports
+from foxtailseam_bench.platform_service import PlatformFault, serve_platform
+
+RULES = PublicationName.RULES
+
+
+class RunningPlatform:
+    """A platform that serves from a thread."""
+
+    def __init__(self):
+        self.address = f"127.0.0.1:{free_ports(1)[0]}"
+        self._loop = asyncio.new_event_loop()
+        self._task = self._loop.create_task(serve_platform(self.address))
+        self._task.add_done_callback(lambda _: self._loop.stop())
+        threading.Thread(target=self._loop.run_forever, daemon=True).start()
+
+    def stop(self):
+        self._loop.call_soon_threadsafe(self._task.cancel)
+
+    def hand_over(self, text):
+        self._call("PUT", "/control/values/rules", text)
+
+    def fault(self, **fault):
+        self._call(
+            "POST", "/control/fault", msgspec.json.encode(PlatformFault(**fault))
+        )
+
+    def _call(self, method, path, body):
+        urllib3.request(method, f"http://{self.address}{path}", body=body, retries=9)
+
+
+@pytest.fixture
+def platform():
+    running = RunningPlatform()
+    running.hand_over("one")
+    yield running
+    running.stop()
+
+
+class TestPlatformClient:
+    def test_a_value_comes_with_its_revision(self, platform):
+        client = PlatformClient(platform.address)
+        assert client.read(RULES).unwrap() == Publication(RULES, 1, "one")
+        assert client.read(RULES, after=1).unwrap() is None
+
+    def test_a_watch_ends_with_the_next_hand_over(self, platform):
+        client = PlatformClient(platform.address)
+        threading.Timer(0.2, platform.hand_over, ["two"]).start()
+        started = time.monotonic()
+        published = client.read(RULES, 1, timedelta(seconds=5)).unwrap()
+        assert published == Publication(RULES, 2, "two")
+        assert time.monotonic() - started < 2.0
+
+    @pytest.mark.parametrize(
+        ("fault", "detail"),
+        [
+            ({"down": True}, "status 503"),
+            ({"delay_ms": 900}, "ReadTimeoutError"),
+        ],
+    )
+    def test_a_failed_read_says_how(self, platform, fault, detail):
+        platform.fault(**fault)
+        client = PlatformClient(platform.address, timedelta(milliseconds=300))
+        assert client.read(RULES).unwrap_err().detail == detail
+
+    def test_a_stale_service_shows_its_older_revision(self, platform):
+        platform.hand_over("two")
+        platform.fault(stale_by=1)
+        published = PlatformClient(platform.address).read(RULES, after=2).unwrap()
+        assert published.number == 1
+
+    def test_an_unknown_value_and_nobody_there_are_errors(self, platform):
+        client = PlatformClient(platform.address)
+        assert client.read(PublicationName.HOSTS).unwrap_err().detail == "status 404"
+        gone = PlatformClient(f"127.0.0.1:{free_ports(1)[0]}")
+        assert gone.read(RULES).unwrap_err().detail == "NewConnectionError"
--- a/foxtailseam/quarantine/_controller.py
+++ b/foxtailseam/quarantine/_controller.py
@@ -1,6 +1,7 @@
 """Keeps suspicion by fingerprint, in one process, level with its peers."""
 
 import hashlib
+import heapq
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from datetime import timedelta
@@ -17,6 +18,7 @@
 SUSPICION_LIFE = timedelta(minutes=10)
 CLEARED_LIFE = timedelta(seconds=30)
 MAX_RECORDS = 10_000
+MAX_NOTICES = 64
 
 
 def fingerprint_of(family: str, content: str) -> str:
@@ -130,12 +132,24 @@
         return self._apply(fingerprint, SuspicionEvent.SURVIVED, CLEARED_LIFE)
 
     def notices(self) -> tuple[SuspicionNotice, ...]:
-        """Return all that peers should know."""
-        return tuple(
-            self._notice(fingerprint, record)
-            for fingerprint, record in list(self._records.items())
-            if self.clock.monotonic() < record.expires_at
+        """Return what peers should know: the quarantined, then the latest.
+
+        At most `MAX_NOTICES`, so that an exchange stays small.
+        """
+        current = self.clock.monotonic()
+        chosen = heapq.nlargest(
+            MAX_NOTICES,
+            (
+                (fingerprint, record)
+                for fingerprint, record in self._records.items()
+                if current < record.expires_at
+            ),
+            key=lambda item: (
+                item[1].state is SuspicionState.QUARANTINED,
+                item[1].stamp,
+            ),
         )
+        return tuple(self._notice(*item) for item in chosen)
 
     def merge(self, notices: Iterable[SuspicionNotice]) -> tuple[SuspicionNotice, ...]:
         """Merge what a peer knows; return what was news here."""
--- a/foxtailseam/quarantine/tests/test_controller.py
+++ b/foxtailseam/quarantine/tests/test_controller.py
@@ -67,6 +67,18 @@
         assert len(second.merge(first.notices())) == 1
         assert second.merge(first.notices()) == ()
 
+    def test_notices_are_few_and_the_quarantined_come_first(self, clock):
+        controller = new_controller(clock)
+        controller.lost(QUERY, QUARANTINE, alone=False)
+        clock.advance(timedelta(seconds=1))
+        controller.lost(QUERY, QUARANTINE, alone=False)
+        for number in range(500):
+            other = fingerprint_of("family", str(number))
+            controller.lost(other, QUARANTINE, alone=False)
+        notices = controller.notices()
+        assert len(notices) == 64
+        assert notices[0].fingerprint == QUERY
+
     def test_surviving_alone_clears_in_every_process(self, clock):
         first, second = new_controller(clock), new_controller(clock)
         first.lost(QUERY, QUARANTINE, alone=False)
--- a/foxtailseam/rpc/_messages.py
+++ b/foxtailseam/rpc/_messages.py
@@ -8,6 +8,7 @@
 from foxtailseam.outcomes import SubAnswer
 from foxtailseam.publications import Publication
 from foxtailseam.quarantine import SuspicionNotice
+from foxtailseam.searchers import LeavingNotice
 from foxtailseam.snapshots import Shard
 
 
@@ -44,6 +45,7 @@
 
     envelope: Envelope
     suspicions: tuple[SuspicionNotice, ...]
+    leaving: tuple[LeavingNotice, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +54,7 @@
 
     envelope: Envelope
     suspicions: tuple[SuspicionNotice, ...]
+    leaving: tuple[LeavingNotice, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailseam/searchers/__init__.py
+++ b/foxtailseam/searchers/__init__.py
@@ -15,6 +15,7 @@
 from foxtailseam.searchers._controller import SearcherController
 from foxtailseam.searchers._dispatcher import Dispatcher
 from foxtailseam.searchers._latency import LatencyWindow
+from foxtailseam.searchers._leaving import LeavingNotice, LeavingSearchers
 from foxtailseam.searchers._request import ANY_VERSION, BatchEvidence, ShardRequest
 from foxtailseam.searchers._searcher import Searcher
 from foxtailseam.searchers._state import (
@@ -31,6 +32,8 @@
     "Broken",
     "Dispatcher",
     "LatencyWindow",
+    "LeavingNotice",
+    "LeavingSearchers",
     "Mismatched",
     "NotSent",
     "RateBudget",
--- a/foxtailseam/searchers/_controller.py
+++ b/foxtailseam/searchers/_controller.py
@@ -1,9 +1,10 @@
 """All searchers that this gather uses."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from foxtailseam.clocks import Clock
 from foxtailseam.logs import EventCode
+from foxtailseam.searchers._leaving import LeavingSearchers
 from foxtailseam.searchers._searcher import Searcher
 from foxtailseam.searchers._state import SearcherEvent, SearcherState
 from foxtailseam.timeline import Recorder
@@ -20,11 +21,23 @@
         Source of monotonic time.
     recorder : Recorder
         Where changes of state are reported.
+    leaving : LeavingSearchers
+        Drain signals, also those that peers have seen.
+    spread : callable
+        Tells the peers of a new drain signal.
     """
 
-    def __init__(self, clock: Clock, recorder: Recorder):
+    def __init__(
+        self,
+        clock: Clock,
+        recorder: Recorder,
+        leaving: LeavingSearchers,
+        spread: Callable[[], None],
+    ):
         self.clock = clock
         self.recorder = recorder
+        self.leaving = leaving
+        self.spread = spread
         self._searchers: dict[str, Searcher] = {}
         self._listed_leaving: frozenset[str] = frozenset()
 
@@ -39,7 +52,7 @@
         if searcher is None:
             searcher = Searcher(address, slots, connections, self.clock)
             self._searchers[address] = searcher
-            if address in self._listed_leaving:
+            if address in self._leaving_addresses():
                 self.apply(searcher, SearcherEvent.LISTED_LEAVING)
         return searcher
 
@@ -47,6 +60,12 @@
         """Apply an event and report a change of state."""
         self.report(searcher, event, searcher.apply(event))
 
+    def drain_signal(self, searcher: Searcher) -> None:
+        """Take note that a searcher itself said that it leaves."""
+        self.apply(searcher, SearcherEvent.DRAIN_SIGNAL)
+        if self.leaving.note(searcher.address):
+            self.spread()
+
     def report(self, searcher: Searcher, event: SearcherEvent, changed: bool) -> None:
         """Report a change of state, if there was one."""
         if changed:
@@ -69,16 +88,21 @@
         self.renew_leaving()
 
     def renew_leaving(self) -> None:
-        """Keep those on the list leaving; to be called more often than the hold."""
-        for address in self._listed_leaving:
+        """Keep those leaving that the list or a peer names.
+
+        To be called more often than the hold of a leaving searcher.
+        """
+        for address in self._leaving_addresses():
             searcher = self._searchers.get(address)
             if searcher is not None:
                 self.apply(searcher, SearcherEvent.LISTED_LEAVING)
 
     def health_checked(self, searcher: Searcher, is_ready: bool) -> None:
         """Apply what a leaving searcher's health endpoint said."""
-        event = SearcherEvent.HEALTH_READY if is_ready else SearcherEvent.DRAIN_SIGNAL
-        self.apply(searcher, event)
+        if is_ready:
+            self.apply(searcher, SearcherEvent.HEALTH_READY)
+        else:
+            self.drain_signal(searcher)
 
     def distrust(self) -> None:
         """Forget connections after a pause; the far ends may have closed them."""
@@ -90,6 +114,9 @@
         for searcher in self._searchers.values():
             searcher.client.close()
 
+    def _leaving_addresses(self) -> frozenset[str]:
+        return self._listed_leaving.union(self.leaving.searchers)
+
     def _ejected_share(self) -> float:
         states = [searcher.state for searcher in self._searchers.values()]
         return states.count(SearcherState.EJECTED) / len(states)
--- a/foxtailseam/searchers/_sender.py
+++ b/foxtailseam/searchers/_sender.py
@@ -136,13 +136,13 @@
         if request.index_version not in (ANY_VERSION, attempt.index_version):
             searcher.lacked_version(request.index_version)
         if attempt.draining:
-            self.searchers.apply(searcher, SearcherEvent.DRAIN_SIGNAL)
+            self.searchers.drain_signal(searcher)
 
     def _learn_shed(self, searcher: Searcher, attempt: Shed) -> None:
         self.metrics.add("sheds_received")
         searcher.shed()
         if attempt.draining:
-            self.searchers.apply(searcher, SearcherEvent.DRAIN_SIGNAL)
+            self.searchers.drain_signal(searcher)
 
     def _learn_not_sent(self, searcher: Searcher, request: ShardRequest) -> None:
         if self.clock.monotonic() < request.deadline:
--- a/foxtailseam/settings/_checks.py
+++ b/foxtailseam/settings/_checks.py
@@ -78,6 +78,7 @@
     ranges = (
         ("platform.watchers", settings.platform.watchers, 0, 100),
         ("platform.read_rate", settings.platform.read_rate, 1, 2000),
+        ("peers.round_peers", settings.peers.round_peers, 1, 64),
         ("peers.fanout", settings.peers.fanout, 1, 64),
         ("entry.threads", settings.entry.threads, 1, 1024),
         ("entry.body_limit", settings.entry.body_limit, 1024, 1 << 24),
--- a/foxtailseam/settings/_loader.py
+++ b/foxtailseam/settings/_loader.py
@@ -1,6 +1,5 @@
 """Reads settings from YAML."""
 
-import re
 from datetime import timedelta
 from pathlib import Path
 
@@ -10,14 +9,7 @@
 
 from foxtailseam.settings._checks import check_settings
 from foxtailseam.settings._model import Role, Routing, Settings
-from foxtailseam.utils import ValidationProblem
-
-_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s|min)")
-_UNITS = {
-    "ms": timedelta(milliseconds=1),
-    "s": timedelta(seconds=1),
-    "min": timedelta(minutes=1),
-}
+from foxtailseam.utils import ValidationProblem, parse_duration
 
 
 def load_settings(path: Path) -> Result[Settings, list[ValidationProblem]]:
@@ -52,7 +44,7 @@
 
 
 def _read_duration(value: object) -> timedelta:
-    match = _DURATION.fullmatch(str(value))
-    if match is None:
+    duration = parse_duration(str(value))
+    if duration is None:
         raise ValueError(f"found {value!r}, expected a duration such as 250ms or 2s")
-    return float(match[1]) * _UNITS[match[2]]
+    return duration
--- a/foxtailseam/utils/__init__.py
+++ b/foxtailseam/utils/__init__.py
@@ -1,5 +1,6 @@
 """Helpers shared by the subpackages."""
 
+from foxtailseam.utils._durations import parse_duration
 from foxtailseam.utils._identifiers import new_identifier
 from foxtailseam.utils._validation import ValidationProblem, check_range, check_unique
 from foxtailseam.utils._workers import WorkerThreads
@@ -10,4 +11,5 @@
     "check_range",
     "check_unique",
     "new_identifier",
+    "parse_duration",
 ]
--- a/foxtailseam_bench/demo.py
+++ b/foxtailseam_bench/demo.py
@@ -4,7 +4,8 @@
 
 from foxtailseam.cli import main as foxtailseam
 from foxtailseam_bench._processes import wait_until
-from foxtailseam_bench.deployment import Deployment, DeploymentPlan, FamilyPlan
+from foxtailseam_bench.deployment import Deployment
+from foxtailseam_bench.plan import DeploymentPlan, FamilyPlan
 
 RULES = """\
 * deadline 500ms  # Demo, all families
--- a/foxtailseam_bench/experiment.py
+++ b/foxtailseam_bench/experiment.py
@@ -5,11 +5,12 @@
 """
 
 import json
+import os
 import subprocess
 import sys
 import threading
 import time
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 from pathlib import Path
 
 import dacite
@@ -17,14 +18,17 @@
 from hdrh.histogram import HdrHistogram
 
 from foxtailseam_bench.arrivals import ArrivalPlan
-from foxtailseam_bench.deployment import Deployment, DeploymentPlan, FamilyPlan
+from foxtailseam_bench.deployment import Deployment
 from foxtailseam_bench.faults import FAULTS, clear_faults
+from foxtailseam_bench.plan import DeploymentPlan, FamilyPlan
 from foxtailseam_bench.searcher import SearcherBehaviour
-from foxtailseam_bench.usage import usage_of
+from foxtailseam_bench.usage import stolen_seconds, usage_of
 
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 HIGHEST_US = 60_000_000
 WARM_UP_SECONDS = 2.0
+TRIES = 3
+MOST_STOLEN = 0.004
 
 
 @dataclass(frozen=True)
@@ -94,7 +98,8 @@
     """The result of one run.
 
     `p50` to `p999` are milliseconds from the due time of a search to its answer,
-    refusals left out; `goodput` counts complete answers within the deadline.
+    refusals left out; `goodput` counts complete answers within 120 ms, a second;
+    `stolen` is the share of the processors that the hypervisor took.
     """
 
     variant: str
@@ -113,6 +118,7 @@
     extra_load: float
     processor_ms: float
     tier_mb: float
+    stolen: float
 
 
 def load_experiment(path: Path) -> Experiment:
@@ -135,6 +141,16 @@
 
 
 def _run(experiment: Experiment, variant: Variant, load: float, fault: str) -> Row:
+    """Run one case; again if the machine was taken away meanwhile."""
+    rows = []
+    for _ in range(TRIES):
+        rows.append(_run_once(experiment, variant, load, fault))
+        if rows[-1].stolen <= MOST_STOLEN:
+            break
+    return min(rows, key=lambda row: row.stolen)
+
+
+def _run_once(experiment: Experiment, variant: Variant, load: float, fault: str) -> Row:
     plan = DeploymentPlan(
         (experiment.family,),
         experiment.rules + variant.rules,
@@ -149,10 +165,14 @@
         _offer(experiment, deployment, 0.3, WARM_UP_SECONDS, fault="calm")
         before = _tier_usage(deployment)
         received = _received(deployment)
+        stolen = stolen_seconds()
         arrivals = _offer(experiment, deployment, load, experiment.seconds, fault)
+        stolen = stolen_seconds() - stolen
         received = _received(deployment) - received
         after = _tier_usage(deployment)
-    return _row(experiment, variant, load, fault, arrivals, received, before, after)
+    row = _row(experiment, variant, load, fault, arrivals, received, before, after)
+    cores = os.cpu_count() or 1
+    return replace(row, stolen=round(stolen / experiment.seconds / cores, 4))
 
 
 def _offer(
@@ -252,6 +272,7 @@
         extra_load=round(received / needed - 1, 4),
         processor_ms=round((after[0] - before[0]) * 1000 / len(arrivals), 1),
         tier_mb=round(after[1], 1),
+        stolen=0.0,
     )
 
 
--- a/foxtailseam_bench/fleet.py
+++ b/foxtailseam_bench/fleet.py
@@ -7,7 +7,8 @@
 
 from foxtailseam_bench._processes import wait_until
 from foxtailseam_bench.arrivals import ArrivalPlan, run_arrivals
-from foxtailseam_bench.deployment import Deployment, DeploymentPlan, FamilyPlan
+from foxtailseam_bench.deployment import Deployment
+from foxtailseam_bench.plan import DeploymentPlan, FamilyPlan
 from foxtailseam_bench.searcher import SearcherBehaviour
 from foxtailseam_bench.slopes import Point, Slope
 from foxtailseam_bench.usage import usage_of
--- a/foxtailseam_bench/load.py
+++ b/foxtailseam_bench/load.py
@@ -7,7 +7,8 @@
 
 import urllib3
 
-from foxtailseam_bench.deployment import Deployment, HostAddresses, Reply
+from foxtailseam_bench.deployment import Deployment
+from foxtailseam_bench.plan import HostAddresses, Reply
 
 QUERIES_APART = 1_000
 
--- a/foxtailseam_bench/split.py
+++ b/foxtailseam_bench/split.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from foxtailseam_bench._processes import free_ports
-from foxtailseam_bench.deployment import Deployment, DeploymentPlan, HostAddresses
+from foxtailseam_bench.deployment import Deployment
+from foxtailseam_bench.plan import DeploymentPlan, HostAddresses
 from foxtailseam_bench.relay import Relays
 
 
--- a/foxtailseam_bench/usage.py
+++ b/foxtailseam_bench/usage.py
@@ -15,6 +15,12 @@
     resident_mb: float
 
 
+def stolen_seconds() -> float:
+    """Return the processor time that the hypervisor has taken from this machine."""
+    fields = Path("/proc/stat").read_text().splitlines()[0].split()
+    return int(fields[8]) / TICKS_PER_SECOND
+
+
 def usage_of(pid: int) -> Usage:
     """Return the usage of a running process."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
--- a/scripts/prove_checks.py
+++ b/scripts/prove_checks.py
@@ -4,6 +4,7 @@
 the scenarios that guard the promise there. A row is good if a scenario fails.
 """
 
+import os
 import shutil
 import subprocess
 import sys
@@ -14,6 +15,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 AT_A_TIME = 3
+PORTS_APART = 1_000
 
 
 @dataclass(frozen=True)
@@ -153,7 +155,7 @@
 )
 
 
-def run(mutation: Mutation) -> bool:
+def run(number: int, mutation: Mutation) -> bool:
     """Return whether a scenario failed with the mechanism disabled."""
     with tempfile.TemporaryDirectory() as name:
         copy = Path(name)
@@ -172,6 +174,7 @@
                 *("--name", mutation.scenario, "--format", "progress"),
             ],
             cwd=copy,
+            env=os.environ | {"FOXTAILSEAM_BENCH_PORTS": str(number * PORTS_APART)},
             capture_output=True,
             text=True,
             check=False,
@@ -183,7 +186,7 @@
 def main() -> int:
     """Print the table; return 1 if a disabled mechanism went unnoticed."""
     with ThreadPoolExecutor(AT_A_TIME) as pool:
-        noticed = list(pool.map(run, MUTATIONS))
+        noticed = list(pool.map(run, range(len(MUTATIONS)), MUTATIONS))
     for mutation, seen in zip(MUTATIONS, noticed, strict=True):
         verdict = "fails" if seen else "NOT NOTICED"
         print(f"@{mutation.promise:<14} {verdict:<12} without: {mutation.mechanism}")
