--- a/foxtailseam/rpc/_client.py
+++ b/foxtailseam/rpc/_client.py
@@ -27,7 +27,8 @@
 )
 from foxtailseam.rpc._services import Method
 
-RETIRED_SECONDS = 10.0
+# No call lasts longer than the longest deadline that rules can set.
+RETIRED_SECONDS = 60.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/foxtailseam_bench/tests/test_slopes.py
@@ -0,0 +1,24 @@
+"""Tests of the measured slopes."""
+
+import pytest
+
+from foxtailseam_bench.slopes import (
+    Point,
+    Slope,
+    batch_slope,
+    exchange_slope,
+    merge_slope,
+)
+
+
+class TestSlope:
+    def test_the_line_through_the_points(self):
+        slope = Slope("x", "unit", (Point(0, 5.0), Point(10, 25.0), Point(20, 45.0)))
+        assert slope.per_unit == pytest.approx(2.0)
+        assert slope.fixed == pytest.approx(5.0)
+
+    @pytest.mark.parametrize("measure", [exchange_slope, batch_slope, merge_slope])
+    def test_messages_of_the_product_can_be_measured(self, measure):
+        slope = measure()
+        assert len(slope.points) == 3
+        assert slope.per_unit > 0
