--- a/foxtailseam_bench/capacity.py
+++ b/foxtailseam_bench/capacity.py
@@ -31,6 +31,8 @@
 
 
 DAY_SECONDS = 86_400
+CORES = 8
+VALUE_KILOBYTES = 1_000
 
 
 def write_page(path: Path) -> None:
@@ -89,7 +91,7 @@
     return (
         _data_path(target, slopes, entry, gather)
         | _control(target, slopes, fleets)
-        | _values(target, slopes)
+        | _values(target, slopes, fleets[-1].resident_mb)
     )
 
 
@@ -110,6 +112,8 @@
         "sub_requests": f"{sub_requests:,.0f}",
         "sub_us": f"{gather.per_unit:,.0f}",
         "gather_cores": f"{gather_cores:,.0f}",
+        "gather_factor": f"{gather_cores / CORES:,.0f}",
+        "flat_ratio": f"{owners / (2 * tree):,.0f}",
         "entry_us": f"{entry.per_unit:,.0f}",
         "entry_cores": f"{entry_cores:,.1f}",
         "merge_ms": f"{merge_ms:,.2f}",
@@ -153,12 +157,22 @@
         "hop_ms": f"{hop_ms:.0f}",
         "spread_ms": f"{hops * hop_ms:.0f}",
         "order_ms": f"{order_ms:.1f}",
+        "order_factor": f"{_order_core_share(target, order_ms) / 3.1:,.0f}",
         "order_all_s": f"{order_ms * target.searchers / 2 / 1e3:,.0f}",
         "resident_mb": f"{largest.resident_mb:.0f}",
     }
 
 
-def _values(target: Target, slopes: dict[str, Slope]) -> dict[str, str]:
+def _order_core_share(target: Target, order_ms: float) -> float:
+    """Return the percent of a core that the choice of all owners takes."""
+    changes = 2 * target.restarts_a_day / DAY_SECONDS
+    shards = target.searchers / 2
+    return order_ms * shards * changes / 10
+
+
+def _values(
+    target: Target, slopes: dict[str, Slope], resident_mb: float
+) -> dict[str, str]:
     rules, hosts = slopes["rules"], slopes["hosts"]
     snapshots, difference = slopes["snapshots"], slopes["difference"]
     changes = target.changes_a_day / DAY_SECONDS
@@ -182,10 +196,13 @@
         "adopt_ms": f"{adopt_ms:,.0f}",
         "adopt_core": f"{adopt_ms * changes / 10:,.1f}",
         "hosts_kb": f"{hosts_kb:,.0f}",
+        "hosts_factor": f"{hosts_kb * host_changes / target.kilobytes_a_second:.1f}",
         "hosts_kbs": f"{hosts_kb * host_changes:,.0f}",
         "hosts_ms": f"{hosts_ms:,.1f}",
         "hosts_core": f"{hosts_ms * host_changes / 10:,.2f}",
+        "snapshots_factor": f"{snapshots_kb / VALUE_KILOBYTES:.1f}",
         "snapshots_kb": f"{snapshots_kb:,.0f}",
+        "memory_factor": f"{(resident_mb + state_mb) / target.memory_mb:.1f}",
         "state_mb": f"{state_mb:,.1f}",
         "host_changes": f"{host_changes:.2f}",
         "join_mb": f"{(rules_kb + hosts_kb + snapshots_kb) / 1e3:,.1f}",
