--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -36,7 +36,6 @@
 
 @when("the fault happens: {name}")
 def step_fault(context, name):
-    context.fault_at = time.monotonic()
     bring_about(context.deployment, name)
 
 
--- a/foxtailseam/admission/_controller.py
+++ b/foxtailseam/admission/_controller.py
@@ -87,10 +87,6 @@
         if self.clock.monotonic() >= state.window_ends:
             self._end_window(state, target)
 
-    def in_flight(self, family: str) -> int:
-        """Return how many requests of `family` are in flight."""
-        return self._families[family].in_flight
-
     def _end_window(self, state: _Family, target: timedelta) -> None:
         if state.least_delay > target:
             # The limit falls from what is in use, not from an unused ceiling.
--- a/foxtailseam/outcomes/_outcomes.py
+++ b/foxtailseam/outcomes/_outcomes.py
@@ -19,7 +19,6 @@
     NOT_REPEATABLE = "not-repeatable"
     REPEATABLE = "repeatable"
     TICKET_EXPIRED = "ticket-expired"
-    TICKET_RUNNING = "ticket-running"
     NO_SEARCHER = "no-searcher"
     SHED = "shed"
 
--- a/foxtailseam/searchers/_controller.py
+++ b/foxtailseam/searchers/_controller.py
@@ -104,11 +104,6 @@
         else:
             self.drain_signal(searcher)
 
-    def distrust(self) -> None:
-        """Forget connections after a pause; the far ends may have closed them."""
-        for searcher in self._searchers.values():
-            searcher.client.drop_connections()
-
     def close(self) -> None:
         """Close all connections."""
         for searcher in self._searchers.values():
--- a/foxtailseam/tickets/_book.py
+++ b/foxtailseam/tickets/_book.py
@@ -14,7 +14,6 @@
 
 DEFAULT_LIFE = timedelta(seconds=60)
 KEEP_FACTOR = 10
-BUSY_RETRY = timedelta(seconds=1)
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailseam_bench/load.py
+++ b/foxtailseam_bench/load.py
@@ -78,14 +78,6 @@
         """Send nothing to a host any more, as a balancer does after a while."""
         self._targets = [item for item in self._targets if item is not host]
 
-    def take_in(self, host: HostAddresses) -> None:
-        """Send to a host again."""
-        self._targets = [*self._targets, host]
-
-    def since(self, started: float) -> list[Observation]:
-        """Return the searches that started at or after a monotonic time."""
-        return [item for item in list(self.observations) if item.started >= started]
-
     def _run(self, offset: int) -> None:
         for number in itertools.count(offset * QUERIES_APART):
             if self._stop.is_set():
