Serve callers on the users' platform with one process a host

Cause: the product ran an entry and a gather daemon over blocking libraries and read a list of hosts that the platform doesn't publish. It could neither notice a caller that leaves nor tell late answers from its own.

Change: foxtailseam/platform decodes the platform's names; http, routing, store, catalogue, dispatch and front are one event loop that serves callers by asking searchers directly. Decisions take the clock and values and hold no sockets.

Also: the searchers' client test that failed in 2 of 7 fresh checkouts. Its fixture waited for health 200, which a draining searcher never gives, so it skipped the wait and raced with the listener. With the listener 0.2 s late the old fixture fails each time, the new one, which waits for the port, passes.

--- /dev/null
+++ b/foxtailseam/catalogue/_catalogue.py
@@ -0,0 +1,97 @@
+"""Keeps the searchers of each service, and decides how long a lapsed one stays."""
+
+from datetime import timedelta
+from typing import Protocol
+
+from foxtailseam.catalogue._entries import SearcherEntry
+from foxtailseam.clocks import Clock
+
+# Entries that lapsed while the service was away are written anew within this
+# time of its return; what is missing after it is gone.
+LAPSE_GRACE = timedelta(seconds=2)
+
+
+class CatalogueListener(Protocol):
+    """Is told of changes."""
+
+    def searcher_changed(self, entry: SearcherEntry) -> None:
+        """Take a new or changed searcher."""
+
+    def searcher_gone(self, identifier: str) -> None:
+        """Let go of a searcher."""
+
+
+class Catalogue:
+    """The published searchers.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    listener : CatalogueListener
+        Is told of changes.
+    """
+
+    def __init__(self, clock: Clock, listener: CatalogueListener):
+        self.clock = clock
+        self.listener = listener
+        self._entries: dict[str, SearcherEntry] = {}
+        self._lapsed: dict[str, float] = {}
+        self._grace_ends = float("-inf")
+
+    @property
+    def entries(self) -> tuple[SearcherEntry, ...]:
+        """Return every searcher that is published or in its grace."""
+        return tuple(self._entries.values())
+
+    @property
+    def lapsed(self) -> frozenset[str]:
+        """Return the searchers that are kept although their entry is missing."""
+        return frozenset(self._lapsed)
+
+    def publish(self, entry: SearcherEntry) -> None:
+        """Take an entry as it is published now."""
+        self._lapsed.pop(entry.identifier, None)
+        if self._entries.get(entry.identifier) == entry:
+            return
+        for other in self._others_at(entry):
+            # An address belongs to one searcher, the one that started last.
+            if other.started_ms > entry.started_ms:
+                return
+            self._drop(other.identifier)
+        self._entries[entry.identifier] = entry
+        self.listener.searcher_changed(entry)
+
+    def withdraw(self, identifier: str) -> None:
+        """Take note that an entry is missing."""
+        entry = self._entries.get(identifier)
+        if entry is None:
+            return
+        in_grace = self.clock.monotonic() < self._grace_ends
+        if in_grace and not entry.is_draining:
+            self._lapsed.setdefault(identifier, self._grace_ends)
+        else:
+            self._drop(identifier)
+
+    def service_returned(self) -> None:
+        """Begin the grace: the configuration service can be read again."""
+        self._grace_ends = self.clock.monotonic() + LAPSE_GRACE.total_seconds()
+
+    def expire(self) -> None:
+        """Drop the searchers whose entry stayed missing."""
+        now = self.clock.monotonic()
+        for identifier, ends in list(self._lapsed.items()):
+            if now >= ends:
+                self._drop(identifier)
+
+    def _others_at(self, entry: SearcherEntry) -> list[SearcherEntry]:
+        return [
+            other
+            for other in self._entries.values()
+            if other.address == entry.address and other.identifier != entry.identifier
+        ]
+
+    def _drop(self, identifier: str) -> None:
+        self._lapsed.pop(identifier, None)
+        if self._entries.pop(identifier, None) is not None:
+            self.listener.searcher_gone(identifier)
--- a/foxtailseam/clocks/__init__.py
+++ b/foxtailseam/clocks/__init__.py
@@ -1,6 +1,11 @@
 """Clocks: the interface that is passed in, hybrid timestamps, pause detection."""
 
-from foxtailseam.clocks._clock import Clock, ManualClock, SystemClock
+from foxtailseam.clocks._clock import (
+    Clock,
+    ManualClock,
+    SuspendAwareClock,
+    SystemClock,
+)
 from foxtailseam.clocks._hybrid import HybridClock, HybridTimestamp
 from foxtailseam.clocks._pause import PauseDetector
 
@@ -10,5 +15,6 @@
     "HybridTimestamp",
     "ManualClock",
     "PauseDetector",
+    "SuspendAwareClock",
     "SystemClock",
 ]
--- a/foxtailseam/clocks/_clock.py
+++ b/foxtailseam/clocks/_clock.py
@@ -27,6 +27,18 @@
         return datetime.now(UTC)
 
 
+class SuspendAwareClock:
+    """A clock of the operating system that also counts the time of a suspension."""
+
+    def monotonic(self) -> float:
+        """Return seconds since the host was started, suspended or not."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def now(self) -> datetime:
+        """Return the wall time, aware, in UTC."""
+        return datetime.now(UTC)
+
+
 class ManualClock:
     """A clock that moves only when told to; for tests and exploration.
 
--- /dev/null
+++ b/foxtailseam/dispatch/__init__.py
@@ -0,0 +1,71 @@
+"""Sends requests to searchers: choice, waiting, hedges, retries, partial answers.
+
+The decisions take the clock and values and return values; connections come from
+outside.
+"""
+
+from foxtailseam.dispatch._budget import BudgetSettings, ExtraBudget
+from foxtailseam.dispatch._call import CallPlan, ServiceCall
+from foxtailseam.dispatch._choice import Candidate, choose
+from foxtailseam.dispatch._dispatcher import Dispatcher, TimerHandle, Timers
+from foxtailseam.dispatch._format import AnswerMarks, AnswerReader, RequestTemplate
+from foxtailseam.dispatch._gather import (
+    GatherQuery,
+    GatherResult,
+    Merged,
+    NotAnswered,
+    QueryTimes,
+)
+from foxtailseam.dispatch._health import Failure, SearcherHealth
+from foxtailseam.dispatch._hedging import HedgeInputs, hedge_delay
+from foxtailseam.dispatch._latency import ResponseTimes
+from foxtailseam.dispatch._line import WaitingLine, expected_wait, retry_after
+from foxtailseam.dispatch._partial import PartialDecision, Progress, decide
+from foxtailseam.dispatch._results import (
+    FailureReason,
+    ServiceAnswer,
+    ServiceFailure,
+    ServiceResult,
+)
+from foxtailseam.dispatch._searcher import PendingExchange, Searcher, SearcherLink
+from foxtailseam.dispatch._single import SingleQuery, SingleResult
+
+__all__ = [
+    "AnswerMarks",
+    "AnswerReader",
+    "BudgetSettings",
+    "CallPlan",
+    "Candidate",
+    "Dispatcher",
+    "ExtraBudget",
+    "Failure",
+    "FailureReason",
+    "GatherQuery",
+    "GatherResult",
+    "HedgeInputs",
+    "Merged",
+    "NotAnswered",
+    "PartialDecision",
+    "PendingExchange",
+    "Progress",
+    "QueryTimes",
+    "RequestTemplate",
+    "ResponseTimes",
+    "Searcher",
+    "SearcherHealth",
+    "SearcherLink",
+    "ServiceAnswer",
+    "ServiceCall",
+    "ServiceFailure",
+    "ServiceResult",
+    "SingleQuery",
+    "SingleResult",
+    "TimerHandle",
+    "Timers",
+    "WaitingLine",
+    "choose",
+    "decide",
+    "expected_wait",
+    "hedge_delay",
+    "retry_after",
+]
--- /dev/null
+++ b/foxtailseam/dispatch/_gather.py
@@ -0,0 +1,293 @@
+"""A query over all shards of an index version."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from foxtailseam.dispatch._call import CallPlan, ServiceCall
+from foxtailseam.dispatch._dispatcher import Dispatcher, TimerHandle
+from foxtailseam.dispatch._hedging import SLOW_QUANTILE, HedgeInputs, hedge_delay
+from foxtailseam.dispatch._line import retry_after
+from foxtailseam.dispatch._partial import PartialDecision, Progress, decide
+from foxtailseam.dispatch._results import (
+    FailureReason,
+    ServiceAnswer,
+    ServiceFailure,
+    ServiceResult,
+)
+from foxtailseam.outcomes import merge_records
+from foxtailseam.routing import AllShards
+
+# Time between looks at shards that could not be hedged at once, in seconds.
+HEDGE_RECHECK = 0.01
+# After the answer, requests still out may end by themselves for this long; a
+# searcher that is cut off costs a new connection. In seconds.
+LINGER = 0.25
+_FIRST_FAILURE_STATUS = 300
+
+
+@dataclass(frozen=True, slots=True)
+class QueryTimes:
+    """When a query must end, in seconds of the dispatcher's clock.
+
+    Parameters
+    ----------
+    started_at : float
+        When the request arrived.
+    goal_at : float
+        When the answer must leave to be within the latency goal.
+    late_at : float
+        When an answer that missed the goal waits no longer to be complete.
+    deadline_at : float
+        When the last answer must leave.
+    """
+
+    started_at: float
+    goal_at: float
+    late_at: float
+    deadline_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Merged:
+    """An answer from all or some shards.
+
+    Parameters
+    ----------
+    stamps : tuple of bytes
+        Digests of the parts.
+    missing : int
+        Shards that are left out.
+    records : bytes
+        The greatest records, falling.
+    """
+
+    stamps: tuple[bytes, ...]
+    missing: int
+    records: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class NotAnswered:
+    """No answer.
+
+    Parameters
+    ----------
+    reason : FailureReason
+        Why.
+    may_have_run : bool
+        False only if no searcher ran the request, nor ever will.
+    retry_after : timedelta or None
+        When to come back; None if nothing is known of that.
+    """
+
+    reason: FailureReason
+    may_have_run: bool
+    retry_after: timedelta | None = None
+
+
+GatherResult = Merged | NotAnswered
+
+
+class GatherQuery:
+    """Asks every shard, hedges, and answers by the latency goal.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        The searchers.
+    plans : tuple of CallPlan
+        The call to each shard.
+    destination : AllShards
+        The shards, and how many a success needs.
+    times : QueryTimes
+        When to answer.
+    on_result : callable
+        Gets the `GatherResult`, once, unless the query is cancelled before.
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        plans: tuple[CallPlan, ...],
+        destination: AllShards,
+        times: QueryTimes,
+        on_result: Callable[[GatherResult], None],
+    ):
+        self.dispatcher = dispatcher
+        self.plans = plans
+        self.destination = destination
+        self.times = times
+        self.on_result = on_result
+        self.hedges = 0
+        self._calls: list[ServiceCall] = []
+        self._waiting: set[ServiceCall] = set()
+        self._hedged: set[ServiceCall] = set()
+        self._parts: dict[str, ServiceAnswer] = {}
+        self._failures: list[ServiceFailure] = []
+        self._timers: list[TimerHandle] = []
+        self._missed_goal = False
+        self._is_over = False
+
+    @property
+    def included(self) -> int:
+        """Return how many shards have a part."""
+        return len(self._parts)
+
+    def start(self) -> None:
+        """Ask every shard; refuse at once if too few can be asked in time."""
+        refusal = self._refusal()
+        if refusal is not None:
+            self._is_over = True
+            self.on_result(refusal)
+            return
+        self._calls = [
+            ServiceCall(self.dispatcher, plan, self._on_call) for plan in self.plans
+        ]
+        self._waiting = set(self._calls)
+        now = self.dispatcher.clock.monotonic()
+        self._at(now + self._hedge_delay(now), self._hedge)
+        self._at(self.times.goal_at, self._on_goal)
+        self._at(self.times.late_at, self._settle)
+        self._at(self.times.deadline_at, self._settle)
+        for call in self._calls:
+            if not self._is_over:
+                call.start()
+
+    def cancel(self) -> None:
+        """Give up: the caller has left."""
+        self._end()
+        for call in self._calls:
+            call.cancel()
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a searcher may have begun to run the request."""
+        return any(call.may_have_run for call in self._calls)
+
+    def describe(self) -> str:
+        """Return what was tried for each shard that has no part."""
+        return " ".join(
+            f"{call.plan.service}[{call.record.describe()}]"
+            for call in self._calls
+            if call.plan.service not in self._parts
+        )
+
+    def _refusal(self) -> NotAnswered | None:
+        """Return a refusal if enough shards cannot be asked in time."""
+        dispatcher = self.dispatcher
+        remaining = self.times.deadline_at - dispatcher.clock.monotonic()
+        waits = []
+        for plan in self.plans:
+            if not dispatcher.usable(plan.service):
+                continue
+            waits.append(
+                dispatcher.expected_wait(plan.service, plan.route, plan.deadline_at)
+            )
+        least = self.destination.least_shards
+        if len(waits) < least:
+            # New searchers need about as long to be known.
+            return NotAnswered(
+                FailureReason.NO_SEARCHER, False, timedelta(seconds=retry_after(0.5))
+            )
+        wait = sorted(waits)[least - 1]
+        if wait >= remaining:
+            return NotAnswered(
+                FailureReason.SHED, False, timedelta(seconds=retry_after(wait))
+            )
+        return None
+
+    def _hedge_delay(self, now: float) -> float:
+        times = self.dispatcher.response_times(self.plans[0].route)
+        return hedge_delay(
+            HedgeInputs(
+                self.times.goal_at - now, times.median, times.quantile(SLOW_QUANTILE)
+            )
+        )
+
+    def _at(self, when: float, callback: Callable[[], None]) -> None:
+        delay = max(0.0, when - self.dispatcher.clock.monotonic())
+        self._timers.append(self.dispatcher.timers.call_later(delay, callback))
+
+    def _hedge(self) -> None:
+        for call in self._waiting - self._hedged:
+            if call.hedge():
+                self.hedges += 1
+                self._hedged.add(call)
+        now = self.dispatcher.clock.monotonic()
+        if self._waiting - self._hedged and now + HEDGE_RECHECK < self.times.late_at:
+            self._at(now + HEDGE_RECHECK, self._hedge)
+
+    def _on_goal(self) -> None:
+        self._settle()
+        self._missed_goal = not self._is_over
+
+    def _on_call(self, call: ServiceCall, result: ServiceResult) -> None:
+        self._waiting.discard(call)
+        match result:
+            case ServiceAnswer(stamp=stamp, response=response):
+                if response.status < _FIRST_FAILURE_STATUS and stamp:
+                    self._parts[call.plan.service] = result
+                else:
+                    failure = ServiceFailure(FailureReason.ERROR, True, response)
+                    self._failures.append(failure)
+            case ServiceFailure():
+                self._failures.append(result)
+        if not self._is_over:
+            self._settle()
+
+    def _settle(self) -> None:
+        if self._is_over:
+            return
+        times = self.times
+        progress = Progress(
+            total=len(self.plans),
+            included=len(self._parts),
+            pending=len(self._waiting),
+            least=self.destination.least_shards,
+            now=self.dispatcher.clock.monotonic(),
+            goal_at=times.goal_at,
+            late_at=times.late_at,
+            deadline_at=times.deadline_at,
+        )
+        match decide(progress, self._missed_goal):
+            case PartialDecision.ANSWER:
+                self._answer()
+            case PartialDecision.FAIL:
+                self._fail()
+            case PartialDecision.WAIT:
+                pass
+
+    def _answer(self) -> None:
+        parts = list(self._parts.values())
+        merged = Merged(
+            tuple(part.stamp for part in parts),
+            len(self.plans) - len(parts),
+            merge_records((part.response.body for part in parts), self.destination.top),
+        )
+        self._conclude(merged)
+
+    def _fail(self) -> None:
+        reasons = [failure.reason for failure in self._failures]
+        reason = max(set(reasons), key=reasons.count, default=FailureReason.DEADLINE)
+        if self._waiting:
+            reason = FailureReason.DEADLINE
+        self._conclude(NotAnswered(reason, self.may_have_run))
+
+    def _conclude(self, result: GatherResult) -> None:
+        self._end()
+        if any(call.is_running for call in self._calls):
+            self.dispatcher.timers.call_later(LINGER, self._end_calls)
+        for call in self._waiting:
+            if not call.is_running:
+                call.cancel()
+        self.on_result(result)
+
+    def _end(self) -> None:
+        self._is_over = True
+        for timer in self._timers:
+            timer.cancel()
+
+    def _end_calls(self) -> None:
+        for call in self._calls:
+            call.cancel()
--- /dev/null
+++ b/foxtailseam/dispatch/_latency.py
@@ -0,0 +1,47 @@
+"""Recent response times of a route's requests at single searchers."""
+
+from collections import deque
+
+WINDOW_SAMPLES = 256
+# Quantiles are computed anew after this many further samples.
+REFRESH_SAMPLES = 16
+LEAST_SAMPLES = 16
+# Shares of the latency goal that are assumed until there are samples.
+ASSUMED_MEDIAN = 0.25
+ASSUMED_TAIL = 0.45
+
+
+class ResponseTimes:
+    """Quantiles over the newest samples, in seconds.
+
+    Parameters
+    ----------
+    goal : float
+        Latency goal of the route in seconds; a guide until there are samples.
+    """
+
+    def __init__(self, goal: float):
+        self.goal = goal
+        self._samples: deque[float] = deque(maxlen=WINDOW_SAMPLES)
+        self._sorted: list[float] = []
+        self._since_refresh = 0
+
+    @property
+    def median(self) -> float:
+        """Return the typical response time."""
+        return self.quantile(0.5)
+
+    def record(self, seconds: float) -> None:
+        """Add a response time."""
+        self._samples.append(seconds)
+        self._since_refresh += 1
+
+    def quantile(self, share: float) -> float:
+        """Return the time within which `share` (0 to 1) of responses came."""
+        if len(self._samples) < LEAST_SAMPLES:
+            return self.goal * (ASSUMED_MEDIAN if share <= 0.5 else ASSUMED_TAIL)
+        if self._since_refresh >= REFRESH_SAMPLES or not self._sorted:
+            self._sorted = sorted(self._samples)
+            self._since_refresh = 0
+        last = len(self._sorted) - 1
+        return self._sorted[min(last, int(share * len(self._sorted)))]
--- /dev/null
+++ b/foxtailseam/front/__init__.py
@@ -0,0 +1,17 @@
+"""The process of a host: serves callers by asking searchers directly."""
+
+from foxtailseam.front._answers import Answers
+from foxtailseam.front._front import FrontEnd
+from foxtailseam.front._host import Host, run_host
+from foxtailseam.front._knowledge import Knowledge
+from foxtailseam.front._timing import TimingSettings, query_times
+
+__all__ = [
+    "Answers",
+    "FrontEnd",
+    "Host",
+    "Knowledge",
+    "TimingSettings",
+    "query_times",
+    "run_host",
+]
--- /dev/null
+++ b/foxtailseam/front/_host.py
@@ -0,0 +1,314 @@
+"""Runs the process of a host from its settings until SIGTERM."""
+
+import asyncio
+import gc
+import os
+import random
+import signal
+import sys
+from dataclasses import replace
+from datetime import timedelta
+from pathlib import Path
+
+from result import Result
+
+from foxtailseam.clocks import SuspendAwareClock
+from foxtailseam.dispatch import BudgetSettings, Dispatcher
+from foxtailseam.front._front import FrontEnd
+from foxtailseam.front._knowledge import Knowledge
+from foxtailseam.front._timing import TimingSettings
+from foxtailseam.http import (
+    Call,
+    ConnectionPool,
+    HttpResponse,
+    Listener,
+    ListenerLimits,
+    PoolSettings,
+)
+from foxtailseam.logs import EventCode, LogWriter
+from foxtailseam.metrics import Metrics
+from foxtailseam.platform import (
+    ECHOED_IDENTIFIER,
+    READY_TARGET,
+    SETTINGS_VARIABLE,
+    HostSettings,
+    PlatformStore,
+    decode_settings,
+    read_answer,
+)
+from foxtailseam.routing import Configuration
+from foxtailseam.store import (
+    FollowerSettings,
+    FollowerState,
+    StoreFollower,
+    StoreReplica,
+)
+from foxtailseam.utils import ValidationProblem
+
+METRICS_PORT = 9180
+METRICS_TARGET = b"/metrics"
+
+CONNECT_TIMEOUT = timedelta(seconds=1)
+# Sent data that stays unacknowledged for so long ends its connection.
+SILENCE_TIMEOUT = timedelta(seconds=1)
+# Files, listeners and connections to searchers need the rest.
+CALLER_DESCRIPTOR_SHARE = 0.5
+RESERVED_DESCRIPTORS = 200
+
+TICK_SECONDS = 0.25
+# The balancer leaves a host out after two questions without a 200, one a second.
+BALANCER_LAG_SECONDS = 2.3
+# From the first answers that end their connection to the end of listening.
+CLOSING_SECONDS = 0.4
+# Kept of the time until SIGKILL to end what is left.
+GRACE_MARGIN_SECONDS = 0.5
+DRAIN_CHECK_SECONDS = 0.02
+# Knowledge older than this may lack what was configured since.
+LEVEL_AGE_SECONDS = 3.0
+# Young objects before a collection: requests make few cycles.
+COLLECTION_THRESHOLD = 20_000
+
+
+class Host:
+    """Everything that one process consists of.
+
+    Parameters
+    ----------
+    settings : HostSettings
+        Identity, addresses and limits.
+    """
+
+    def __init__(self, settings: HostSettings):
+        self.settings = settings
+        self.clock = SuspendAwareClock()
+        self.metrics = Metrics()
+        self.log = LogWriter(sys.stdout.fileno(), settings.name, self.clock)
+        self._generator = random.Random()
+        loop = asyncio.get_running_loop()
+        bounds = settings.bounds
+        budget = BudgetSettings(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+        )
+        self.dispatcher = Dispatcher(
+            self.clock,
+            loop,
+            self._open_link,
+            read_answer,
+            budget,
+            settings.failure_domain,
+            self.metrics,
+            self._generator,
+        )
+        self.dispatcher.on_ejected = self._on_ejected
+        self.knowledge = Knowledge(
+            self.dispatcher, self.clock, self.log, self._generator, self._on_configured
+        )
+        self.front = FrontEnd(
+            self.knowledge,
+            self.dispatcher,
+            self.clock,
+            self.log,
+            self.metrics,
+            self._is_level,
+            TimingSettings(),
+        )
+        self._replica = StoreReplica(self.knowledge.take)
+        self._store = PlatformStore(settings.service_address, self.clock)
+        self._follower = StoreFollower(
+            self._store,
+            self._replica,
+            self.clock,
+            FollowerSettings(),
+            self._on_service,
+            self._generator,
+        )
+        self._callers = Listener(self.front.serve, self.clock, self._on_unreadable)
+        self._questions = Listener(self._answer_question, self.clock)
+        self._reports = Listener(self._answer_report, self.clock)
+        self._is_ready = False
+        self._is_stopping = False
+        self._tick_timer: asyncio.TimerHandle | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send callers here."""
+        return (
+            self.knowledge.configuration is not None
+            and self._follower.state is not FollowerState.UNKNOWN
+            and not self._is_stopping
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish what is in flight."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stop.set)
+        loop.add_signal_handler(signal.SIGINT, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._listen()
+        follower = asyncio.create_task(self._follower.run())
+        self._tick()
+        self.log.write(
+            EventCode.PROCESS_STARTED,
+            process=os.getpid(),
+            callers=self.settings.callers,
+            failure_domain=self.settings.failure_domain,
+        )
+        stopped = asyncio.create_task(stop.wait())
+        await asyncio.wait({stopped, follower}, return_when=asyncio.FIRST_COMPLETED)
+        if follower.done():
+            # It ends only by a fault of the program.
+            follower.result()
+        await self._drain()
+        follower.cancel()
+        self.log.write(EventCode.PROCESS_STOPPED)
+        self.log.flush()
+
+    async def _listen(self) -> None:
+        settings = self.settings
+        self._set_limits(ListenerLimits())
+        await self._questions.start(settings.readiness)
+        await self._callers.start(settings.callers)
+        await self._reports.start(f"{settings.address}:{METRICS_PORT}")
+
+    async def _drain(self) -> None:
+        stopped_at = self.clock.monotonic()
+        self._is_stopping = True
+        self.log.write(EventCode.PROCESS_DRAINING, in_flight=self.front.in_flight)
+        self._note_readiness()
+        await asyncio.sleep(BALANCER_LAG_SECONDS)
+        self._callers.drain()
+        await asyncio.sleep(CLOSING_SECONDS)
+        self._callers.stop_accepting()
+        grace = self.settings.bounds.grace.total_seconds() - GRACE_MARGIN_SECONDS
+        while self._callers.in_flight:
+            if self.clock.monotonic() - stopped_at > grace:
+                left = self._callers.in_flight
+                self.log.write(EventCode.DRAIN_BOUND_REACHED, in_flight=left)
+                self.front.give_up()
+                break
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+        self._callers.stop()
+        # Lets the last answers leave.
+        await asyncio.sleep(DRAIN_CHECK_SECONDS)
+
+    def _open_link(self, address: str, limit: int) -> ConnectionPool:
+        settings = PoolSettings(
+            address, limit, CONNECT_TIMEOUT, SILENCE_TIMEOUT, ECHOED_IDENTIFIER
+        )
+        return ConnectionPool(settings, self.clock)
+
+    def _tick(self) -> None:
+        self.knowledge.catalogue.expire()
+        self._note_readiness()
+        self.log.flush()
+        loop = asyncio.get_running_loop()
+        self._tick_timer = loop.call_later(TICK_SECONDS, self._tick)
+
+    def _note_readiness(self) -> None:
+        if self.is_ready != self._is_ready:
+            self._is_ready = self.is_ready
+            self.log.write(EventCode.READINESS_CHANGED, ready=self._is_ready)
+
+    def _is_level(self) -> bool:
+        return self._follower.age < LEVEL_AGE_SECONDS
+
+    def _on_configured(self, configuration: Configuration) -> None:
+        limits = configuration.limits
+        self._set_limits(
+            ListenerLimits(
+                header_bytes=limits.header_bytes,
+                body_bytes=limits.body_bytes,
+                header_timeout=limits.header_timeout,
+                idle_timeout=limits.idle_timeout,
+            )
+        )
+
+    def _set_limits(self, limits: ListenerLimits) -> None:
+        descriptors = self.settings.limits.descriptors - RESERVED_DESCRIPTORS
+        connections = max(1, int(descriptors * CALLER_DESCRIPTOR_SHARE))
+        self._callers.limits = replace(limits, connections=connections)
+
+    def _on_service(self, state: FollowerState, reason: str) -> None:
+        if state is FollowerState.LOST:
+            self.log.write(EventCode.SERVICE_LOST, reason=reason)
+            self.metrics.add("service_losses")
+            return
+        self.knowledge.catalogue.service_returned()
+        self.log.write(EventCode.SERVICE_REGAINED, revision=self._replica.revision)
+
+    def _on_ejected(self, searcher) -> None:
+        self.metrics.add("searchers_ejected")
+        self.log.write(
+            EventCode.SEARCHER_EJECTED,
+            searcher=searcher.entry.identifier,
+            service=searcher.entry.service,
+            failure_share=round(searcher.health.failure_share, 2),
+            slowness=round(searcher.health.slowness, 1),
+        )
+
+    def _on_unreadable(self, status: int) -> None:
+        self.metrics.add(f"answers_{status}")
+        self.log.write(EventCode.REQUEST_UNREADABLE, status=status)
+
+    def _answer_question(self, call: Call) -> None:
+        is_question = call.request.target == READY_TARGET
+        status = (200 if self.is_ready else 503) if is_question else 404
+        call.answer(HttpResponse(status))
+
+    def _answer_report(self, call: Call) -> None:
+        if call.request.target != METRICS_TARGET:
+            call.answer(HttpResponse(404))
+            return
+        self._set_gauges()
+        headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
+        call.answer(HttpResponse(200, headers, self.metrics.render().encode()))
+
+    def _set_gauges(self) -> None:
+        metrics = self.metrics
+        metrics.set("configuration_version", self.knowledge.version)
+        metrics.set("service_age_seconds", min(1e6, self._follower.age))
+        metrics.set("service_calls", self._store.calls)
+        metrics.set("requests_in_flight", self.front.in_flight)
+        searchers = self.dispatcher.searchers
+        metrics.set("searchers", len(searchers))
+        ejected = sum(item.health.is_ejected for item in searchers)
+        metrics.set("searchers_ejected_now", ejected)
+
+    def _reload(self) -> None:
+        match read_settings():
+            case result if result.is_ok():
+                self.settings = result.unwrap()
+                self.log.write(
+                    EventCode.SETTINGS_RELOADED, seeds=len(self.settings.seeds)
+                )
+            case result:
+                problem = str(result.unwrap_err())
+                self.log.write(EventCode.SETTINGS_REFUSED, problem=problem)
+
+
+def read_settings() -> Result[HostSettings, ValidationProblem]:
+    """Read the settings file that the environment names."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        text = b""
+        sys.stderr.write(f"{path}: {error}\n")
+    return decode_settings(text)
+
+
+def run_host() -> int:
+    """Run the process; return its exit code."""
+    settings = read_settings()
+    if settings.is_err():
+        sys.stderr.write(f"{settings.unwrap_err()}\n")
+        return 1
+    gc.set_threshold(COLLECTION_THRESHOLD, 20, 20)
+    gc.freeze()
+    asyncio.run(_run(settings.unwrap()))
+    return 0
+
+
+async def _run(settings: HostSettings) -> None:
+    await Host(settings).run()
--- /dev/null
+++ b/foxtailseam/front/_timing.py
@@ -0,0 +1,61 @@
+"""When a request must be answered."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from foxtailseam.dispatch import QueryTimes
+from foxtailseam.routing import Route
+
+
+@dataclass(frozen=True, slots=True)
+class TimingSettings:
+    """How the latency goal of a caller becomes one of this host.
+
+    Parameters
+    ----------
+    caller_distance : timedelta
+        Time that request and answer are on their way to and from the caller.
+    goal_share : float
+        Part of the latency goal that is used.
+    late_factor : float
+        An answer that missed its goal waits for missing shards until this many
+        times the goal.
+    """
+
+    caller_distance: timedelta = timedelta(milliseconds=8)
+    goal_share: float = 0.97
+    late_factor: float = 2.0
+
+
+def query_times(
+    route: Route,
+    arrived_at: float,
+    remaining: timedelta | None,
+    settings: TimingSettings,
+) -> QueryTimes:
+    """Return when a request must be answered.
+
+    Parameters
+    ----------
+    route : Route
+        Timeout and latency goal.
+    arrived_at : float
+        When the request arrived, in seconds.
+    remaining : timedelta or None
+        How long the caller waits; None if it doesn't say.
+    settings : TimingSettings
+        How the goal is read.
+    """
+    distance = settings.caller_distance.total_seconds()
+    deadline = route.timeout.total_seconds()
+    if remaining is not None:
+        deadline = min(deadline, remaining.total_seconds() - distance)
+    goal = route.latency_goal.total_seconds()
+    goal_left = min(deadline, goal * settings.goal_share - distance)
+    late_left = min(deadline, goal * settings.late_factor)
+    return QueryTimes(
+        started_at=arrived_at,
+        goal_at=arrived_at + goal_left,
+        late_at=arrived_at + late_left,
+        deadline_at=arrived_at + deadline,
+    )
--- /dev/null
+++ b/foxtailseam/http/__init__.py
@@ -0,0 +1,45 @@
+"""HTTP/1.1 on one event loop: callers' connections and those to searchers.
+
+The wire format is read by ``httptools``. What stands here is what a parser
+cannot do: limits, time-outs, callers that leave, answers that belong to no
+request, and connections that may not be used again.
+"""
+
+from foxtailseam.http._exchange import (
+    ExchangeResult,
+    LossKind,
+    Lost,
+    Received,
+)
+from foxtailseam.http._listener import Call, Listener, ListenerLimits
+from foxtailseam.http._messages import (
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    end_to_end,
+    find_header,
+    render_request_head,
+    render_response,
+)
+from foxtailseam.http._pool import ConnectionPool, PoolSettings
+from foxtailseam.http._upstream import UpstreamConnection
+
+__all__ = [
+    "Call",
+    "ConnectionPool",
+    "ExchangeResult",
+    "Headers",
+    "HttpRequest",
+    "HttpResponse",
+    "Listener",
+    "ListenerLimits",
+    "LossKind",
+    "Lost",
+    "PoolSettings",
+    "Received",
+    "UpstreamConnection",
+    "end_to_end",
+    "find_header",
+    "render_request_head",
+    "render_response",
+]
--- a/foxtailseam/outcomes/__init__.py
+++ b/foxtailseam/outcomes/__init__.py
@@ -11,6 +11,7 @@
     Refused,
     Unknown,
 )
+from foxtailseam.outcomes._records import merge_records
 from foxtailseam.outcomes._sub_answers import Hit, SubAnswer
 
 __all__ = [
@@ -27,4 +28,5 @@
     "SubAnswer",
     "Unknown",
     "merge_answers",
+    "merge_records",
 ]
--- /dev/null
+++ b/foxtailseam/platform/__init__.py
@@ -0,0 +1,49 @@
+"""The users' platform: its names, formats and calls, decoded into our types.
+
+Nothing here decides. Nothing outside knows the platform's names.
+"""
+
+from foxtailseam.platform._configuration import CONFIGURATION_KEY, decode_configuration
+from foxtailseam.platform._entries import decode_entry, searcher_identifier
+from foxtailseam.platform._headers import (
+    ECHOED_IDENTIFIER,
+    PlatformTemplate,
+    RequestMarks,
+    answer_headers,
+    merged_headers,
+    read_answer,
+    read_request,
+    retry_headers,
+)
+from foxtailseam.platform._settings import (
+    SETTINGS_VARIABLE,
+    Bounds,
+    HostLimits,
+    HostSettings,
+    decode_settings,
+)
+from foxtailseam.platform._store import PlatformStore
+
+READY_TARGET = b"/-/ready"
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "ECHOED_IDENTIFIER",
+    "READY_TARGET",
+    "SETTINGS_VARIABLE",
+    "Bounds",
+    "HostLimits",
+    "HostSettings",
+    "PlatformStore",
+    "PlatformTemplate",
+    "RequestMarks",
+    "answer_headers",
+    "decode_configuration",
+    "decode_entry",
+    "decode_settings",
+    "merged_headers",
+    "read_answer",
+    "read_request",
+    "retry_headers",
+    "searcher_identifier",
+]
--- a/foxtailseam/searchers/tests/test_client.py
+++ b/foxtailseam/searchers/tests/test_client.py
@@ -1,6 +1,7 @@
 """Contract of the searchers' protocol, with faults in a table."""
 
 import asyncio
+import socket
 import threading
 from datetime import timedelta
 
@@ -30,6 +31,17 @@
 SEARCH = SubRequest("a" * 24, "/search", 3, b'{"query": "climber"}')
 
 
+def wait_until_listening(address):
+    """Wait for a searcher of any behaviour; one that drains is never ready."""
+    host, _, port = address.rpartition(":")
+    while True:
+        try:
+            socket.create_connection((host, int(port)), 1).close()
+        except ConnectionRefusedError:
+            continue
+        return
+
+
 @pytest.fixture
 def serve():
     """Serve a searcher of a given behaviour from a thread."""
@@ -42,10 +54,8 @@
         loops.append(loop)
         tasks.append(loop.create_task(serve_searchers([spec])))
         threading.Thread(target=loop.run_forever, daemon=True).start()
-        client = SearcherClient(address, 4)
-        while not client.is_ready() and not behaviour.get("draining"):
-            pass
-        return client
+        wait_until_listening(address)
+        return SearcherClient(address, 4)
 
     yield start
     for loop, task in zip(loops, tasks, strict=True):
