Answer a query that reaches its least share within the rest of its goal

Cause: a query short of shards when its goal passed waited until twice the goal even if the last shard it needed came a few ms later, still within the goal. Change: between the time an answer should leave and the end of the goal it is answered as soon as it has enough; later it waits a quarter of the goal, not a whole one. The log names the shards that were out at the goal.

--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -36,6 +36,8 @@
         When the request arrived.
     goal_at : float
         When the answer must leave to be within the latency goal.
+    goal_ends_at : float
+        Until when it may leave and still be within the goal, with luck.
     late_at : float
         When an answer that missed the goal waits no longer to be complete.
     deadline_at : float
@@ -44,6 +46,7 @@
 
     started_at: float
     goal_at: float
+    goal_ends_at: float
     late_at: float
     deadline_at: float
 
@@ -120,6 +123,7 @@
         self.times = times
         self.on_result = on_result
         self.hedges = 0
+        self.late_shards = ""
         self._calls: list[ServiceCall] = []
         self._waiting: set[ServiceCall] = set()
         self._hedged: set[ServiceCall] = set()
@@ -168,7 +172,7 @@
     def describe(self) -> str:
         """Return what was tried for each shard that has no part."""
         return " ".join(
-            f"{call.plan.service}[{call.record.describe()}]"
+            _describe(call)
             for call in self._calls
             if call.plan.service not in self._parts
         )
@@ -221,6 +225,8 @@
     def _on_goal(self) -> None:
         self._settle()
         self._missed_goal = not self._is_over
+        if self._missed_goal:
+            self.late_shards = " ".join(map(_describe, self._waiting))
 
     def _on_call(self, call: ServiceCall, result: ServiceResult) -> None:
         self._waiting.discard(call)
@@ -247,6 +253,7 @@
             least=self.destination.least_shards,
             now=self.dispatcher.clock.monotonic(),
             goal_at=times.goal_at,
+            goal_ends_at=times.goal_ends_at,
             late_at=times.late_at,
             deadline_at=times.deadline_at,
         )
@@ -291,3 +298,7 @@
     def _end_calls(self) -> None:
         for call in self._calls:
             call.cancel()
+
+
+def _describe(call: ServiceCall) -> str:
+    return f"{call.plan.service}[{call.record.describe()}]"
--- a/foxtailseam/dispatch/_partial.py
+++ b/foxtailseam/dispatch/_partial.py
@@ -22,10 +22,11 @@
         Shards in all, with a part, and with an attempt that may still bring one.
     least : int
         Shards that a success includes at least.
-    now, goal_at, late_at, deadline_at : float
-        The present time; when an answer must leave to reach the caller within
-        the latency goal; when a late answer no longer waits to be complete;
-        and when the last answer must leave. In seconds of one clock.
+    now, goal_at, goal_ends_at, late_at, deadline_at : float
+        The present time; when an answer should leave to be within the latency
+        goal, and until when it may still be; when a late answer no longer waits
+        to be complete; and when the last answer must leave. In seconds of one
+        clock.
     """
 
     total: int
@@ -34,6 +35,7 @@
     least: int
     now: float
     goal_at: float
+    goal_ends_at: float
     late_at: float
     deadline_at: float
 
@@ -59,7 +61,9 @@
     is_enough = progress.included >= progress.least
     if progress.now >= progress.deadline_at:
         return PartialDecision.ANSWER if is_enough else PartialDecision.FAIL
-    answer_at = progress.late_at if missed_goal else progress.goal_at
+    answer_at = progress.goal_at
+    if missed_goal and progress.now > progress.goal_ends_at:
+        answer_at = progress.late_at
     if is_enough and (progress.pending == 0 or progress.now >= answer_at):
         return PartialDecision.ANSWER
     return PartialDecision.WAIT
--- a/foxtailseam/dispatch/_single.py
+++ b/foxtailseam/dispatch/_single.py
@@ -45,6 +45,7 @@
         self.times = times
         self.on_result = on_result
         self.hedges = 0
+        self.late_shards = ""
         self._call = ServiceCall(dispatcher, plan, self._on_call)
         self._timers: list[TimerHandle] = []
 
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -268,6 +268,8 @@
         if query is not None:
             fields["hedges"] = query.hedges
             fields["tried"] = query.describe()
+            if query.late_shards:
+                fields["late_shards"] = query.late_shards
         match result:
             case Merged(stamps=stamps, missing=missing):
                 fields["parts"] = len(stamps)
--- a/foxtailseam/front/_timing.py
+++ b/foxtailseam/front/_timing.py
@@ -24,7 +24,7 @@
 
     caller_distance: timedelta = timedelta(milliseconds=8)
     goal_share: float = 0.97
-    late_factor: float = 2.0
+    late_factor: float = 1.25
 
 
 def query_times(
@@ -56,6 +56,7 @@
     return QueryTimes(
         started_at=arrived_at,
         goal_at=arrived_at + goal_left,
+        goal_ends_at=arrived_at + min(deadline, goal - distance / 2),
         late_at=arrived_at + late_left,
         deadline_at=arrived_at + deadline,
     )
