Read the store on two hosts, spread it in a tree; hedge by what budget is left

Cause: every host watched the store, so each change was billed seven times; the goal was cut by a fixed 8 ms although callers differ; hedges came so late that half of them could not answer in time, while most of the budget stayed unused.

Change: hosts find each other from seeds, compute one tree, and the first two read the store; each update carries its age, and a host whose sources are older than 1.4 s reads itself. The goal is cut by the round trip that the kernel measured, twice that on a new connection. A hedge goes at the 80th percentile while the budget is untouched and at the 95th when it is used up.

--- a/foxtailseam/catalogue/_catalogue.py
+++ b/foxtailseam/catalogue/_catalogue.py
@@ -49,6 +49,11 @@
         """Return the searchers that are kept although their entry is missing."""
         return frozenset(self._lapsed)
 
+    @property
+    def grace_left(self) -> float:
+        """Return how many seconds longer a lapsed entry is kept; 0 for none."""
+        return max(0.0, self._grace_ends - self.clock.monotonic())
+
     def publish(self, entry: SearcherEntry) -> None:
         """Take an entry as it is published now."""
         self._lapsed.pop(entry.identifier, None)
@@ -75,7 +80,12 @@
 
     def service_returned(self) -> None:
         """Begin the grace: the configuration service can be read again."""
-        self._grace_ends = self.clock.monotonic() + LAPSE_GRACE.total_seconds()
+        self.begin_grace(LAPSE_GRACE)
+
+    def begin_grace(self, grace: timedelta) -> None:
+        """Keep entries that lapse from now on for at least this long."""
+        ends = self.clock.monotonic() + grace.total_seconds()
+        self._grace_ends = max(self._grace_ends, ends)
 
     def expire(self) -> None:
         """Drop the searchers whose entry stayed missing."""
--- /dev/null
+++ b/foxtailseam/catalogue/tests/test_catalogue.py
@@ -0,0 +1,85 @@
+"""Tests of the published searchers and of the grace for lapsed ones."""
+
+from dataclasses import replace
+from datetime import timedelta
+
+from foxtailseam.catalogue import Catalogue, SearcherEntry
+from foxtailseam.clocks import ManualClock
+
+ENTRY = SearcherEntry("i-1", "s", "10.0.0.1:80", "d1", 2, False, timedelta(), 100)
+
+
+class Recorded:
+    def __init__(self):
+        self.calls = []
+
+    def searcher_changed(self, entry):
+        self.calls.append(("changed", entry))
+
+    def searcher_gone(self, identifier):
+        self.calls.append(("gone", identifier))
+
+
+def catalogue():
+    clock, listener = ManualClock(), Recorded()
+    return Catalogue(clock, listener), clock, listener.calls
+
+
+class TestCatalogue:
+    def test_an_unchanged_entry_is_no_news(self):
+        subject, _, calls = catalogue()
+        subject.publish(ENTRY)
+        subject.publish(ENTRY)
+        assert calls == [("changed", ENTRY)]
+
+    def test_a_missing_entry_is_gone_at_once(self):
+        subject, _, calls = catalogue()
+        subject.publish(ENTRY)
+        subject.withdraw("i-1")
+        assert calls[-1] == ("gone", "i-1")
+        assert subject.entries == ()
+
+    def test_a_lapsed_entry_is_kept_until_the_grace_ends(self):
+        subject, clock, calls = catalogue()
+        subject.publish(ENTRY)
+        subject.service_returned()
+        subject.withdraw("i-1")
+        clock.advance(timedelta(seconds=1.9))
+        subject.expire()
+        assert subject.lapsed == {"i-1"}
+        clock.advance(timedelta(seconds=0.2))
+        subject.expire()
+        assert calls[-1] == ("gone", "i-1")
+
+    def test_a_lapsed_entry_that_comes_back_stays(self):
+        subject, clock, calls = catalogue()
+        subject.publish(ENTRY)
+        subject.service_returned()
+        subject.withdraw("i-1")
+        subject.publish(ENTRY)
+        clock.advance(timedelta(seconds=9))
+        subject.expire()
+        assert calls == [("changed", ENTRY)]
+
+    def test_a_draining_entry_has_no_grace(self):
+        subject, _, calls = catalogue()
+        subject.publish(replace(ENTRY, is_draining=True))
+        subject.service_returned()
+        subject.withdraw("i-1")
+        assert calls[-1] == ("gone", "i-1")
+
+    def test_an_address_belongs_to_the_searcher_that_started_last(self):
+        subject, _, calls = catalogue()
+        later = replace(ENTRY, identifier="i-2", service="t", started_ms=200)
+        subject.publish(ENTRY)
+        subject.publish(later)
+        subject.publish(replace(ENTRY, slots=3))
+        assert subject.entries == (later,)
+        assert ("gone", "i-1") in calls
+
+    def test_the_longer_of_two_graces_counts(self):
+        subject, clock, _ = catalogue()
+        subject.service_returned()
+        subject.begin_grace(timedelta(seconds=1))
+        clock.advance(timedelta(seconds=1.5))
+        assert 0.4 < subject.grace_left < 0.6
--- a/foxtailseam/rpc/tests/test_codec.py
+++ b/foxtailseam/codecs/tests/test_message_pack.py
@@ -4,8 +4,9 @@
 import pytest
 
 from foxtailseam.clocks import HybridTimestamp
+from foxtailseam.codecs import MessagePackCodec
 from foxtailseam.configuration import Revision, RulesDifference
-from foxtailseam.rpc import Envelope, ExchangeRequest, MessagePackCodec, PullReply
+from foxtailseam.rpc import Envelope, ExchangeRequest, PullReply
 
 REVISION = Revision(3, "ab")
 ENVELOPE = Envelope(
--- a/foxtailseam/daemons/_node.py
+++ b/foxtailseam/daemons/_node.py
@@ -7,6 +7,7 @@
 
 from foxtailseam._version import __version__
 from foxtailseam.clocks import HybridClock, PauseDetector, SystemClock
+from foxtailseam.codecs import MessagePackCodec
 from foxtailseam.daemons._operators import OperatorServer, ProcessStatus
 from foxtailseam.logs import EventCode
 from foxtailseam.metrics import Metrics
@@ -18,7 +19,7 @@
     PublishedState,
 )
 from foxtailseam.quarantine import QuarantineController
-from foxtailseam.rpc import MessagePackCodec, PeerService
+from foxtailseam.rpc import PeerService
 from foxtailseam.searchers import LeavingSearchers
 from foxtailseam.settings import Settings
 from foxtailseam.timeline import Recorder
--- a/foxtailseam/dispatch/_budget.py
+++ b/foxtailseam/dispatch/_budget.py
@@ -64,10 +64,12 @@
         hosts : int
             Hosts that share the slack.
         """
-        self._newest()
-        allowed = SAFE_RATIO * self.settings.ratio * self._requests()
-        allowed += SAFE_SLACK * self.settings.slack / max(1, hosts)
-        return self._extras() + 1 <= allowed
+        return self._extras() + 1 <= self._allowed(hosts)
+
+    def left(self, hosts: int) -> float:
+        """Return the unused share of the allowance, 0 to 1."""
+        allowed = self._allowed(hosts)
+        return max(0.0, 1.0 - self._extras() / allowed) if allowed else 0.0
 
     def take(self, hosts: int) -> bool:
         """Count an extra if it is allowed; return whether it is."""
@@ -80,6 +82,11 @@
         """Count an extra that cannot be avoided."""
         self._newest()[2] += 1
 
+    def _allowed(self, hosts: int) -> float:
+        self._newest()
+        allowed = SAFE_RATIO * self.settings.ratio * self._requests()
+        return allowed + SAFE_SLACK * self.settings.slack / max(1, hosts)
+
     def _requests(self) -> int:
         number = self._buckets[-1][0]
         recent = sum(b[1] for b in self._buckets if b[0] > number - _BUCKETS)
--- a/foxtailseam/dispatch/_choice.py
+++ b/foxtailseam/dispatch/_choice.py
@@ -5,7 +5,7 @@
 
 # What a searcher in another failure domain costs beside its response time:
 # traffic between domains, in seconds of response time.
-OTHER_DOMAIN_SECONDS = 0.0015
+OTHER_DOMAIN_SECONDS = 0.006
 # What opening a connection adds.
 NEW_CONNECTION_SECONDS = 0.006
 # How much a failure costs, in typical response times.
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -6,7 +6,7 @@
 
 from foxtailseam.dispatch._call import CallPlan, ServiceCall
 from foxtailseam.dispatch._dispatcher import Dispatcher, TimerHandle
-from foxtailseam.dispatch._hedging import SLOW_QUANTILE, HedgeInputs, hedge_delay
+from foxtailseam.dispatch._hedging import HedgeInputs, hedge_delay
 from foxtailseam.dispatch._line import retry_after
 from foxtailseam.dispatch._partial import PartialDecision, Progress, decide
 from foxtailseam.dispatch._results import (
@@ -202,10 +202,13 @@
         return None
 
     def _hedge_delay(self, now: float) -> float:
-        times = self.dispatcher.response_times(self.plans[0].route)
+        dispatcher = self.dispatcher
+        plan = self.plans[0]
         return hedge_delay(
             HedgeInputs(
-                self.times.goal_at - now, times.median, times.quantile(SLOW_QUANTILE)
+                self.times.goal_at - now,
+                dispatcher.response_times(plan.route),
+                dispatcher.budget(plan.service).left(dispatcher.hosts),
             )
         )
 
--- a/foxtailseam/dispatch/_hedging.py
+++ b/foxtailseam/dispatch/_hedging.py
@@ -2,39 +2,51 @@
 
 from dataclasses import dataclass
 
+from foxtailseam.dispatch._latency import ResponseTimes
+
 # Time that a hedge is given to answer, as a multiple of a slow response.
-ANSWER_FACTOR = 1.4
-# Quantile of response times that counts as a slow response.
+ANSWER_FACTOR = 2.0
 SLOW_QUANTILE = 0.9
-# No hedge before this multiple of a slow response: it would be wasted.
-PATIENCE_FACTOR = 1.15
+# A response later than this quantile is hedged while the budget is untouched,
+# and later than the other when it is used up: the rest is kept for what is
+# held up at its searcher.
+EARLY_QUANTILE = 0.8
+LATE_QUANTILE = 0.95
+# Margin over that quantile.
+PATIENCE_FACTOR = 1.1
 # No request waits longer than this multiple of a typical response.
 MOST_TYPICAL_TIMES = 4.0
 
 
 @dataclass(frozen=True, slots=True)
 class HedgeInputs:
-    """What the time of a hedge depends on; all in seconds.
+    """What the time of a hedge depends on.
 
     Parameters
     ----------
     until_goal : float
-        Time left until the answer must leave.
-    typical, slow : float
-        Median and `SLOW_QUANTILE` of the response times of the route.
+        Time left until the answer must leave, in seconds.
+    times : ResponseTimes
+        Recent response times of the route.
+    budget_left : float
+        Unused share of the budget of extra load, 0 to 1.
     """
 
     until_goal: float
-    typical: float
-    slow: float
+    times: ResponseTimes
+    budget_left: float
 
 
 def hedge_delay(inputs: HedgeInputs) -> float:
     """Return how long to wait for the first searcher, in seconds.
 
-    As late as leaves a hedge time to answer before the goal: what is still
-    silent then is held up at its searcher, and not just slower than half.
+    As late as leaves a hedge time to answer before the goal, since what is
+    still silent then is held up at its searcher; but not so early that the
+    budget would not last.
     """
-    latest = inputs.until_goal - ANSWER_FACTOR * inputs.slow
-    patient = min(latest, MOST_TYPICAL_TIMES * inputs.typical)
-    return max(PATIENCE_FACTOR * inputs.slow, patient)
+    times = inputs.times
+    span = LATE_QUANTILE - EARLY_QUANTILE
+    quantile = LATE_QUANTILE - span * inputs.budget_left
+    patience = PATIENCE_FACTOR * times.quantile(quantile)
+    latest = inputs.until_goal - ANSWER_FACTOR * times.quantile(SLOW_QUANTILE)
+    return max(patience, min(latest, MOST_TYPICAL_TIMES * times.median))
--- a/foxtailseam/dispatch/_single.py
+++ b/foxtailseam/dispatch/_single.py
@@ -6,7 +6,7 @@
 from foxtailseam.dispatch._call import CallPlan, ServiceCall
 from foxtailseam.dispatch._dispatcher import Dispatcher, TimerHandle
 from foxtailseam.dispatch._gather import LINGER, NotAnswered, QueryTimes
-from foxtailseam.dispatch._hedging import SLOW_QUANTILE, HedgeInputs, hedge_delay
+from foxtailseam.dispatch._hedging import HedgeInputs, hedge_delay
 from foxtailseam.dispatch._line import retry_after
 from foxtailseam.dispatch._results import (
     FailureReason,
@@ -90,10 +90,13 @@
         return None
 
     def _hedge_delay(self, now: float) -> float:
-        times = self.dispatcher.response_times(self.plan.route)
+        dispatcher = self.dispatcher
+        plan = self.plan
         return hedge_delay(
             HedgeInputs(
-                self.times.goal_at - now, times.median, times.quantile(SLOW_QUANTILE)
+                self.times.goal_at - now,
+                dispatcher.response_times(plan.route),
+                dispatcher.budget(plan.service).left(dispatcher.hosts),
             )
         )
 
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -150,8 +150,9 @@
     def _serve_route(
         self, call: Call, marks: RequestMarks, answers: Answers, route: Route
     ) -> None:
+        request = call.request
         times = query_times(
-            route, call.request.arrived_at, marks.remaining, self.timing
+            route, request.arrived_at, request.transit, marks.remaining, self.timing
         )
         services = self._services(route)
         if services is None:
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -1,6 +1,7 @@
 """Runs the process of a host from its settings until SIGTERM."""
 
 import asyncio
+import contextlib
 import gc
 import os
 import random
@@ -14,6 +15,7 @@
 
 from foxtailseam.clocks import SuspendAwareClock
 from foxtailseam.dispatch import BudgetSettings, Dispatcher
+from foxtailseam.fleet import FleetController, FleetSettings, HostRecord
 from foxtailseam.front._front import FrontEnd
 from foxtailseam.front._knowledge import Knowledge
 from foxtailseam.front._timing import TimingSettings
@@ -38,6 +40,7 @@
 )
 from foxtailseam.routing import Configuration
 from foxtailseam.store import (
+    Change,
     FollowerSettings,
     FollowerState,
     StoreFollower,
@@ -56,6 +59,9 @@
 RESERVED_DESCRIPTORS = 200
 
 TICK_SECONDS = 0.25
+CHECK_SECONDS = 1.0
+# Hosts that are assumed at least to share budgets and connections.
+LEAST_HOSTS = 4
 # The balancer leaves a host out after two questions without a 200, one a second.
 BALANCER_LAG_SECONDS = 2.3
 # From the first answers that end their connection to the end of listening.
@@ -112,7 +118,7 @@
             self._is_level,
             TimingSettings(),
         )
-        self._replica = StoreReplica(self.knowledge.take)
+        self._replica = StoreReplica(self._on_change)
         self._store = PlatformStore(settings.service_address, self.clock)
         self._follower = StoreFollower(
             self._store,
@@ -122,6 +128,18 @@
             self._on_service,
             self._generator,
         )
+        self._fleet = FleetController(
+            self._own_record(),
+            settings.seeds,
+            self._replica,
+            self._follower,
+            self.knowledge.catalogue,
+            self.clock,
+            FleetSettings(),
+            self.log,
+            self._generator,
+            self._on_members,
+        )
         self._callers = Listener(self.front.serve, self.clock, self._on_unreadable)
         self._questions = Listener(self._answer_question, self.clock)
         self._reports = Listener(self._answer_report, self.clock)
@@ -132,11 +150,7 @@
     @property
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers here."""
-        return (
-            self.knowledge.configuration is not None
-            and self._follower.state is not FollowerState.UNKNOWN
-            and not self._is_stopping
-        )
+        return self.knowledge.configuration is not None and not self._is_stopping
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what is in flight."""
@@ -146,7 +160,7 @@
         loop.add_signal_handler(signal.SIGINT, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._listen()
-        follower = asyncio.create_task(self._follower.run())
+        await self._fleet.start()
         self._tick()
         self.log.write(
             EventCode.PROCESS_STARTED,
@@ -154,13 +168,12 @@
             callers=self.settings.callers,
             failure_domain=self.settings.failure_domain,
         )
-        stopped = asyncio.create_task(stop.wait())
-        await asyncio.wait({stopped, follower}, return_when=asyncio.FIRST_COMPLETED)
-        if follower.done():
-            # It ends only by a fault of the program.
-            follower.result()
+        while not stop.is_set():
+            self._fleet.check()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(stop.wait(), CHECK_SECONDS)
         await self._drain()
-        follower.cancel()
+        await self._fleet.stop()
         self.log.write(EventCode.PROCESS_STOPPED)
         self.log.flush()
 
@@ -176,7 +189,9 @@
         self._is_stopping = True
         self.log.write(EventCode.PROCESS_DRAINING, in_flight=self.front.in_flight)
         self._note_readiness()
-        await asyncio.sleep(BALANCER_LAG_SECONDS)
+        await self._fleet.leave()
+        elapsed = self.clock.monotonic() - stopped_at
+        await asyncio.sleep(max(0.0, BALANCER_LAG_SECONDS - elapsed))
         self._callers.drain()
         await asyncio.sleep(CLOSING_SECONDS)
         self._callers.stop_accepting()
@@ -211,7 +226,20 @@
             self.log.write(EventCode.READINESS_CHANGED, ready=self._is_ready)
 
     def _is_level(self) -> bool:
-        return self._follower.age < LEVEL_AGE_SECONDS
+        return self._fleet.age < LEVEL_AGE_SECONDS
+
+    def _own_record(self) -> HostRecord:
+        started_ms = int(self.clock.now().timestamp() * 1000)
+        return HostRecord(self.settings.peers, self.settings.failure_domain, started_ms)
+
+    def _on_change(self, change: Change) -> None:
+        self.knowledge.take(change)
+        self._fleet.changed()
+
+    def _on_members(self, hosts: int) -> None:
+        # A host that has just started may not have heard of all others.
+        self.dispatcher.hosts = max(hosts, LEAST_HOSTS)
+        self.metrics.set("hosts", hosts)
 
     def _on_configured(self, configuration: Configuration) -> None:
         limits = configuration.limits
@@ -267,7 +295,8 @@
     def _set_gauges(self) -> None:
         metrics = self.metrics
         metrics.set("configuration_version", self.knowledge.version)
-        metrics.set("service_age_seconds", min(1e6, self._follower.age))
+        metrics.set("service_age_seconds", min(1e6, self._fleet.age))
+        metrics.set("reads_service", self._fleet.is_reading)
         metrics.set("service_calls", self._store.calls)
         metrics.set("requests_in_flight", self.front.in_flight)
         searchers = self.dispatcher.searchers
@@ -279,6 +308,7 @@
         match read_settings():
             case result if result.is_ok():
                 self.settings = result.unwrap()
+                self._fleet.seeds = self.settings.seeds
                 self.log.write(
                     EventCode.SETTINGS_RELOADED, seeds=len(self.settings.seeds)
                 )
--- a/foxtailseam/front/_timing.py
+++ b/foxtailseam/front/_timing.py
@@ -13,8 +13,10 @@
 
     Parameters
     ----------
-    caller_distance : timedelta
-        Time that request and answer are on their way to and from the caller.
+    assumed_transit : timedelta
+        Time that request and answer are on their way, where it is not known.
+    work : timedelta
+        Time that reading a request and writing its answer take here.
     goal_share : float
         Part of the latency goal that is used.
     late_factor : float
@@ -22,7 +24,8 @@
         times the goal.
     """
 
-    caller_distance: timedelta = timedelta(milliseconds=8)
+    assumed_transit: timedelta = timedelta(milliseconds=6)
+    work: timedelta = timedelta(milliseconds=2)
     goal_share: float = 0.97
     late_factor: float = 1.25
 
@@ -30,6 +33,7 @@
 def query_times(
     route: Route,
     arrived_at: float,
+    transit: float | None,
     remaining: timedelta | None,
     settings: TimingSettings,
 ) -> QueryTimes:
@@ -41,12 +45,16 @@
         Timeout and latency goal.
     arrived_at : float
         When the request arrived, in seconds.
+    transit : float or None
+        Seconds that request and answer are on their way; None if unknown.
     remaining : timedelta or None
         How long the caller waits; None if it doesn't say.
     settings : TimingSettings
         How the goal is read.
     """
-    distance = settings.caller_distance.total_seconds()
+    if transit is None:
+        transit = settings.assumed_transit.total_seconds()
+    distance = transit + settings.work.total_seconds()
     deadline = route.timeout.total_seconds()
     if remaining is not None:
         deadline = min(deadline, remaining.total_seconds() - distance)
@@ -56,7 +64,7 @@
     return QueryTimes(
         started_at=arrived_at,
         goal_at=arrived_at + goal_left,
-        goal_ends_at=arrived_at + min(deadline, goal - distance / 2),
+        goal_ends_at=arrived_at + min(deadline, goal - transit),
         late_at=arrived_at + late_left,
         deadline_at=arrived_at + deadline,
     )
--- a/foxtailseam/http/_listener.py
+++ b/foxtailseam/http/_listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import sys
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -29,6 +30,9 @@
 # Space that the end of each header line takes, with its colon.
 HEADER_LINE_BYTES = 4
 BACKLOG = 512
+# Place of the round-trip time in the kernel's struct tcp_info (linux/tcp.h).
+TCP_INFO_RTT = 68
+TCP_INFO_BYTES = 72
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +122,8 @@
         self._waiting: deque[HttpRequest] = deque()
         self._failure: HttpResponse | None = None
         self._call: Call | None = None
+        self._round_trip: float | None = None
+        self._requests = 0
         self._keep_alive: deque[bool] = deque()
         self._begin_request()
 
@@ -182,6 +188,7 @@
         with contextlib.suppress(OSError):
             # The connection may be reset already; connection_lost follows then.
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms)
+            self._round_trip = _round_trip(sock)
         self.listener.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -279,11 +286,19 @@
             tuple(self._headers),
             b"".join(self._body),
             self._arrived_at,
+            self._transit(),
         )
         self._keep_alive.append(self._parser.should_keep_alive())
         self._waiting.append(request)
         self._serve_next()
 
+    def _transit(self) -> float | None:
+        self._requests += 1
+        if self._round_trip is None:
+            return None
+        # The caller of a new connection has waited for its opening, too.
+        return self._round_trip * (2 if self._requests == 1 else 1)
+
     def _begin_request(self) -> None:
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
@@ -335,6 +350,15 @@
         self._transport.close()
 
 
+def _round_trip(sock: socket.socket) -> float | None:
+    """Return the round-trip time that the kernel measured, in seconds."""
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    if len(info) < TCP_INFO_BYTES:
+        return None
+    microseconds = int.from_bytes(info[TCP_INFO_RTT:TCP_INFO_BYTES], sys.byteorder)
+    return microseconds / 1e6 or None
+
+
 class Listener:
     """Accepts callers' connections and gives whole requests to a handler.
 
--- a/foxtailseam/logs/_catalogue.py
+++ b/foxtailseam/logs/_catalogue.py
@@ -59,6 +59,11 @@
     SEARCHER_EJECTED = (407, Severity.WARNING, "a searcher is left alone for a while")
     ENTRY_REFUSED = (408, Severity.WARNING, "an entry names no searcher to use")
     PEER_STATE = (500, Severity.INFO, "what is known of a peer changed")
+    PEER_UNREACHABLE = (501, Severity.WARNING, "another host did not answer a call")
+    FOLLOWING = (502, Severity.INFO, "another host passes the configuration on")
+    FOLLOWING_LOST = (503, Severity.WARNING, "a host that passed it on was lost")
+    READING_STARTED = (504, Severity.INFO, "the host reads the service itself")
+    READING_STOPPED = (505, Severity.INFO, "others read it; the host follows them")
     QUARANTINED = (510, Severity.WARNING, "a request crashes searchers; refused")
 
     def __init__(self, number: int, severity: Severity, meaning: str):
--- a/foxtailseam/rpc/__init__.py
+++ b/foxtailseam/rpc/__init__.py
@@ -1,7 +1,6 @@
 """Messages and calls between the system's own processes, over grpclib."""
 
 from foxtailseam.rpc._client import CallError, PeerChannels
-from foxtailseam.rpc._codec import MessagePackCodec
 from foxtailseam.rpc._messages import (
     Envelope,
     ExchangeReply,
@@ -26,7 +25,6 @@
     "ExchangeReply",
     "ExchangeRequest",
     "GatherService",
-    "MessagePackCodec",
     "Method",
     "PeerChannels",
     "PeerService",
--- a/foxtailseam/rpc/_client.py
+++ b/foxtailseam/rpc/_client.py
@@ -10,8 +10,8 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from result import Err, Ok, Result
 
+from foxtailseam.codecs import MessagePackCodec
 from foxtailseam.rpc import _services as services
-from foxtailseam.rpc._codec import MessagePackCodec
 from foxtailseam.rpc._messages import (
     Envelope,
     ExchangeReply,
--- a/foxtailseam/store/_follower.py
+++ b/foxtailseam/store/_follower.py
@@ -103,11 +103,13 @@
         return self.clock.monotonic() - self._level_at
 
     async def run(self) -> None:
-        """List and watch until cancelled."""
+        """List and watch until cancelled; a copy that is filled is watched on."""
         try:
             while True:
-                if await self._list():
+                if self.replica.revision or await self._list():
                     await self._watch()
+                    while not await self._list():
+                        pass
         finally:
             self._leave_level()
             self._state = FollowerState.UNKNOWN
--- a/foxtailseam/store/_replica.py
+++ b/foxtailseam/store/_replica.py
@@ -67,6 +67,8 @@
         self.on_change = on_change
         self._changes: dict[str, Change] = {}
         self._revision = 0
+        # Removals up to here may be missing.
+        self._complete_since: int | None = None
 
     @property
     def revision(self) -> int:
@@ -78,6 +80,15 @@
         """Return the newest change of each key."""
         return tuple(self._changes.values())
 
+    @property
+    def items(self) -> tuple[Item, ...]:
+        """Return the keys that there are."""
+        return tuple(item for item in self._changes.values() if isinstance(item, Item))
+
+    def is_complete_since(self, revision: int) -> bool:
+        """Return whether `changes_after` a revision holds every removal, too."""
+        return self._complete_since is not None and revision >= self._complete_since
+
     def changes_after(self, revision: int) -> tuple[Change, ...]:
         """Return the newest changes with a revision above the given one."""
         newer = (item for item in self._changes.values() if item.revision > revision)
@@ -98,6 +109,8 @@
             is_older = known.revision <= listing.revision
             if key not in present and is_older and isinstance(known, Item):
                 news += self._apply(Removal(key, listing.revision), is_listing=True)
+        if self._complete_since is None:
+            self._complete_since = listing.revision
         self._revision = max(self._revision, listing.revision)
         self._forget_removals()
         return news
@@ -124,3 +137,4 @@
             removals.sort(key=lambda item: item.revision)
             for removal in removals[:excess]:
                 del self._changes[removal.key]
+                self._complete_since = removal.revision
--- /dev/null
+++ b/foxtailseam/store/tests/test_replica.py
@@ -0,0 +1,53 @@
+"""Tests of the copy of the configuration service."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from foxtailseam.store import Item, Listing, Removal, StoreReplica
+
+
+def replica_and_news():
+    news = []
+    return StoreReplica(news.append), news
+
+
+class TestStoreReplica:
+    def test_a_listing_removes_what_it_lacks(self):
+        replica, news = replica_and_news()
+        replica.apply([Item("a", b"1", 3), Item("b", b"1", 4)], 4)
+        replica.apply_listing(Listing((Item("a", b"1", 3),), 9))
+        assert news[-1] == Removal("b", 9)
+        assert replica.revision == 9
+
+    def test_a_key_newer_than_the_listing_stays(self):
+        replica, news = replica_and_news()
+        replica.apply([Item("b", b"1", 12)], 12)
+        replica.apply_listing(Listing((), 9))
+        assert news == [Item("b", b"1", 12)]
+
+    def test_a_late_older_value_does_not_undo_a_removal(self):
+        replica, news = replica_and_news()
+        replica.apply([Item("a", b"1", 3)], 3)
+        replica.apply([Removal("a", 7)], 7)
+        replica.apply([Item("a", b"0", 5)], 7)
+        assert news[-1] == Removal("a", 7)
+
+    def test_completeness_begins_with_the_first_listing(self):
+        replica, _ = replica_and_news()
+        assert not replica.is_complete_since(0)
+        replica.apply_listing(Listing((Item("a", b"1", 3),), 9))
+        assert not replica.is_complete_since(8)
+        assert replica.is_complete_since(9)
+        assert replica.changes_after(2) == (Item("a", b"1", 3),)
+
+    @given(st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=12))
+    def test_any_order_and_repetition_ends_in_the_newest_change(self, writes):
+        changes = [
+            Item(key, b"v", number) if is_item else Removal(key, number)
+            for number, (key, is_item) in enumerate(writes, 1)
+        ]
+        newest = {change.key: change for change in changes}
+        for order in (changes, changes[::-1], changes + changes[::2]):
+            replica, _ = replica_and_news()
+            replica.apply(order, len(changes))
+            assert {change.key: change for change in replica.changes} == newest
--- a/foxtailseam_bench/slopes.py
+++ b/foxtailseam_bench/slopes.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from foxtailseam.clocks import HybridClock, HybridTimestamp, SystemClock
+from foxtailseam.codecs import MessagePackCodec
 from foxtailseam.configuration import (
     Revision,
     RulesStore,
@@ -23,7 +24,6 @@
 from foxtailseam.rpc import (
     Envelope,
     ExchangeRequest,
-    MessagePackCodec,
     SearchReply,
     SearchRequest,
 )
