Refuse queries at once while enough shards answer late

Change: the product's own admission controller bounds the queries in flight for each set of shards. Its signal is the time in which enough shards for a success answered, above the least such time; the limit stays at 3 or more, and a part of it is kept for more urgent routes. A refusal carries when to come back.

--- a/foxtailseam/admission/_controller.py
+++ b/foxtailseam/admission/_controller.py
@@ -33,6 +33,8 @@
         Source of monotonic time.
     queue_share : float
         Share of the deadline that a sub-request may wait for a slot, 0 to 1.
+    least_limit : float
+        Requests in flight that are admitted in any case.
 
     References
     ----------
@@ -40,16 +42,30 @@
     ACM 55(7), 2012.
     """
 
-    def __init__(self, clock: Clock, queue_share: float):
+    def __init__(
+        self, clock: Clock, queue_share: float, least_limit: float = LEAST_LIMIT
+    ):
         self.clock = clock
         self.queue_share = queue_share
+        self.least_limit = least_limit
         self._families: defaultdict[str, _Family] = defaultdict(self._new_family)
 
-    def admit(self, family: str, limit: int) -> bool:
-        """Count a request in, unless the limit in force is reached."""
+    def admit(self, family: str, limit: int, share: float = 1.0) -> bool:
+        """Count a request in, unless the limit in force is reached.
+
+        Parameters
+        ----------
+        family : str
+            Service family.
+        limit : int
+            Limit that the rules set.
+        share : float
+            Part of the limit in force that is open to this request, 0 to 1; the
+            rest is kept for more urgent ones.
+        """
         state = self._families[family]
         state.limit = min(state.limit, limit)
-        if state.in_flight >= max(LEAST_LIMIT, state.limit):
+        if state.in_flight >= max(self.least_limit, state.limit) * share:
             return False
         state.in_flight += 1
         return True
@@ -91,7 +107,7 @@
         if state.least_delay > target:
             # The limit falls from what is in use, not from an unused ceiling.
             in_use = min(state.limit, state.in_flight + 1)
-            state.limit = max(LEAST_LIMIT, in_use * DECREASE)
+            state.limit = max(self.least_limit, in_use * DECREASE)
         state.least_delay = timedelta.max
         state.window_ends = self.clock.monotonic() + WINDOW.total_seconds()
 
--- a/foxtailseam/dispatch/__init__.py
+++ b/foxtailseam/dispatch/__init__.py
@@ -18,7 +18,7 @@
 )
 from foxtailseam.dispatch._health import Failure, SearcherHealth
 from foxtailseam.dispatch._hedging import HedgeInputs, hedge_delay
-from foxtailseam.dispatch._latency import ResponseTimes
+from foxtailseam.dispatch._latency import Baseline, ResponseTimes
 from foxtailseam.dispatch._line import WaitingLine, expected_wait, retry_after
 from foxtailseam.dispatch._partial import PartialDecision, Progress, decide
 from foxtailseam.dispatch._results import (
@@ -33,6 +33,7 @@
 __all__ = [
     "AnswerMarks",
     "AnswerReader",
+    "Baseline",
     "BudgetSettings",
     "CallPlan",
     "Candidate",
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -128,6 +128,8 @@
         self._waiting: set[ServiceCall] = set()
         self._hedged: set[ServiceCall] = set()
         self._parts: dict[str, ServiceAnswer] = {}
+        self._part_times: list[float] = []
+        self._asked_at = 0.0
         self._failures: list[ServiceFailure] = []
         self._timers: list[TimerHandle] = []
         self._missed_goal = False
@@ -149,7 +151,7 @@
             ServiceCall(self.dispatcher, plan, self._on_call) for plan in self.plans
         ]
         self._waiting = set(self._calls)
-        now = self.dispatcher.clock.monotonic()
+        now = self._asked_at = self.dispatcher.clock.monotonic()
         self._at(now + self._hedge_delay(now), self._hedge)
         self._at(self.times.goal_at, self._on_goal)
         self._at(self.times.late_at, self._settle)
@@ -164,6 +166,17 @@
         for call in self._calls:
             call.cancel()
 
+    @property
+    def enough_time(self) -> float:
+        """Return the seconds within which enough shards for a success answered.
+
+        A few slow or paused searchers don't move it; a queue at all does.
+        """
+        last = self.destination.least_shards - 1
+        if last < len(self._part_times):
+            return self._part_times[last]
+        return self.dispatcher.clock.monotonic() - self._asked_at
+
     @property
     def may_have_run(self) -> bool:
         """Return whether a searcher may have begun to run the request."""
@@ -237,6 +250,8 @@
             case ServiceAnswer(stamp=stamp, response=response):
                 if response.status < _FIRST_FAILURE_STATUS and stamp:
                     self._parts[call.plan.service] = result
+                    now = self.dispatcher.clock.monotonic()
+                    self._part_times.append(now - self._asked_at)
                 else:
                     failure = ServiceFailure(FailureReason.ERROR, True, response)
                     self._failures.append(failure)
--- a/foxtailseam/dispatch/_latency.py
+++ b/foxtailseam/dispatch/_latency.py
@@ -2,6 +2,8 @@
 
 from collections import deque
 
+from foxtailseam.clocks import Clock
+
 WINDOW_SAMPLES = 256
 # Quantiles are computed anew after this many further samples.
 REFRESH_SAMPLES = 16
@@ -9,6 +11,8 @@
 # Shares of the latency goal that are assumed until there are samples.
 ASSUMED_MEDIAN = 0.25
 ASSUMED_TAIL = 0.45
+# A baseline rises by this share in a second, so that it follows slower searchers.
+BASELINE_GROWTH = 0.02
 
 
 class ResponseTimes:
@@ -45,3 +49,29 @@
             self._since_refresh = 0
         last = len(self._sorted) - 1
         return self._sorted[min(last, int(share * len(self._sorted)))]
+
+
+class Baseline:
+    """The response time without a queue: the least one, forgotten slowly.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self._least: float | None = None
+        self._seen_at = clock.monotonic()
+
+    def excess(self, seconds: float) -> float:
+        """Take a response time; return how far it is above the least, in seconds."""
+        now = self.clock.monotonic()
+        if self._least is not None:
+            grown = 1.0 + BASELINE_GROWTH * (now - self._seen_at)
+            self._least = min(self._least * grown, seconds)
+        else:
+            self._least = seconds
+        self._seen_at = now
+        return seconds - self._least
--- a/foxtailseam/dispatch/_results.py
+++ b/foxtailseam/dispatch/_results.py
@@ -15,6 +15,7 @@
     ERROR = "error"
     DEADLINE = "deadline"
     BUDGET = "budget"
+    OVERLOADED = "overloaded"
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailseam/front/_answers.py
+++ b/foxtailseam/front/_answers.py
@@ -28,6 +28,7 @@
     FailureReason.LOST: timedelta(milliseconds=100),
     FailureReason.ERROR: timedelta(milliseconds=100),
     FailureReason.DEADLINE: timedelta(milliseconds=100),
+    FailureReason.OVERLOADED: timedelta(milliseconds=200),
 }
 
 
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -20,6 +20,7 @@
 )
 from foxtailseam.front._answers import Answers
 from foxtailseam.front._knowledge import Knowledge
+from foxtailseam.front._overload import OverloadGuard
 from foxtailseam.front._timing import TimingSettings, query_times
 from foxtailseam.http import Call, HttpResponse
 from foxtailseam.logs import EventCode, LogWriter
@@ -88,6 +89,8 @@
         Returns whether the configuration is known to be the newest.
     timing : TimingSettings
         How the latency goal is read.
+    guard : OverloadGuard
+        Refuses queries that the searchers have no room for.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         metrics: Metrics,
         is_level: Callable[[], bool],
         timing: TimingSettings,
+        guard: OverloadGuard,
     ):
         self.knowledge = knowledge
         self.dispatcher = dispatcher
@@ -107,6 +111,7 @@
         self.metrics = metrics
         self.is_level = is_level
         self.timing = timing
+        self.guard = guard
         self._running: dict[int, tuple[_Plan, GatherQuery | SingleQuery]] = {}
 
     @property
@@ -190,6 +195,11 @@
         )
         number = id(plan)
         if isinstance(plan.route.destination, AllShards):
+            retry_after = self.guard.admit(plan.route)
+            if retry_after is not None:
+                result = NotAnswered(FailureReason.OVERLOADED, False, retry_after)
+                self._conclude(plan, plan.answers.failed(result), result, None)
+                return
             plans = tuple(replace(first, service=name) for name in plan.services)
             query = GatherQuery(
                 self.dispatcher,
@@ -230,6 +240,7 @@
         if running is None:
             return
         running[1].cancel()
+        self._count_out(plan, running[1])
         self.metrics.add("requests_abandoned")
         self.log.write(
             EventCode.REQUEST_ABANDONED,
@@ -247,8 +258,14 @@
         query: GatherQuery | SingleQuery,
     ) -> None:
         self._running.pop(number, None)
+        self._count_out(plan, query)
         self._conclude(plan, response, result, query)
 
+    def _count_out(self, plan: _Plan, query: GatherQuery | SingleQuery) -> None:
+        if isinstance(query, GatherQuery):
+            elapsed = self.clock.monotonic() - plan.times.started_at
+            self.guard.ended(plan.route, query.enough_time, elapsed)
+
     def _conclude(
         self,
         plan: _Plan,
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -18,6 +18,7 @@
 from foxtailseam.fleet import FleetController, FleetSettings, HostRecord
 from foxtailseam.front._front import FrontEnd
 from foxtailseam.front._knowledge import Knowledge
+from foxtailseam.front._overload import OverloadGuard
 from foxtailseam.front._timing import TimingSettings
 from foxtailseam.http import (
     Call,
@@ -109,6 +110,7 @@
         self.knowledge = Knowledge(
             self.dispatcher, self.clock, self.log, self._generator, self._on_configured
         )
+        self._guard = OverloadGuard(self.clock, self._generator)
         self.front = FrontEnd(
             self.knowledge,
             self.dispatcher,
@@ -117,6 +119,7 @@
             self.metrics,
             self._is_level,
             TimingSettings(),
+            self._guard,
         )
         self._replica = StoreReplica(self._on_change)
         self._store = PlatformStore(settings.service_address, self.clock)
@@ -242,6 +245,7 @@
         self.metrics.set("hosts", hosts)
 
     def _on_configured(self, configuration: Configuration) -> None:
+        self._guard.configure(configuration)
         limits = configuration.limits
         self._set_limits(
             ListenerLimits(
