Replay the worst loads in virtual time; test each decision by values

The replay of an overload also showed that each request that ended walked through the whole line of waiting ones: 20 s of processor time for 4 s of load.

Change: foxtailseam_bench.simulation runs the real front end, dispatcher and guard over simulated searchers in virtual time; tests replay pauses, lost shards, slow searchers, overload and its end. A request that ends gives at most four waiting ones a turn.

--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -20,6 +20,8 @@
 LEAST_CONNECTIONS = 2
 # Hosts assumed while it is not known how many there are.
 ASSUMED_HOSTS = 8
+# Waiting requests that get a turn for each request that ends.
+TURNS = 4
 
 
 class TimerHandle(Protocol):
@@ -192,13 +194,14 @@
     def room_made(self, service: str) -> None:
         """Let waiting requests go on while there is room."""
         line = self._lines.get(service)
-        if not line:
+        if line is None:
             return
         # One that has tried every searcher with room joins the line again.
-        for _ in range(len(line)):
+        for _ in range(TURNS):
             if not any(item.has_room for item in self.usable(service)):
                 return
-            line.admit()
+            if not line.admit():
+                return
 
     def _connection_limit(self, service: str) -> int:
         most = self._connections.get(service, 0)
--- a/foxtailseam/dispatch/_line.py
+++ b/foxtailseam/dispatch/_line.py
@@ -40,9 +40,6 @@
         self._heap: list[tuple[int, float, int, Place]] = []
         self._numbers = count()
 
-    def __len__(self) -> int:
-        return sum(place.is_taken for *_, place in self._heap)
-
     def join(
         self, priority: int, deadline_at: float, on_turn: Callable[[], None]
     ) -> Place:
--- a/foxtailseam/front/__init__.py
+++ b/foxtailseam/front/__init__.py
@@ -4,6 +4,7 @@
 from foxtailseam.front._front import FrontEnd
 from foxtailseam.front._host import Host, run_host
 from foxtailseam.front._knowledge import Knowledge
+from foxtailseam.front._overload import OverloadGuard
 from foxtailseam.front._timing import TimingSettings, query_times
 
 __all__ = [
@@ -11,6 +12,7 @@
     "FrontEnd",
     "Host",
     "Knowledge",
+    "OverloadGuard",
     "TimingSettings",
     "query_times",
     "run_host",
--- /dev/null
+++ b/foxtailseam/front/tests/test_load.py
@@ -0,0 +1,171 @@
+"""Loads replayed in virtual time against the real decisions."""
+
+import pytest
+
+from foxtailseam_bench.simulation import simulated_shards
+
+GOAL = 0.092
+# Round trip of a caller in the simulation.
+TRANSIT = 0.006
+WINDOW = 10.0
+
+
+def in_goal(calls):
+    calls = list(calls)
+    served = [
+        call
+        for call in calls
+        if call.response.status == 200 and call.seconds + TRANSIT <= GOAL
+    ]
+    return len(served) / len(calls)
+
+
+def most_extras(searchers):
+    """Return the most arrivals beyond one a request, and requests, in a window."""
+    arrivals = sorted(item for searcher in searchers for item in searcher.arrivals)
+    worst = 0.0
+    for start, _ in arrivals[::25]:
+        inside = [i for at, i in arrivals if start <= at < start + WINDOW]
+        requests = len(set(inside))
+        worst = max(worst, len(inside) - requests - 0.2 * requests)
+    return worst
+
+
+class TestCalm:
+    def test_every_query_is_complete_within_its_goal(self):
+        with simulated_shards() as tier:
+            tier.load("/urgent/q", 20, 0, 10)
+            tier.time.run_until(12)
+            assert in_goal(tier.answered()) == 1.0
+            assert all(call.missing == 0 for call in tier.answered())
+
+
+class TestPauses:
+    def test_a_pause_of_each_searcher_is_hedged_within_the_budget(self):
+        with simulated_shards() as tier:
+            for number, pair in enumerate(tier.searchers.values()):
+                for which, searcher in enumerate(pair):
+                    for turn in range(8):
+                        at = turn * 2.4 + number * 0.11 + which * 1.2
+                        searcher.pause(at, 0.1)
+            tier.load("/urgent/q", 20, 0, 18)
+            tier.time.run_until(20)
+            lacking = sum(call.missing > 0 for call in tier.answered())
+            assert in_goal(tier.answered()) > 0.99
+            assert lacking / len(tier.calls) <= 0.03
+            for pair in tier.searchers.values():
+                assert most_extras(pair) <= 50
+
+
+class TestLostShard:
+    @pytest.mark.parametrize("trouble", ["is_dark", "is_refusing"])
+    def test_one_shard_without_searchers_costs_only_its_part(self, trouble):
+        with simulated_shards() as tier:
+            for searcher in tier.searchers["shard3"]:
+                setattr(searcher, trouble, True)
+            tier.load("/urgent/q", 20, 0, 5)
+            tier.time.run_until(8)
+            assert in_goal(tier.answered()) > 0.99
+            assert {call.missing for call in tier.answered()} == {1}
+
+    def test_too_few_shards_are_refused_at_once_and_never_sent(self):
+        with simulated_shards() as tier:
+            for name in ("shard1", "shard2", "shard3"):
+                for number in range(2):
+                    tier.knowledge.catalogue.withdraw(f"{name}-{number}")
+            call = tier.send("/urgent/q")
+            assert call.response.status == 503
+            assert call.seconds == 0.0
+            headers = dict(call.response.headers)
+            assert 0 < float(headers[b"Retry-After"]) <= 2.0
+            tier.time.run_until(3)
+            pairs = tier.searchers.values()
+            assert not any(searcher.runs for pair in pairs for searcher in pair)
+
+
+class TestSlowSearchers:
+    def test_slow_searchers_are_avoided(self):
+        with simulated_shards() as tier:
+            slow = [tier.searchers[f"shard{number}"][0] for number in range(7)]
+            for searcher in slow:
+                searcher.slowness = 8.0
+            tier.load("/urgent/q", 20, 0, 10)
+            tier.time.run_until(12)
+            late = [call for call in tier.answered() if call.sent_at > 2]
+            assert in_goal(late) > 0.98
+            healthy = [tier.searchers[f"shard{number}"][1] for number in range(7)]
+            pairs = zip(slow, healthy, strict=True)
+            assert all(len(a.runs) < len(b.runs) / 3 for a, b in pairs)
+
+
+class TestOverload:
+    """Capacity is 4 slots / 11 ms = 360 queries a second for each shard."""
+
+    def test_goodput_holds_at_three_times_the_capacity(self):
+        with simulated_shards(shards=10) as tier:
+            tier.load("/urgent/q", 300, 0, 3)
+            tier.load("/urgent/q", 1100, 3, 6)
+            tier.time.run_until(9)
+            before = [c for c in tier.answered() if 1 < c.sent_at < 3]
+            during = [c for c in tier.answered() if 4 < c.sent_at < 6]
+            served = in_goal(during) * len(during) / 2
+            assert in_goal(before) > 0.95
+            assert served >= 0.6 * 300
+
+    def test_what_is_refused_was_not_run_and_is_told_at_once(self):
+        with simulated_shards(shards=10) as tier:
+            tier.load("/urgent/q", 1100, 0, 4)
+            tier.time.run_until(7)
+            ran = {
+                identifier
+                for pair in tier.searchers.values()
+                for searcher in pair
+                for identifier in searcher.runs
+            }
+            refused = [c for c in tier.answered() if c.response.status == 503]
+            assert refused
+            for call in refused:
+                headers = dict(call.response.headers)
+                assert headers[b"Foxtailseam-Request-Id"] not in ran
+                assert float(headers[b"Retry-After"]) > 0
+            at_once = [c for c in refused if c.seconds < GOAL / 4]
+            assert len(at_once) / len(refused) > 0.95
+
+    def test_urgent_queries_are_served_before_others(self):
+        with simulated_shards(shards=10) as tier:
+            tier.load("/urgent/q", 300, 0, 4)
+            tier.load("/other/q", 600, 0, 4)
+            tier.time.run_until(7)
+            urgent = [c for c in tier.answered("/urgent") if c.sent_at > 1]
+            other = [c for c in tier.answered("/other") if c.sent_at > 1]
+            assert in_goal(urgent) > in_goal(other)
+
+    def test_calm_returns_after_the_load(self):
+        with simulated_shards(shards=10) as tier:
+            tier.load("/urgent/q", 1100, 0, 3)
+            tier.load("/urgent/q", 60, 3, 8)
+            tier.time.run_until(10)
+            after = [c for c in tier.answered() if c.sent_at > 4]
+            assert in_goal(after) > 0.98
+
+
+class TestLeaving:
+    def test_a_draining_searcher_gets_no_new_work(self):
+        with simulated_shards(shards=1) as tier:
+            tier.load("/urgent/q", 50, 0, 4)
+            tier.time.run_until(1)
+            tier.knowledge.catalogue.withdraw("shard0-0")
+            tier.time.run_until(6)
+            leaving = tier.searchers["shard0"][0]
+            assert leaving.arrivals
+            assert all(at < 1.01 for at, _ in leaving.arrivals)
+            assert in_goal(tier.answered()) > 0.98
+
+    def test_a_caller_that_leaves_cancels_its_work(self):
+        with simulated_shards() as tier:
+            call = tier.send("/urgent/q")
+            call.on_gone()
+            tier.time.run_until(2)
+            assert call.response is None
+            assert tier.front.in_flight == 0
+            assert all(item.in_flight == 0 for item in tier.dispatcher.searchers)
