--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -118,6 +118,8 @@
         self._reading: asyncio.Task | None = None
         self._read_until = float("-inf")
         self._hosts = 0
+        self._helper: str | None = None
+        self._helper_until = float("-inf")
         self._tasks: set[asyncio.Task] = set()
         self._news = asyncio.Event()
         self._stop_serving = None
@@ -262,14 +264,27 @@
             self._hosts = len(members)
             self.on_members(self._hosts)
         self._position = position_of(self.membership.own.address, members)
+        wanted = {*self._position.parents, *self._helpers(members)}
         for address in list(self._parents):
-            if address not in self._position.parents:
+            if address not in wanted:
                 self._parents.pop(address).task.cancel()
-        for address in self._position.parents:
+        for address in wanted:
             if address not in self._parents:
                 task = asyncio.create_task(self._follow_parent(address))
                 self._parents[address] = _Parent(task)
 
+    def _helpers(self, members: list[str]) -> tuple[str, ...]:
+        """Return a host to follow beside the parents while this one is behind."""
+        now = self.clock.monotonic()
+        if self.age <= self.settings.fresh_age.total_seconds():
+            return ()
+        if now >= self._helper_until:
+            # Another one each time: the last may be as far behind.
+            others = [item for item in members if item != self.membership.own.address]
+            self._helper = self.generator.choice(others) if others else None
+            self._helper_until = now + self.settings.silence.total_seconds()
+        return (self._helper,) if self._helper in members else ()
+
     async def _follow_parent(self, address: str) -> None:
         while True:
             channel = self._service.FleetChannel(
--- a/foxtailseam/fleet/_tree.py
+++ b/foxtailseam/fleet/_tree.py
@@ -26,7 +26,7 @@
     is_reader : bool
         Whether it reads the service.
     parents : tuple of str
-        Hosts that pass changes on to it; none for a reader.
+        Hosts that pass changes on to it; for a reader, the other readers.
     """
 
     is_reader: bool
@@ -46,7 +46,8 @@
     order = rendezvous_order(_ORDER_KEY, {own, *members})
     index = order.index(own)
     if index < READERS:
-        return Position(True, ())
+        # If the service turns one reader away, the other still tells it.
+        return Position(True, tuple(item for item in order[:READERS] if item != own))
     parent = (index - READERS) // CHILDREN
     if parent < READERS:
         return Position(False, order[:READERS])
--- /dev/null
+++ b/foxtailseam/fleet/tests/test_controller.py
@@ -0,0 +1,264 @@
+"""Several hosts in one process, over loopback, with a stand-in service."""
+
+import asyncio
+import contextlib
+import random
+import socket
+from datetime import timedelta
+
+import pytest
+
+from foxtailseam.catalogue import Catalogue
+from foxtailseam.clocks import SystemClock
+from foxtailseam.fleet import FleetController, FleetSettings, HostRecord
+from foxtailseam.store import (
+    FollowerSettings,
+    HistoryGone,
+    Item,
+    Listing,
+    Removal,
+    StoreFailure,
+    StoreFollower,
+    StoreReplica,
+    WatchResult,
+)
+
+FAST = FleetSettings(
+    exchange_interval=timedelta(milliseconds=60),
+    seed_interval=timedelta(milliseconds=200),
+    update_interval=timedelta(milliseconds=40),
+    silence=timedelta(milliseconds=200),
+    timeout=timedelta(milliseconds=150),
+    fresh_age=timedelta(milliseconds=250),
+    reading_hold=timedelta(milliseconds=200),
+)
+
+
+class Service:
+    """The configuration service: changes, watchers, and hosts it refuses."""
+
+    def __init__(self):
+        self.changes = []
+        self.calls = 0
+        self.refused = set()
+        self.wake = asyncio.Event()
+
+    def put(self, key, value):
+        self.changes.append(Item(key, value, len(self.changes) + 1))
+        self._wake()
+
+    def remove(self, key):
+        self.changes.append(Removal(key, len(self.changes) + 1))
+        self._wake()
+
+    def refuse(self, *hosts):
+        self.refused = set(hosts)
+        self._wake()
+
+    def _wake(self):
+        self.wake.set()
+        self.wake = asyncio.Event()
+
+
+class Client:
+    def __init__(self, service, host):
+        self.service = service
+        self.host = host
+
+    async def list_items(self):
+        self.service.calls += 1
+        if self.host in self.service.refused:
+            return StoreFailure("503")
+        newest = {change.key: change for change in self.service.changes}
+        items = tuple(c for c in newest.values() if isinstance(c, Item))
+        return Listing(items, len(self.service.changes))
+
+    async def watch(self, after, wait):
+        self.service.calls += 1
+        while True:
+            if self.host in self.service.refused:
+                return StoreFailure("503")
+            news = tuple(self.service.changes[after:])
+            if news:
+                return WatchResult(news, len(self.service.changes))
+            if after > len(self.service.changes):
+                return HistoryGone()
+            await self.service.wake.wait()
+
+
+class Ignored:
+    def searcher_changed(self, entry):
+        pass
+
+    def searcher_gone(self, identifier):
+        pass
+
+    def write(self, *_, **__):
+        pass
+
+
+class Host:
+    def __init__(self, address, seeds, service):
+        clock, generator = SystemClock(), random.Random(address)
+        self.address = address
+        self.replica = StoreReplica(lambda _: self.fleet.changed())
+        follower = StoreFollower(
+            Client(service, address),
+            self.replica,
+            clock,
+            FollowerSettings(
+                gather_delay=timedelta(milliseconds=5),
+                first_retry=timedelta(milliseconds=50),
+                last_retry=timedelta(milliseconds=200),
+            ),
+            lambda *_: None,
+            generator,
+        )
+        self.fleet = FleetController(
+            HostRecord(address, "d1", 1),
+            seeds,
+            self.replica,
+            follower,
+            Catalogue(clock, Ignored()),
+            clock,
+            FAST,
+            Ignored(),
+            generator,
+            lambda hosts: None,
+        )
+
+
+def free_addresses(number):
+    with contextlib.ExitStack() as stack:
+        addresses = []
+        for _ in range(number):
+            probe = stack.enter_context(socket.socket())
+            probe.bind(("127.0.0.1", 0))
+            addresses.append(f"127.0.0.1:{probe.getsockname()[1]}")
+        return addresses
+
+
+async def eventually(condition, seconds=6.0):
+    end = asyncio.get_running_loop().time() + seconds
+    while not condition():
+        assert asyncio.get_running_loop().time() < end, "it did not come about"
+        await asyncio.sleep(0.01)
+
+
+def play(scenario, size=6):
+    """Run a scenario over a fleet that has settled."""
+
+    async def main():
+        service = Service()
+        service.put("a", b"1")
+        addresses = free_addresses(size)
+        seeds = (addresses[0], addresses[1], "127.0.0.1:9")
+        hosts = [Host(address, seeds, service) for address in addresses]
+        for host in hosts:
+            await host.fleet.start()
+
+        def settled():
+            known = all(len(h.fleet.membership.alive) == size for h in hosts)
+            return known and sum(h.fleet.is_reading for h in hosts) == 2
+
+        try:
+            await eventually(settled, 10)
+            await scenario(service, hosts)
+        finally:
+            for host in hosts:
+                await host.fleet.stop()
+
+    asyncio.run(main())
+
+
+def have(hosts, key, value):
+    return all(
+        {item.key: item.value for item in host.replica.items}.get(key) == value
+        for host in hosts
+    )
+
+
+class TestFleet:
+    def test_two_hosts_read_and_all_learn(self):
+        async def scenario(service, hosts):
+            calls = service.calls
+            service.put("b", b"2")
+            await eventually(lambda: have(hosts, "b", b"2"), 1.0)
+            assert service.calls - calls <= 4
+            assert all(host.fleet.age < 1.0 for host in hosts)
+
+        play(scenario)
+
+    def test_a_removal_is_passed_on(self):
+        async def scenario(service, hosts):
+            service.remove("a")
+            await eventually(lambda: have(hosts, "a", None), 1.0)
+
+        play(scenario)
+
+    @pytest.mark.parametrize("lost", [1, 2])
+    def test_readers_that_the_service_refuses_are_replaced(self, lost):
+        async def scenario(service, hosts):
+            readers = [host for host in hosts if host.fleet.is_reading]
+            service.refuse(*(host.address for host in readers[:lost]))
+            service.put("b", b"2")
+            await eventually(lambda: have(hosts, "b", b"2"), 3.0)
+
+        play(scenario)
+
+    def test_readers_that_stop_are_replaced(self):
+        async def scenario(service, hosts):
+            readers = [host for host in hosts if host.fleet.is_reading]
+            rest = [host for host in hosts if not host.fleet.is_reading]
+            for host in readers:
+                await host.fleet.stop()
+            service.put("b", b"2")
+            await eventually(lambda: have(rest, "b", b"2"), 3.0)
+
+        play(scenario)
+
+    def test_a_host_that_knows_nobody_reads_itself(self):
+        async def scenario(service, hosts):
+            (host,) = hosts
+            service.put("b", b"2")
+            await eventually(lambda: have(hosts, "b", b"2"), 1.0)
+            assert host.fleet.is_reading
+
+        async def main():
+            service = Service()
+            service.put("a", b"1")
+            (address,) = free_addresses(1)
+            host = Host(address, ("127.0.0.1:9",), service)
+            await host.fleet.start()
+            try:
+                await scenario(service, [host])
+            finally:
+                await host.fleet.stop()
+
+        asyncio.run(main())
+
+    def test_a_new_host_that_the_service_refuses_learns_from_the_others(self):
+        async def scenario(service, hosts):
+            (address,) = free_addresses(1)
+            service.refuse(address)
+            late = Host(address, (hosts[0].address,), service)
+            await late.fleet.start()
+            try:
+                await eventually(lambda: have([late], "a", b"1"), 3.0)
+                await eventually(lambda: late.fleet.age < 1.0, 3.0)
+            finally:
+                await late.fleet.stop()
+
+        play(scenario)
+
+    def test_an_outage_for_all_ends_with_everybody_level(self):
+        async def scenario(service, hosts):
+            service.refuse(*(host.address for host in hosts))
+            await eventually(lambda: all(h.fleet.age > 0.3 for h in hosts))
+            service.put("b", b"2")
+            await asyncio.sleep(0.2)
+            assert not any(have([host], "b", b"2") for host in hosts)
+            service.refuse()
+            await eventually(lambda: have(hosts, "b", b"2"), 2.0)
+
+        play(scenario)
--- /dev/null
+++ b/foxtailseam/front/tests/test_host.py
@@ -0,0 +1,371 @@
+"""The real process on loopback, against stand-ins of the platform."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+
+import pytest
+
+from foxtailseam_bench._processes import free_ports
+from foxtailseam_bench.platform_stand_in import StandInSearcher, StandInStore
+
+ROOT = Path(__file__).parents[3]
+SHARDS = ("shard-a", "shard-b", "shard-c")
+READY_SECONDS = 10.0
+CONFIGURATION_SECONDS = 3.0
+GRACE_SECONDS = 6.0
+START_ID = 0x1000
+
+
+def gather_route(**changes):
+    return {
+        "name": "all",
+        "host": "a.example",
+        "path_prefix": "/all/",
+        "type": "idempotent",
+        "timeout_ms": 3000,
+        "latency_goal_ms": 1000,
+        "max_attempts": 2,
+        "priority": 1,
+        "gather": list(SHARDS),
+        "top_k": 2,
+        "min_version": 0.6,
+    } | changes
+
+
+def single_route(name, kind, **changes):
+    return {
+        "name": name,
+        "host": "a.example",
+        "path_prefix": f"/{name}/",
+        "type": kind,
+        "timeout_ms": 3000,
+        "latency_goal_ms": 500,
+        "max_attempts": 2,
+        "priority": 1,
+        "service": "single",
+    } | changes
+
+
+class Deployment:
+    """A store, searchers and hosts; everything it starts it ends."""
+
+    def __init__(self, directory):
+        self.directory = directory
+        self.store = StandInStore()
+        self.searchers = {}
+        self.processes = []
+        self.version = 0
+        self._servers = []
+        self._numbers = iter(range(START_ID, 2 * START_ID))
+
+    async def start(self):
+        self.store_address = await self._serve(self.store)
+        for number, service in enumerate((*SHARDS, "single")):
+            for letter in "xy":
+                name = f"i-{service}-{letter}"
+                records = bytes([65 + number]) * 16 + b"odd"
+                await self.add_searcher(name, service, records)
+        self.configure(
+            gather_route(),
+            single_route("read", "idempotent"),
+            single_route("book", "non_idempotent"),
+        )
+
+    async def add_searcher(self, name, service, records=b""):
+        searcher = StandInSearcher(name, records)
+        searcher.address = await self._serve(searcher)
+        self.searchers[name] = searcher
+        self.store.put(f"servers/{name}", searcher.entry(service))
+
+    def configure(self, *routes):
+        self.version += 3
+        services = [{"name": n, "max_conns": 26} for n in (*SHARDS, "single")]
+        document = {"version": self.version, "routes": routes, "services": services}
+        self.store.put("op/config", document)
+
+    async def start_host(self, number=1, seeds=()):
+        host = f"127.0.0.{number + 1}"
+        callers, readiness, peers = free_ports(3)
+        settings = {
+            "node_name": f"host-{number}",
+            "ip": host,
+            "zone": "d1",
+            "listen_addrs": {
+                "frontend": f"{host}:{callers}",
+                "readiness": f"{host}:{readiness}",
+                "control_plane": f"{host}:{peers}",
+            },
+            "seeds": list(seeds),
+            "platform": {"address": self.store_address},
+            "bounds": {"grace_s": GRACE_SECONDS, "retry_slack": 50},
+        }
+        path = self.directory / f"host-{number}.json"
+        path.write_text(json.dumps(settings))
+        log = (self.directory / f"host-{number}.log").open("wb")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *("-m", "foxtailseam.front"),
+            cwd=ROOT,
+            env=os.environ | {"FOXTAILSEAM_CONFIG": str(path)},
+            stdout=log,
+        )
+        self.processes.append(process)
+        return Host(process, settings["listen_addrs"], self)
+
+    async def stop(self):
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        for server in self._servers:
+            server.close()
+
+    def next_id(self):
+        return f"{next(self._numbers):016x}"
+
+    async def _serve(self, subject):
+        server = await asyncio.start_server(subject.serve, "127.0.0.1", 0)
+        self._servers.append(server)
+        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+class Host:
+    def __init__(self, process, listen, deployment):
+        self.process = process
+        self.listen = listen
+        self.deployment = deployment
+
+    async def until_ready(self):
+        async def is_ready():
+            try:
+                status, _, _ = await self.ask("readiness", "/-/ready")
+            except OSError:
+                return False
+            return status == 200
+
+        await eventually(is_ready, READY_SECONDS)
+
+    async def get(self, path, method="GET", body=b"", deadline_ms=3000):
+        return await self.ask("frontend", path, method, body, deadline_ms)
+
+    async def ask(self, where, path, method="GET", body=b"", deadline_ms=3000):
+        host, _, port = self.listen[where].rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
+            f"Foxtailseam-Request-Id: {self.deployment.next_id()}\r\n"
+            f"Foxtailseam-Deadline-Ms: {deadline_ms}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        writer.write(head.encode() + body)
+        answer = await asyncio.wait_for(reader.read(), 10)
+        writer.close()
+        head, _, content = answer.partition(b"\r\n\r\n")
+        first, *lines = head.decode("latin-1").split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines)
+        return int(first.split()[1]), headers, content
+
+
+async def eventually(condition, seconds):
+    end = asyncio.get_running_loop().time() + seconds
+    while not await condition():
+        assert asyncio.get_running_loop().time() < end, "it did not come about"
+        await asyncio.sleep(0.05)
+
+
+@pytest.fixture
+def play(tmp_path):
+    """Run a scenario over a deployment."""
+
+    def run(scenario):
+        async def main():
+            deployment = Deployment(tmp_path)
+            await deployment.start()
+            try:
+                await asyncio.wait_for(scenario(deployment), 60)
+            finally:
+                await deployment.stop()
+
+        asyncio.run(main())
+
+    return run
+
+
+class TestServing:
+    def test_the_whole_path(self, play):
+        async def scenario(deployment):
+            host = await deployment.start_host()
+            await host.until_ready()
+            status, headers, body = await host.get("/all/q")
+            assert status == 200
+            assert headers["foxtailseam-missing-parts"] == "0"
+            assert len(headers["foxtailseam-part-stamps"].split(", ")) == len(SHARDS)
+            assert body == b"C" * 16 + b"B" * 16
+            status, headers, body = await host.get("/book/x?y=1", "POST", b"slot")
+            assert status == 200
+            assert headers["foxtailseam-server-stamp"].startswith("stamp-i-single")
+            runs = [r for s in deployment.searchers.values() for r in s.runs]
+            assert runs.count(("POST", "/book/x?y=1", b"slot")) == 1
+            assert (await host.get("/nowhere/"))[0] == 404
+
+        play(scenario)
+
+    def test_a_lost_answer_is_asked_again_only_if_that_is_allowed(self, play):
+        async def scenario(deployment):
+            host = await deployment.start_host()
+            await host.until_ready()
+            single = [s for n, s in deployment.searchers.items() if "single" in n]
+            for searcher in single:
+                searcher.loses_answers = True
+            status, _, _ = await host.get("/book/x", "POST", b"slot")
+            assert status == 502
+            assert sum(len(searcher.runs) for searcher in single) == 1
+            single[0].loses_answers = False
+            for _ in range(4):
+                assert (await host.get("/read/x"))[0] == 200
+
+        play(scenario)
+
+    def test_turned_away_everywhere_is_told_as_not_run(self, play):
+        async def scenario(deployment):
+            host = await deployment.start_host()
+            await host.until_ready()
+            for searcher in deployment.searchers.values():
+                searcher.sheds = True
+            status, headers, _ = await host.get("/book/x", "POST", b"slot")
+            assert status == 503
+            assert float(headers["retry-after"]) > 0
+            assert not any(s.runs for s in deployment.searchers.values())
+
+        play(scenario)
+
+    def test_a_caller_that_leaves_cancels_its_work(self, play):
+        async def scenario(deployment):
+            host = await deployment.start_host()
+            await host.until_ready()
+            for searcher in deployment.searchers.values():
+                searcher.seconds = 2.0
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(host.get("/all/q"), 0.3)
+
+            async def is_cancelled():
+                searchers = deployment.searchers.values()
+                return sum(s.cancelled for s in searchers) >= len(SHARDS)
+
+            await eventually(is_cancelled, 0.5)
+
+        play(scenario)
+
+
+class TestKnowledge:
+    def test_a_change_is_in_force_on_every_host_and_stays(self, play):
+        async def scenario(deployment):
+            first = await deployment.start_host(1)
+            seeds = (first.listen["control_plane"],)
+            hosts = [first, await deployment.start_host(2, seeds)]
+            hosts.append(await deployment.start_host(3, seeds))
+            for host in hosts:
+                await host.until_ready()
+            await asyncio.sleep(4)
+            calls = deployment.store.calls
+            deployment.configure(gather_route(path_prefix="/new/"))
+            for host in hosts:
+
+                async def in_force(host=host):
+                    old = (await host.get("/all/q"))[0]
+                    return old == 404 and (await host.get("/new/q"))[0] == 200
+
+                await eventually(in_force, CONFIGURATION_SECONDS)
+            # Two hosts read; the third is told.
+            assert deployment.store.calls - calls <= 4
+            for host in hosts:
+                assert (await host.get("/all/q"))[0] == 404
+
+        play(scenario)
+
+    @pytest.mark.parametrize("trouble", ["refuses", "is_silent"])
+    def test_a_host_that_starts_in_an_outage_learns_from_another(self, play, trouble):
+        async def scenario(deployment):
+            first = await deployment.start_host(1)
+            await first.until_ready()
+            setattr(deployment.store, trouble, True)
+            deployment.store.cut()
+            second = await deployment.start_host(2, (first.listen["control_plane"],))
+            await second.until_ready()
+            assert (await second.get("/all/q"))[0] == 200
+
+        play(scenario)
+
+    def test_a_host_alone_in_an_outage_is_not_ready_and_says_so(self, play):
+        async def scenario(deployment):
+            deployment.store.refuses = True
+            host = await deployment.start_host()
+            await asyncio.sleep(1.5)
+            status, headers, _ = await host.get("/all/q")
+            assert status == 503
+            assert float(headers["retry-after"]) > 0
+            assert (await host.ask("readiness", "/-/ready"))[0] == 503
+            deployment.store.refuses = False
+            await host.until_ready()
+
+        play(scenario)
+
+    def test_forgotten_history_and_strange_entries_harm_nothing(self, play):
+        async def scenario(deployment):
+            host = await deployment.start_host()
+            await host.until_ready()
+            deployment.store.put("servers/i-strange", b"\xff\x00")
+            deployment.store.put("servers/i-empty", {"service": "shard-a"})
+            deployment.store.put("other/key", b"x")
+            deployment.store.compact()
+            deployment.configure(gather_route(path_prefix="/new/"))
+
+            async def in_force():
+                return (await host.get("/new/q"))[0] == 200
+
+            await eventually(in_force, CONFIGURATION_SECONDS)
+
+        play(scenario)
+
+    def test_a_searcher_that_leaves_gets_no_work(self, play):
+        async def scenario(deployment):
+            host = await deployment.start_host()
+            await host.until_ready()
+            leaving = deployment.searchers["i-single-x"]
+            entry = leaving.entry("single", "draining")
+            deployment.store.put("servers/i-single-x", entry)
+            await asyncio.sleep(0.6)
+            before = len(leaving.runs)
+            for _ in range(12):
+                assert (await host.get("/read/x"))[0] == 200
+            assert len(leaving.runs) == before
+
+        play(scenario)
+
+
+class TestStopping:
+    def test_what_is_in_flight_is_finished(self, play):
+        async def scenario(deployment):
+            host = await deployment.start_host()
+            await host.until_ready()
+            for searcher in deployment.searchers.values():
+                searcher.seconds = 2.5
+            running = asyncio.create_task(host.get("/book/x", "POST", b"slot"))
+            await asyncio.sleep(0.2)
+            host.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            assert (await host.ask("readiness", "/-/ready"))[0] == 503
+            assert (await running)[0] == 200
+            code = await asyncio.wait_for(host.process.wait(), GRACE_SECONDS)
+            assert code == 0
+            log = (deployment.directory / "host-1.log").read_text().splitlines()
+            names = [json.loads(line)["name"] for line in log]
+            assert names[0] in ("reading-started", "process-started")
+            assert names[-1] == "process-stopped"
+            assert "request-served" in names
+
+        play(scenario)
--- /dev/null
+++ b/foxtailseam/http/tests/test_listener.py
@@ -0,0 +1,245 @@
+"""Contract of callers' connections, with faults in a table, over loopback."""
+
+import asyncio
+import socket
+from datetime import timedelta
+
+import pytest
+
+from foxtailseam.clocks import SystemClock
+from foxtailseam.http import HttpResponse, Listener, ListenerLimits
+
+HEAD = b"Host: a.example\r\n"
+LIMITS = ListenerLimits(
+    header_bytes=600,
+    body_bytes=1000,
+    header_timeout=timedelta(milliseconds=300),
+    body_timeout=timedelta(milliseconds=300),
+    idle_timeout=timedelta(milliseconds=400),
+)
+
+
+class Handled:
+    """Keeps calls; answers each with its target, unless told to hold them."""
+
+    def __init__(self, holds=False):
+        self.holds = holds
+        self.calls = []
+        self.gone = []
+
+    def __call__(self, call):
+        self.calls.append(call)
+        call.on_gone = lambda: self.gone.append(call)
+        if not self.holds:
+            call.answer(HttpResponse(200, (), call.request.target))
+
+
+def run(scenario, holds=False, limits=LIMITS):
+    """Run a scenario against a listener; return what was handled."""
+
+    async def main():
+        handled = Handled(holds)
+        listener = Listener(handled, SystemClock())
+        listener.limits = limits
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        await listener.start(f"127.0.0.1:{port}")
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        try:
+            await asyncio.wait_for(scenario(reader, writer, handled, listener), 5)
+        finally:
+            writer.close()
+            listener.stop()
+        return handled
+
+    return asyncio.run(main())
+
+
+async def read_all(reader):
+    return await asyncio.wait_for(reader.read(-1), 3)
+
+
+class TestUnreadableRequests:
+    @pytest.mark.parametrize(
+        ("sent", "status"),
+        [
+            (b"nonsense\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\n" + HEAD + HEAD + b"\r\n", 400),
+            (b"GET http://a.example/ HTTP/1.1\r\n" + HEAD + b"\r\n", 400),
+            (
+                b"POST / HTTP/1.1\r\n"
+                + HEAD
+                + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                400,
+            ),
+            (
+                b"POST / HTTP/1.1\r\n"
+                + HEAD
+                + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+                400,
+            ),
+            (
+                b"POST / HTTP/1.1\r\n" + HEAD + b"Transfer-Encoding: gzip\r\n\r\nabc",
+                400,
+            ),
+            (b"GET /" + b"a" * 700 + b" HTTP/1.1\r\n" + HEAD + b"\r\n", 431),
+            (b"GET / HTTP/1.1\r\nX: " + b"a" * 700, 431),
+            (b"POST / HTTP/1.1\r\n" + HEAD + b"Content-Length: 1001\r\n\r\n", 413),
+            (
+                b"POST / HTTP/1.1\r\n"
+                + HEAD
+                + b"Transfer-Encoding: chunked\r\n\r\n3e9\r\n"
+                + b"a" * 1001
+                + b"\r\n",
+                413,
+            ),
+            (b"GET / HTTP/1.1\r\nHost:", 408),
+            (b"POST / HTTP/1.1\r\n" + HEAD + b"Content-Length: 5\r\n\r\nab", 408),
+        ],
+    )
+    def test_it_is_answered_once_and_closed_and_never_handled(self, sent, status):
+        async def scenario(reader, writer, handled, listener):
+            writer.write(sent)
+            answer = await read_all(reader)
+            assert answer.startswith(b"HTTP/1.1 %d " % status)
+            assert answer.count(b"HTTP/1.1") == 1
+            assert b"Connection: close" in answer
+
+        assert run(scenario).calls == []
+
+
+class TestRequests:
+    @pytest.mark.parametrize(
+        ("body", "framing"),
+        [
+            (b"hello", b"Content-Length: 5\r\n\r\nhello"),
+            (
+                b"hello",
+                b"Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+            ),
+            (b"", b"Content-Length: 0\r\n\r\n"),
+        ],
+    )
+    @pytest.mark.parametrize("step", [1, 7, 1000])
+    def test_a_body_is_read_whole_however_it_comes(self, body, framing, step):
+        async def scenario(reader, writer, handled, listener):
+            sent = b"POST /x?y=%20z HTTP/1.1\r\n" + HEAD + framing
+            for at in range(0, len(sent), step):
+                writer.write(sent[at : at + step])
+                await asyncio.sleep(0.001)
+            answer = await reader.readuntil(b"/x?y=%20z")
+            assert answer.startswith(b"HTTP/1.1 200 OK\r\n")
+
+        (call,) = run(scenario).calls
+        assert call.request.method == b"POST"
+        assert call.request.target == b"/x?y=%20z"
+        assert call.request.body == body
+
+    def test_pipelined_requests_are_answered_in_order(self):
+        async def scenario(reader, writer, handled, listener):
+            for number in range(20):
+                writer.write(b"GET /%d HTTP/1.1\r\n" % number + HEAD + b"\r\n")
+            for number in range(20):
+                await reader.readuntil(b"\r\n\r\n/%d" % number)
+
+        assert len(run(scenario).calls) == 20
+
+    def test_only_one_pipelined_request_is_served_at_a_time(self):
+        async def scenario(reader, writer, handled, listener):
+            writer.write((b"GET /a HTTP/1.1\r\n" + HEAD + b"\r\n") * 2)
+            await asyncio.sleep(0.05)
+            assert len(handled.calls) == 1
+            handled.calls[0].answer(HttpResponse(200))
+            await asyncio.sleep(0.05)
+            assert len(handled.calls) == 2
+
+        run(scenario, holds=True)
+
+    def test_an_unreadable_request_waits_for_the_answer_before_it(self):
+        async def scenario(reader, writer, handled, listener):
+            writer.write(b"GET /a HTTP/1.1\r\n" + HEAD + b"\r\nnonsense\r\n\r\n")
+            await asyncio.sleep(0.05)
+            handled.calls[0].answer(HttpResponse(200, (), b"first"))
+            answer = await read_all(reader)
+            assert answer.index(b"first") < answer.index(b"HTTP/1.1 400")
+
+        run(scenario, holds=True)
+
+    def test_a_caller_that_asks_first_is_told_to_go_on(self):
+        async def scenario(reader, writer, handled, listener):
+            head = b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+            writer.write(b"POST /a HTTP/1.1\r\n" + HEAD + head)
+            assert await reader.readuntil(b"\r\n\r\n") == (
+                b"HTTP/1.1 100 Continue\r\n\r\n"
+            )
+            writer.write(b"ok")
+            await reader.readuntil(b"/a")
+
+        run(scenario)
+
+    def test_a_head_request_gets_no_body(self):
+        async def scenario(reader, writer, handled, listener):
+            writer.write(b"HEAD /a HTTP/1.1\r\nConnection: close\r\n" + HEAD + b"\r\n")
+            assert (await read_all(reader)).endswith(b"\r\n\r\n")
+
+        run(scenario)
+
+
+class TestConnections:
+    @pytest.mark.parametrize("way", ["close", "reset", "half-close"])
+    def test_a_caller_that_leaves_is_noticed_at_once(self, way):
+        async def scenario(reader, writer, handled, listener):
+            writer.write(b"GET /a HTTP/1.1\r\n" + HEAD + b"\r\n")
+            await asyncio.sleep(0.05)
+            if way == "reset":
+                writer.transport.abort()
+            elif way == "half-close":
+                writer.write_eof()
+            else:
+                writer.close()
+            await asyncio.sleep(0.05)
+            assert len(handled.gone) == 1
+            handled.calls[0].answer(HttpResponse(200))
+            assert listener.in_flight == 0
+
+        run(scenario, holds=True)
+
+    def test_an_idle_connection_is_closed_without_an_answer(self):
+        async def scenario(reader, writer, handled, listener):
+            assert await read_all(reader) == b""
+
+        run(scenario)
+
+    def test_a_connection_in_use_is_not_idle(self):
+        async def scenario(reader, writer, handled, listener):
+            writer.write(b"GET /a HTTP/1.1\r\n" + HEAD + b"\r\n")
+            await asyncio.sleep(0.8)
+            handled.calls[0].answer(HttpResponse(200, (), b"done"))
+            await reader.readuntil(b"done")
+
+        run(scenario, holds=True)
+
+    def test_a_draining_listener_ends_connections_with_their_answer(self):
+        async def scenario(reader, writer, handled, listener):
+            writer.write(b"GET /a HTTP/1.1\r\n" + HEAD + b"\r\n")
+            await asyncio.sleep(0.05)
+            listener.drain()
+            listener.stop_accepting()
+            handled.calls[0].answer(HttpResponse(200, (), b"done"))
+            answer = await read_all(reader)
+            assert b"Connection: close" in answer
+            assert answer.endswith(b"done")
+
+        run(scenario, holds=True)
+
+    def test_the_way_to_the_caller_is_measured_and_twice_on_a_new_connection(self):
+        async def scenario(reader, writer, handled, listener):
+            for _ in range(2):
+                writer.write(b"GET /a HTTP/1.1\r\n" + HEAD + b"\r\n")
+                await reader.readuntil(b"/a")
+
+        first, second = run(scenario).calls
+        assert 0 < second.request.transit < 0.5
+        assert first.request.transit == pytest.approx(2 * second.request.transit)
--- /dev/null
+++ b/foxtailseam/http/tests/test_upstream.py
@@ -0,0 +1,255 @@
+"""Contract of connections to searchers, with faulty searchers in a table."""
+
+import asyncio
+import socket
+import struct
+from datetime import timedelta
+
+import pytest
+
+from foxtailseam.clocks import SystemClock
+from foxtailseam.http import (
+    ConnectionPool,
+    LossKind,
+    Lost,
+    PoolSettings,
+    Received,
+)
+
+IDENTIFIER = b"0011"
+ECHO = b"Request-Id: 0011\r\n"
+OTHER = b"Request-Id: 0099\r\n"
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+WHOLE = b"HTTP/1.1 200 OK\r\n" + ECHO + b"Content-Length: 2\r\n\r\nok"
+STRANGE = b"HTTP/1.1 200 OK\r\n" + OTHER + b"Content-Length: 5\r\n\r\nother"
+RESET = object()
+CLOSE = object()
+
+
+def reset(writer):
+    """Close with a reset: no lingering means no orderly end."""
+    linger = struct.pack("ii", 1, 0)
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+class Searcher:
+    """Answers each request on a connection with the next list of steps."""
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.connections = 0
+        self.requests = []
+
+    async def __call__(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+                for step in self.scripts.pop(0) if self.scripts else [WHOLE]:
+                    if step is RESET:
+                        await writer.drain()
+                        reset(writer)
+                        return
+                    if step is CLOSE:
+                        writer.close()
+                        return
+                    if isinstance(step, float):
+                        await asyncio.sleep(step)
+                    else:
+                        writer.write(step)
+        except (
+            asyncio.IncompleteReadError,
+            asyncio.LimitOverrunError,
+            ConnectionError,
+        ):
+            writer.close()
+
+
+def exchange(*scripts, requests=1, payload=REQUEST, pause=0.02):
+    """Send requests one after the other; return results and the searcher."""
+
+    async def main():
+        searcher = Searcher(*scripts)
+        server = await asyncio.start_server(searcher, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = ConnectionPool(settings(port), SystemClock())
+        results = []
+        for _ in range(requests):
+            done = asyncio.get_running_loop().create_future()
+            pool.send(lambda: payload, IDENTIFIER, False, done.set_result)
+            results.append(await asyncio.wait_for(done, 3))
+            await asyncio.sleep(pause)
+        pool.abort()
+        server.close()
+        return results, searcher
+
+    return asyncio.run(main())
+
+
+def settings(port):
+    second = timedelta(seconds=1)
+    return PoolSettings(f"127.0.0.1:{port}", 4, second, second, b"request-id")
+
+
+class TestResponses:
+    @pytest.mark.parametrize(
+        "steps",
+        [
+            [WHOLE],
+            [WHOLE[:20], 0.01, WHOLE[20:60], 0.01, WHOLE[60:]],
+            [
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                + ECHO
+                + b"\r\n1\r\no\r\n",
+                0.01,
+                b"1\r\nk\r\n0\r\n\r\n",
+            ],
+            [b"HTTP/1.1 200 OK\r\n" + ECHO + b"\r\nok", CLOSE],
+            [b"HTTP/1.1 100 Continue\r\n\r\n", WHOLE],
+            [STRANGE, WHOLE],
+            [WHOLE + b"garbage"],
+            [WHOLE + STRANGE],
+        ],
+        ids=[
+            "whole",
+            "pieces",
+            "chunked",
+            "until close",
+            "informational first",
+            "another's answer first",
+            "garbage after",
+            "another's answer after",
+        ],
+    )
+    def test_the_own_answer_is_received_whole(self, steps):
+        (result,), _ = exchange(steps)
+        assert isinstance(result, Received)
+        assert result.response.body == b"ok"
+
+    @pytest.mark.parametrize(
+        ("steps", "kind"),
+        [
+            ([CLOSE], LossKind.CLOSED),
+            ([RESET], LossKind.RESET),
+            ([WHOLE[:-1], CLOSE], LossKind.CLOSED),
+            ([WHOLE[:-1], RESET], LossKind.RESET),
+            ([b"HTTP/1.1 200 OK\r\n" + ECHO + b"\r\nok", 0.02, RESET], LossKind.RESET),
+            ([b"not http at all\r\n\r\n"], LossKind.MALFORMED),
+            ([STRANGE, CLOSE], LossKind.CLOSED),
+            (
+                [
+                    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                    + ECHO
+                    + b"\r\n5\r\nab",
+                    CLOSE,
+                ],
+                LossKind.CLOSED,
+            ),
+            ([b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", CLOSE], None),
+        ],
+        ids=[
+            "closed",
+            "reset",
+            "short",
+            "short and reset",
+            "until close but reset",
+            "malformed",
+            "only another's",
+            "chunks cut",
+            "success without identifier",
+        ],
+    )
+    def test_anything_else_is_a_loss_that_may_have_run(self, steps, kind):
+        (result,), _ = exchange(steps)
+        assert isinstance(result, Lost)
+        assert result.sent
+        assert kind in (None, result.kind)
+
+    def test_nobody_listens(self):
+        async def main():
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                port = probe.getsockname()[1]
+            pool = ConnectionPool(settings(port), SystemClock())
+            done = asyncio.get_running_loop().create_future()
+            pool.send(lambda: REQUEST, IDENTIFIER, False, done.set_result)
+            return await asyncio.wait_for(done, 3)
+
+        assert asyncio.run(main()) == Lost(LossKind.REFUSED, sent=False)
+
+
+class TestReuse:
+    def test_a_clean_connection_is_used_again(self):
+        _, searcher = exchange(requests=3)
+        assert searcher.connections == 1
+
+    @pytest.mark.parametrize(
+        "steps",
+        [
+            [b"HTTP/1.1 200 OK\r\nConnection: close\r\n" + WHOLE[17:]],
+            [WHOLE + b"x"],
+            [WHOLE, 0.005, b"late"],
+            [WHOLE + STRANGE],
+            [STRANGE, WHOLE],
+            [b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n" + WHOLE[17:]],
+        ],
+        ids=["close", "extra byte", "late byte", "second", "first", "no idle time"],
+    )
+    def test_one_that_cannot_be_trusted_is_not(self, steps):
+        results, searcher = exchange(steps, requests=2)
+        assert all(result.response.body == b"ok" for result in results)
+        assert searcher.connections == 2
+
+    def test_one_whose_request_was_answered_early_is_not(self):
+        body = b"a" * 30_000_000
+        head = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body)
+        results, searcher = exchange(
+            [WHOLE, 0.2], requests=2, payload=head + body, pause=0.0
+        )
+        assert results[0].response.body == b"ok"
+        assert searcher.connections == 2
+
+
+class TestCancel:
+    def test_the_searcher_sees_its_connection_close(self):
+        async def main():
+            closed = asyncio.Event()
+
+            async def serve(reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                await reader.read()
+                closed.set()
+                writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            pool = ConnectionPool(settings(port), SystemClock())
+            results = []
+            sent = pool.send(lambda: REQUEST, IDENTIFIER, False, results.append)
+            await asyncio.sleep(0.1)
+            assert sent.is_sent
+            sent.cancel()
+            await asyncio.wait_for(closed.wait(), 2)
+            server.close()
+            return results, pool.size
+
+        assert asyncio.run(main()) == ([], 0)
+
+    def test_what_waits_for_its_connection_is_never_sent(self):
+        async def main():
+            searcher = Searcher()
+            server = await asyncio.start_server(searcher, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            pool = ConnectionPool(settings(port), SystemClock())
+            sent = pool.send(lambda: REQUEST, IDENTIFIER, False, lambda _: None)
+            assert not sent.is_sent
+            sent.cancel()
+            await asyncio.sleep(0.1)
+            kept = pool.has_idle
+            pool.abort()
+            server.close()
+            return searcher.requests, kept
+
+        assert asyncio.run(main()) == ([], True)
--- /dev/null
+++ b/foxtailseam/platform/tests/test_decoding.py
@@ -0,0 +1,242 @@
+"""Tests of the platform's formats: what is understood, and what is refused."""
+
+import json
+from datetime import timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from foxtailseam.http import HttpRequest
+from foxtailseam.platform import (
+    PlatformTemplate,
+    answer_headers,
+    decode_configuration,
+    decode_entry,
+    decode_settings,
+    merged_headers,
+    read_answer,
+    read_request,
+    retry_headers,
+    searcher_identifier,
+)
+from foxtailseam.routing import AllShards, OneService, WeightedServices
+
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "d1",
+    "version": "v1",
+    "max_concurrency": 2,
+    "state": "ready",
+    "warmup_left_ms": 1500,
+    "sequence": 4,
+    "born": 1700000000000,
+}
+ROUTE = {
+    "name": "r",
+    "host": "A.Example",
+    "path_prefix": "/p/",
+    "type": "idempotent",
+    "timeout_ms": 600,
+    "latency_goal_ms": 44,
+    "max_attempts": 2,
+    "priority": 1,
+}
+SETTINGS = {
+    "node_name": "n1",
+    "ip": "10.1.0.9",
+    "zone": "d1",
+    "listen_addrs": {
+        "frontend": "10.1.0.9:1",
+        "readiness": "10.1.0.9:2",
+        "control_plane": "10.1.0.9:3",
+    },
+    "seeds": ["10.2.0.1:3"],
+    "limits": {"memory_mb": 300, "max_fds": 4100, "cpu_share": 0.5},
+    "bounds": {
+        "grace_s": 6,
+        "config_apply_ms": 3000,
+        "retry_budget_ratio": 0.2,
+        "retry_window_s": 10,
+        "retry_slack": 54,
+    },
+    "platform": {"address": "10.200.1.7:8102", "form": "read"},
+    "field of tomorrow": [1],
+}
+
+
+def text(document):
+    return json.dumps(document).encode()
+
+
+class TestEntries:
+    def test_an_entry(self):
+        entry = decode_entry("i-1", text(ENTRY)).unwrap()
+        assert entry.identifier == "i-1"
+        assert entry.warmup == timedelta(seconds=1.5)
+        assert not entry.is_draining
+        assert entry.started_ms == 1700000000000
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "lying"},
+            {"state": 3},
+            {"service": None},
+            {"service": ""},
+            {"address": "nowhere"},
+            {"address": "10.0.0.1"},
+            {"address": "10.0.0.256:80"},
+            {"address": "10.0.0.1:0"},
+            {"address": "10.0.0.1:99999"},
+            {"address": "ten.0.0.1:80"},
+            {"max_concurrency": 0},
+            {"max_concurrency": "2"},
+            {"zone": 5},
+            {"warmup_left_ms": "soon"},
+        ],
+        ids=str,
+    )
+    def test_one_that_is_malformed_names_no_searcher(self, change):
+        assert decode_entry("i-1", text(ENTRY | change)).is_err()
+
+    @pytest.mark.parametrize("field", ["service", "address", "zone", "state"])
+    def test_a_missing_field_names_no_searcher(self, field):
+        document = {key: value for key, value in ENTRY.items() if key != field}
+        assert decode_entry("i-1", text(document)).is_err()
+
+    @given(st.binary(max_size=60))
+    def test_any_bytes_are_an_entry_or_an_error(self, value):
+        decode_entry("i-1", value)
+
+    @pytest.mark.parametrize(
+        ("key", "expected"),
+        [("servers/i-1", "i-1"), ("op/config", None), ("server/i-1", None)],
+    )
+    def test_the_key_names_the_searcher(self, key, expected):
+        assert searcher_identifier(key) == expected
+
+
+class TestConfiguration:
+    @pytest.mark.parametrize(
+        ("part", "expected"),
+        [
+            ({"service": "s"}, OneService("s")),
+            (
+                {"weighted_backends": [{"service": "a", "weight": 3}]},
+                WeightedServices((("a", 3.0),)),
+            ),
+            (
+                {"gather": ["a", "b"], "top_k": 5, "min_version": 0.75},
+                AllShards(("a", "b"), 5, 0.75),
+            ),
+        ],
+    )
+    def test_a_route(self, part, expected):
+        document = {"version": 7, "routes": [ROUTE | part], "unknown": {}}
+        (route,) = decode_configuration(text(document)).unwrap().routes
+        assert route.destination == expected
+        assert route.host == "a.example"
+        assert route.timeout == timedelta(milliseconds=600)
+
+    @pytest.mark.parametrize(
+        ("kind", "expected"),
+        [("idempotent", True), ("non_idempotent", False), ("new kind", False)],
+    )
+    def test_only_one_kind_may_run_twice(self, kind, expected):
+        document = {"version": 7, "routes": [ROUTE | {"type": kind, "service": "s"}]}
+        (route,) = decode_configuration(text(document)).unwrap().routes
+        assert route.idempotent is expected
+
+    @given(st.binary(max_size=60))
+    def test_any_bytes_are_a_configuration_or_an_error(self, value):
+        decode_configuration(value)
+
+
+class TestSettings:
+    def test_settings_with_fields_that_are_not_known(self):
+        settings = decode_settings(text(SETTINGS)).unwrap()
+        assert settings.callers == "10.1.0.9:1"
+        assert settings.seeds == ("10.2.0.1:3",)
+        assert settings.bounds.grace == timedelta(seconds=6)
+        assert settings.bounds.retry_slack == 54
+        assert settings.limits.descriptors == 4100
+
+    def test_a_missing_field_is_named(self):
+        document = {key: value for key, value in SETTINGS.items() if key != "ip"}
+        assert "ip" in str(decode_settings(text(document)).unwrap_err())
+
+
+def request(*headers, method=b"GET", body=b""):
+    base = ((b"Host", b"a.example"), (b"Foxtailseam-Request-Id", b"0a"))
+    return HttpRequest(method, b"/p/x?q=1", base + headers, body, 0.0)
+
+
+class TestHeaders:
+    def test_what_a_searcher_is_sent(self):
+        sent = PlatformTemplate(
+            request(
+                (b"Foxtailseam-Deadline-Ms", b"9000"),
+                (b"Foxtailseam-Expect-Instance", b"i-9"),
+                (b"Connection", b"close, X-Hop"),
+                (b"X-Hop", b"1"),
+                (b"X-Own", b"kept"),
+                method=b"POST",
+                body=b"body",
+            )
+        ).render(0.4, "i-1")
+        head, _, body = sent.partition(b"\r\n\r\n")
+        assert body == b"body"
+        assert head.split(b"\r\n") == [
+            b"POST /p/x?q=1 HTTP/1.1",
+            b"Host: a.example",
+            b"Foxtailseam-Request-Id: 0a",
+            b"X-Own: kept",
+            b"Content-Length: 4",
+            b"Foxtailseam-Deadline-Ms: 400",
+            b"Foxtailseam-Expect-Instance: i-1",
+        ]
+
+    @pytest.mark.parametrize(
+        ("value", "expected"),
+        [
+            (b"400", timedelta(milliseconds=400)),
+            (b"0.5", timedelta(milliseconds=0.5)),
+            (b"soon", None),
+            (b"nan", None),
+            (b"inf", None),
+        ],
+    )
+    def test_the_deadline_of_a_caller(self, value, expected):
+        marks = read_request(((b"foxtailseam-deadline-ms", value),))
+        assert marks.remaining == expected
+
+    def test_two_identifiers_are_none(self):
+        headers = ((b"Foxtailseam-Request-Id", b"a"),) * 2
+        assert read_request(headers).identifier == b""
+
+    @pytest.mark.parametrize(
+        ("status", "headers", "not_run"),
+        [
+            (503, ((b"Foxtailseam-Not-Executed", b"1"),), True),
+            (429, ((b"foxtailseam-not-executed", b"1"),), True),
+            (421, (), True),
+            (503, (), False),
+            (500, (), False),
+            (200, (), False),
+        ],
+    )
+    def test_only_two_things_say_that_a_request_was_not_run(
+        self, status, headers, not_run
+    ):
+        assert read_answer(status, headers).not_run is not_run
+
+    def test_own_answers(self):
+        merged = dict(merged_headers(b"0a", [b"x", b"y"], 3))
+        assert merged[b"Foxtailseam-Part-Stamps"] == b"x, y"
+        assert merged[b"Foxtailseam-Missing-Parts"] == b"3"
+        retry = dict(retry_headers(b"0a", timedelta(milliseconds=250)))
+        assert retry[b"Retry-After"] == b"0.250"
+        passed = answer_headers(((b"Keep-Alive", b"timeout=1"), (b"ETag", b"e")))
+        assert passed == ((b"ETag", b"e"),)
--- /dev/null
+++ b/foxtailseam_bench/platform_stand_in.py
@@ -0,0 +1,208 @@
+"""Stand-ins of the users' platform on loopback: its store and its searchers."""
+
+import asyncio
+import json
+from base64 import b64encode
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+PAGE = 50
+REASONS = {200: "OK", 404: "Not Found", 410: "Gone", 421: "Misdirected", 503: "Busy"}
+
+
+async def read_request(reader: asyncio.StreamReader) -> tuple[str, str, dict, bytes]:
+    """Read a request; return its method, target, headers and body."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head.rstrip().split("\r\n")
+    method, target, _ = first.split(" ")
+    pairs = (line.partition(":") for line in lines)
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return method, target, headers, body
+
+
+def render(status: int, headers: dict, body: bytes) -> bytes:
+    """Return the bytes of a response."""
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+
+
+class StandInStore:
+    """The metadata store: keys, pages, watches, and its faults.
+
+    Attributes
+    ----------
+    refuses : bool
+        Whether each call gets 503 and waiting watches are cut.
+    is_silent : bool
+        Whether calls get no answer at all.
+    """
+
+    def __init__(self):
+        self.refuses = False
+        self.is_silent = False
+        self.calls = 0
+        self._events: list[dict] = []
+        self._revision = 1
+        self._oldest = 1
+        self._wake = asyncio.Event()
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    def put(self, key: str, value: bytes | dict) -> int:
+        """Write a key; return its revision."""
+        if isinstance(value, dict):
+            value = json.dumps(value).encode()
+        self._revision += 1
+        text = b64encode(value).decode()
+        event = {"key": key, "value": text, "revision": self._revision}
+        self._append(event)
+        return self._revision
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        self._revision += 1
+        self._append({"key": key, "revision": self._revision, "removed": True})
+
+    def compact(self) -> None:
+        """Forget the history; watches from before get 410."""
+        newest = {event["key"]: event for event in self._events}
+        self._events = [e for e in newest.values() if not e.get("removed")]
+        self._oldest = self._revision + 1
+        self._revision += 1
+        self.cut()
+
+    def cut(self) -> None:
+        """Cut every open connection."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer) -> None:
+        """Serve one connection."""
+        self._writers.add(writer)
+        try:
+            while True:
+                _, target, _, _ = await read_request(reader)
+                self.calls += 1
+                if self.is_silent:
+                    await asyncio.Event().wait()
+                writer.write(await self._answer(target))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+        finally:
+            self._writers.discard(writer)
+
+    def _append(self, event: dict) -> None:
+        self._events.append(event)
+        self._wake.set()
+        self._wake = asyncio.Event()
+
+    async def _answer(self, target: str) -> bytes:
+        if self.refuses:
+            return render(503, {}, b"")
+        parts = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if parts.path == "/-/kv-range":
+            return self._range(query)
+        return await self._watch(query)
+
+    def _range(self, query: dict) -> bytes:
+        newest = {event["key"]: event for event in self._events}
+        keys = sorted(k for k, e in newest.items() if not e.get("removed"))
+        keys = [key for key in keys if key > query.get("after", "")]
+        page = [newest[key] for key in keys[:PAGE]]
+        return self._json(items=page, has_more=len(keys) > PAGE)
+
+    async def _watch(self, query: dict) -> bytes:
+        after = int(query["after"])
+        if after < self._oldest - 1:
+            return render(410, {}, b"")
+        end = asyncio.get_running_loop().time() + int(query["wait_ms"]) / 1000
+        while True:
+            events = [e for e in self._events if e["revision"] > after]
+            left = end - asyncio.get_running_loop().time()
+            if events or left <= 0 or self.refuses:
+                break
+            try:
+                await asyncio.wait_for(self._wake.wait(), left)
+            except TimeoutError:
+                break
+        return render(503, {}, b"") if self.refuses else self._json(events=events)
+
+    def _json(self, **fields) -> bytes:
+        body = json.dumps(fields | {"current_rev": self._revision}).encode()
+        return render(200, {"Content-Type": "application/json"}, body)
+
+
+@dataclass
+class StandInSearcher:
+    """A searcher that speaks the platform's protocol.
+
+    Parameters
+    ----------
+    identifier : str
+        Its name; requests that expect another one get 421.
+    records : bytes
+        Body of each answer.
+    seconds : float
+        Time that a request takes.
+    loses_answers : bool
+        Whether it runs requests and resets instead of answering.
+    sheds : bool
+        Whether it turns every request away.
+    """
+
+    identifier: str
+    records: bytes = b""
+    seconds: float = 0.0
+    loses_answers: bool = False
+    sheds: bool = False
+    runs: list[tuple[str, str, bytes]] = field(default_factory=list)
+    cancelled: int = 0
+    address: str = ""
+
+    async def serve(self, reader, writer) -> None:
+        """Serve one connection."""
+        try:
+            while True:
+                method, target, headers, body = await read_request(reader)
+                echo = {"Foxtailseam-Request-Id": headers["foxtailseam-request-id"]}
+                if headers["foxtailseam-expect-instance"] != self.identifier:
+                    writer.write(render(421, echo, b""))
+                elif self.sheds:
+                    echo["Foxtailseam-Not-Executed"] = "1"
+                    writer.write(render(503, echo, b""))
+                else:
+                    await self._run(reader, writer, (method, target, body), echo)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _run(self, reader, writer, request, headers: dict) -> None:
+        self.runs.append(request)
+        left = asyncio.create_task(reader.read(1))
+        done, _ = await asyncio.wait({left}, timeout=self.seconds or 0.001)
+        if done:
+            self.cancelled += 1
+            raise ConnectionError("the caller left")
+        left.cancel()
+        await asyncio.gather(left, return_exceptions=True)
+        if self.loses_answers:
+            writer.transport.abort()
+            raise ConnectionError("the answer is lost")
+        headers["Foxtailseam-Server-Stamp"] = f"stamp-{self.identifier}"
+        writer.write(render(200, headers, self.records))
+
+    def entry(self, service: str, state: str = "ready") -> dict:
+        """Return what it publishes of itself."""
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": "d1",
+            "version": "v1",
+            "max_concurrency": 2,
+            "state": state,
+            "warmup_left_ms": 0,
+            "sequence": 1,
+            "born": 1_700_000_000_000,
+        }
