Refuse requests that crash searchers, and tell the other hosts

Cause: a request that crashes each searcher that runs it took forty searchers at its first run (one and a hedge or retry of each shard) and as many at each return.

Change: the product's quarantine, by a fingerprint of method, host, target and body. A lost connection counts as a crash only if no other connection to that searcher is open and none can be opened. Hosts exchange notices and pass news on at once.

Measured: in the replay (20 runs of such a request, 20 shards) at most 22 crashes, then refusals at once; other queries are not affected.

--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -33,6 +33,7 @@
 SILENCE_FACTOR = 4.0
 FIRST_SERVER_ERROR = 500
 
+_POSSIBLE_CRASHES = frozenset({LossKind.RESET, LossKind.CLOSED})
 _FAILURES = {
     LossKind.REFUSED: Failure.UNREACHABLE,
     LossKind.CONNECT_TIMEOUT: Failure.UNREACHABLE,
@@ -119,6 +120,9 @@
         What is sent.
     on_result : callable
         Gets the `ServiceResult`, once, unless the call is cancelled before.
+    may_repeat : callable
+        Returns whether a request that lost a searcher may be sent to another;
+        until then the call is held.
     """
 
     def __init__(
@@ -126,16 +130,20 @@
         dispatcher: Dispatcher,
         plan: CallPlan,
         on_result: Callable[["ServiceCall", ServiceResult], None],
+        may_repeat: Callable[[], bool] = lambda: True,
     ):
         self.dispatcher = dispatcher
         self.plan = plan
         self.on_result = on_result
+        self.may_repeat = may_repeat
+        self.on_held: Callable[[], None] = lambda: None
         self.record = CallRecord()
         self._times: ResponseTimes = dispatcher.response_times(plan.route)
         self._running: dict[int, Attempt] = {}
         self._tried: set[str] = set()
         self._place: Place | None = None
         self._is_over = False
+        self._is_held = False
         self._counted = False
         self._ran = 0
         self._rejections = 0
@@ -183,6 +191,21 @@
         for attempt in list(self._running.values()):
             self._abandon(attempt)
 
+    @property
+    def is_held(self) -> bool:
+        """Return whether the call waits for `resume` after it lost a searcher."""
+        return self._is_held
+
+    def resume(self) -> None:
+        """Send again after a loss, if that is allowed now."""
+        if self._is_held and not self._is_over:
+            self._is_held = False
+            self._on_failure(is_free=False)
+
+    def give_up(self) -> None:
+        """End with the failure that came last."""
+        self._fail()
+
     def expire(self) -> None:
         """End with a failure since the time is up."""
         self._reason = FailureReason.DEADLINE
@@ -239,7 +262,13 @@
                 self._health_failed(attempt, _FAILURES[kind])
                 self._ran += sent
                 self._reason = FailureReason.LOST if sent else self._reason
-                self._on_failure(is_free=not sent)
+                if sent and kind in _POSSIBLE_CRASHES:
+                    self.dispatcher.lost(attempt.searcher, self.plan.request)
+                    self._is_held = not self._is_over and not self.may_repeat()
+                if self._is_held:
+                    self.on_held()
+                else:
+                    self._on_failure(is_free=not sent)
         self.dispatcher.room_made(self.plan.service)
 
     def _on_response(
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -12,6 +12,7 @@
 from foxtailseam.dispatch._latency import ResponseTimes
 from foxtailseam.dispatch._line import WaitingLine, expected_wait
 from foxtailseam.dispatch._searcher import Searcher, SearcherLink
+from foxtailseam.http import HttpRequest
 from foxtailseam.metrics import Metrics
 from foxtailseam.routing import Route, Service
 
@@ -83,6 +84,8 @@
         self.metrics = metrics
         self.generator = generator
         self.on_ejected: Callable[[Searcher], None] = lambda searcher: None
+        # Gets each searcher that crashed, and the request that it ran.
+        self.on_crash: Callable[[Searcher, HttpRequest], None] = lambda *_: None
         self._hosts = ASSUMED_HOSTS
         self._searchers: dict[str, Searcher] = {}
         self._by_service: dict[str, dict[str, Searcher]] = {}
@@ -165,6 +168,15 @@
         best = choose(candidates, typical, self.generator.random())
         return self._searchers[best.identifier] if best else None
 
+    def lost(self, searcher: Searcher, request: HttpRequest) -> None:
+        """Find out whether a searcher crashed while it ran a request."""
+
+        def probed(accepts: bool) -> None:
+            if not accepts:
+                self.on_crash(searcher, request)
+
+        searcher.link.probe(probed)
+
     def budget(self, service: str) -> ExtraBudget:
         """Return the budget of extra load of a service."""
         budget = self._budgets.get(service)
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -107,6 +107,9 @@
         When to answer.
     on_result : callable
         Gets the `GatherResult`, once, unless the query is cancelled before.
+    on_survived : callable or None
+        Set if the query is suspected of crashing searchers: one shard is asked
+        alone first, and this is called once it has answered.
     """
 
     def __init__(
@@ -116,12 +119,14 @@
         destination: AllShards,
         times: QueryTimes,
         on_result: Callable[[GatherResult], None],
+        on_survived: Callable[[], None] | None = None,
     ):
         self.dispatcher = dispatcher
         self.plans = plans
         self.destination = destination
         self.times = times
         self.on_result = on_result
+        self.on_survived = on_survived
         self.hedges = 0
         self.late_shards = ""
         self._calls: list[ServiceCall] = []
@@ -148,17 +153,19 @@
             self.on_result(refusal)
             return
         self._calls = [
-            ServiceCall(self.dispatcher, plan, self._on_call) for plan in self.plans
+            ServiceCall(self.dispatcher, plan, self._on_call, self._is_harmless)
+            for plan in self.plans
         ]
+        for call in self._calls:
+            call.on_held = self._settle
         self._waiting = set(self._calls)
         now = self._asked_at = self.dispatcher.clock.monotonic()
         self._at(now + self._hedge_delay(now), self._hedge)
         self._at(self.times.goal_at, self._on_goal)
         self._at(self.times.late_at, self._settle)
         self._at(self.times.deadline_at, self._settle)
-        for call in self._calls:
-            if not self._is_over:
-                call.start()
+        alone = 1 if self.on_survived is not None else len(self._calls)
+        self._start_calls(self._calls[:alone])
 
     def cancel(self) -> None:
         """Give up: the caller has left."""
@@ -190,6 +197,23 @@
             if call.plan.service not in self._parts
         )
 
+    def _start_calls(self, calls: list[ServiceCall]) -> None:
+        for call in calls:
+            if not self._is_over:
+                call.start()
+
+    def _is_harmless(self) -> bool:
+        """Return whether some searcher has answered the query."""
+        return bool(self._parts)
+
+    def _first_part(self) -> None:
+        """Go on with what waited for the evidence that the query is harmless."""
+        if self.on_survived is not None:
+            self.on_survived()
+            self._start_calls(self._calls[1:])
+        for call in list(self._waiting):
+            call.resume()
+
     def _refusal(self) -> NotAnswered | None:
         """Return a refusal if enough shards cannot be asked in time."""
         dispatcher = self.dispatcher
@@ -230,7 +254,9 @@
         self._timers.append(self.dispatcher.timers.call_later(delay, callback))
 
     def _hedge(self) -> None:
-        for call in self._waiting - self._hedged:
+        # A query that crashes searchers must not take the second ones, too.
+        hedgeable = self._waiting - self._hedged if self._is_harmless() else ()
+        for call in hedgeable:
             if call.hedge():
                 self.hedges += 1
                 self._hedged.add(call)
@@ -252,6 +278,8 @@
                     self._parts[call.plan.service] = result
                     now = self.dispatcher.clock.monotonic()
                     self._part_times.append(now - self._asked_at)
+                    if len(self._parts) == 1 and not self._is_over:
+                        self._first_part()
                 else:
                     failure = ServiceFailure(FailureReason.ERROR, True, response)
                     self._failures.append(failure)
@@ -267,7 +295,7 @@
         progress = Progress(
             total=len(self.plans),
             included=len(self._parts),
-            pending=len(self._waiting),
+            pending=self._pending(),
             least=self.destination.least_shards,
             now=self.dispatcher.clock.monotonic(),
             goal_at=times.goal_at,
@@ -283,6 +311,18 @@
             case PartialDecision.WAIT:
                 pass
 
+    def _pending(self) -> int:
+        if self._parts:
+            return len(self._waiting)
+        if self.on_survived is not None:
+            # The first shard decides for all.
+            first = self._calls[0]
+            is_open = first in self._waiting and not first.is_held
+            return len(self._waiting) if is_open else 0
+        # One that isn't held may answer, and the held ones go on then.
+        is_open = any(not call.is_held for call in self._waiting)
+        return len(self._waiting) if is_open else 0
+
     def _answer(self) -> None:
         parts = list(self._parts.values())
         merged = Merged(
@@ -294,8 +334,8 @@
 
     def _fail(self) -> None:
         reasons = [failure.reason for failure in self._failures]
-        reason = max(set(reasons), key=reasons.count, default=FailureReason.DEADLINE)
-        if self._waiting:
+        reason = max(set(reasons), key=reasons.count, default=FailureReason.LOST)
+        if self.dispatcher.clock.monotonic() >= self.times.deadline_at:
             reason = FailureReason.DEADLINE
         self._conclude(NotAnswered(reason, self.may_have_run))
 
--- a/foxtailseam/dispatch/_results.py
+++ b/foxtailseam/dispatch/_results.py
@@ -16,6 +16,7 @@
     DEADLINE = "deadline"
     BUDGET = "budget"
     OVERLOADED = "overloaded"
+    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailseam/dispatch/_searcher.py
+++ b/foxtailseam/dispatch/_searcher.py
@@ -47,6 +47,9 @@
     ) -> PendingExchange:
         """Send a request; `done` gets the result."""
 
+    def probe(self, done: Callable[[bool], None]) -> None:
+        """Find out whether the searcher accepts connections."""
+
     def retire(self) -> None:
         """Close each connection once it has no request in flight."""
 
--- a/foxtailseam/dispatch/_single.py
+++ b/foxtailseam/dispatch/_single.py
@@ -31,6 +31,8 @@
         When to answer.
     on_result : callable
         Gets the `SingleResult`, once, unless the query is cancelled before.
+    is_suspect : bool
+        Whether the request may crash searchers, so that one loss ends it.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         plan: CallPlan,
         times: QueryTimes,
         on_result: Callable[[SingleResult], None],
+        is_suspect: bool = False,
     ):
         self.dispatcher = dispatcher
         self.plan = plan
@@ -46,7 +49,11 @@
         self.on_result = on_result
         self.hedges = 0
         self.late_shards = ""
-        self._call = ServiceCall(dispatcher, plan, self._on_call)
+        self.is_suspect = is_suspect
+        self._call = ServiceCall(
+            dispatcher, plan, self._on_call, lambda: not is_suspect
+        )
+        self._call.on_held = self._call.give_up
         self._timers: list[TimerHandle] = []
 
     @property
@@ -61,7 +68,7 @@
             self.on_result(refusal)
             return
         now = self.dispatcher.clock.monotonic()
-        if self.plan.route.idempotent:
+        if self.plan.route.idempotent and not self.is_suspect:
             self._at(now + self._hedge_delay(now), self._hedge)
         self._at(self.times.deadline_at, self._call.expire)
         self._call.start()
--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -17,11 +17,14 @@
 )
 from foxtailseam.fleet._tree import Position, position_of
 from foxtailseam.logs import EventCode, LogWriter
+from foxtailseam.quarantine import QuarantineController
 from foxtailseam.store import Item, Listing, StoreFollower, StoreReplica
 
 # Age that is told where nothing is known, in milliseconds.
 UNKNOWN_AGE_MS = 1_000_000_000
 TICK_SECONDS = 0.25
+# Hosts that are told of news at once.
+SPREAD = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +91,8 @@
         Picks hosts and spreads pauses.
     on_members : callable
         Gets the number of living hosts when it changes.
+    quarantine : QuarantineController
+        What is known of requests that crash searchers; shared.
     """
 
     def __init__(
@@ -102,6 +107,7 @@
         log: LogWriter,
         generator: random.Random,
         on_members: Callable[[int], None],
+        quarantine: QuarantineController,
     ):
         self.seeds = seeds
         self.replica = replica
@@ -112,6 +118,7 @@
         self.log = log
         self.generator = generator
         self.on_members = on_members
+        self.quarantine = quarantine
         self.membership = Membership(own, clock, generator)
         self._position = Position(True, ())
         self._parents: dict[str, _Parent] = {}
@@ -121,6 +128,7 @@
         self._helper: str | None = None
         self._helper_until = float("-inf")
         self._tasks: set[asyncio.Task] = set()
+        self._passing: set[asyncio.Task] = set()
         self._news = asyncio.Event()
         self._stop_serving = None
 
@@ -156,7 +164,11 @@
 
     async def stop(self) -> None:
         """Stop everything."""
-        for task in (*self._tasks, *(p.task for p in self._parents.values())):
+        for task in (
+            *self._tasks,
+            *self._passing,
+            *(p.task for p in self._parents.values()),
+        ):
             task.cancel()
         if self._reading is not None:
             self._reading.cancel()
@@ -174,12 +186,21 @@
         self._news.set()
         self._news = asyncio.Event()
 
+    def spread(self) -> None:
+        """Tell some hosts of news at once; they do the same."""
+        others = [record.address for record in self.membership.alive[1:]]
+        chosen = self.generator.sample(others, min(SPREAD, len(others)))
+        for address in chosen:
+            task = asyncio.create_task(self._exchange(address))
+            self._passing.add(task)
+            task.add_done_callback(self._passing.discard)
+
     # What other hosts call.
 
     def exchange(self, message: MemberExchange) -> MemberExchange:
         """Merge what the sender knows and return what is known here."""
-        self._merge(message.records)
-        return MemberExchange(self.membership.named())
+        self._take_exchange(message)
+        return self._own_exchange()
 
     async def follow(self, request: FollowRequest) -> AsyncIterator[FollowUpdate]:
         """Yield updates to a host that follows this one."""
@@ -240,18 +261,25 @@
         seconds = self.settings.timeout.total_seconds()
         channel = self._service.FleetChannel(address, seconds)
         try:
-            message = MemberExchange(self.membership.named())
-            reply = await channel.exchange(message, seconds)
+            reply = await channel.exchange(self._own_exchange(), seconds)
         except self._service.CALL_ERRORS as error:
             self.membership.suspect(address)
             self.log.write(
                 EventCode.PEER_UNREACHABLE, peer=address, error=type(error).__name__
             )
         else:
-            self._merge(reply.records)
+            self._take_exchange(reply)
         finally:
             channel.close()
 
+    def _own_exchange(self) -> MemberExchange:
+        return MemberExchange(self.membership.named(), self.quarantine.notices())
+
+    def _take_exchange(self, message: MemberExchange) -> None:
+        self._merge(message.records)
+        if self.quarantine.merge(message.notices):
+            self.spread()
+
     def _merge(self, records: tuple[HostRecord, ...]) -> None:
         if self.membership.merge(records):
             self._update_position()
--- a/foxtailseam/fleet/_messages.py
+++ b/foxtailseam/fleet/_messages.py
@@ -3,14 +3,24 @@
 from dataclasses import dataclass
 
 from foxtailseam.fleet._members import HostRecord
+from foxtailseam.quarantine import SuspicionNotice
 from foxtailseam.store import Change, Item, Removal
 
 
 @dataclass(frozen=True, slots=True)
 class MemberExchange:
-    """The hosts that the sender knows; the reply is of the same form."""
+    """What hosts tell each other; the reply is of the same form.
+
+    Parameters
+    ----------
+    records : tuple of HostRecord
+        The hosts that the sender knows.
+    notices : tuple of SuspicionNotice
+        The requests that crashed searchers.
+    """
 
     records: tuple[HostRecord, ...]
+    notices: tuple[SuspicionNotice, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailseam/fleet/tests/test_controller.py
+++ b/foxtailseam/fleet/tests/test_controller.py
@@ -9,8 +9,9 @@
 import pytest
 
 from foxtailseam.catalogue import Catalogue
-from foxtailseam.clocks import SystemClock
+from foxtailseam.clocks import HybridClock, SystemClock
 from foxtailseam.fleet import FleetController, FleetSettings, HostRecord
+from foxtailseam.quarantine import QuarantineController
 from foxtailseam.store import (
     FollowerSettings,
     HistoryGone,
@@ -125,6 +126,7 @@
             Ignored(),
             generator,
             lambda hosts: None,
+            QuarantineController(clock, HybridClock(clock)),
         )
 
 
--- a/foxtailseam/front/__init__.py
+++ b/foxtailseam/front/__init__.py
@@ -5,6 +5,7 @@
 from foxtailseam.front._host import Host, run_host
 from foxtailseam.front._knowledge import Knowledge
 from foxtailseam.front._overload import OverloadGuard
+from foxtailseam.front._suspicion import SuspicionGuard
 from foxtailseam.front._timing import TimingSettings, query_times
 
 __all__ = [
@@ -13,6 +14,7 @@
     "Host",
     "Knowledge",
     "OverloadGuard",
+    "SuspicionGuard",
     "TimingSettings",
     "query_times",
     "run_host",
--- a/foxtailseam/front/_answers.py
+++ b/foxtailseam/front/_answers.py
@@ -29,6 +29,7 @@
     FailureReason.ERROR: timedelta(milliseconds=100),
     FailureReason.DEADLINE: timedelta(milliseconds=100),
     FailureReason.OVERLOADED: timedelta(milliseconds=200),
+    FailureReason.QUARANTINED: timedelta(seconds=2),
 }
 
 
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from datetime import timedelta
+from functools import partial
 
 from foxtailseam.clocks import Clock
 from foxtailseam.dispatch import (
@@ -21,11 +22,13 @@
 from foxtailseam.front._answers import Answers
 from foxtailseam.front._knowledge import Knowledge
 from foxtailseam.front._overload import OverloadGuard
+from foxtailseam.front._suspicion import SuspicionGuard
 from foxtailseam.front._timing import TimingSettings, query_times
 from foxtailseam.http import Call, HttpResponse
 from foxtailseam.logs import EventCode, LogWriter
 from foxtailseam.metrics import Metrics
 from foxtailseam.platform import PlatformTemplate, RequestMarks, read_request
+from foxtailseam.quarantine import SuspicionState
 from foxtailseam.routing import AllShards, OneService, Route, WeightedServices
 
 # A caller that comes before the host knows its configuration.
@@ -91,6 +94,8 @@
         How the latency goal is read.
     guard : OverloadGuard
         Refuses queries that the searchers have no room for.
+    suspicion : SuspicionGuard
+        Knows the requests that crash searchers.
     """
 
     def __init__(
@@ -103,6 +108,7 @@
         is_level: Callable[[], bool],
         timing: TimingSettings,
         guard: OverloadGuard,
+        suspicion: SuspicionGuard,
     ):
         self.knowledge = knowledge
         self.dispatcher = dispatcher
@@ -112,6 +118,7 @@
         self.is_level = is_level
         self.timing = timing
         self.guard = guard
+        self.suspicion = suspicion
         self._running: dict[int, tuple[_Plan, GatherQuery | SingleQuery]] = {}
 
     @property
@@ -167,11 +174,16 @@
         version = self.knowledge.version
         plan = _Plan(call, answers, route, services, times, marks, version)
         if times.deadline_at <= self.clock.monotonic():
-            result = NotAnswered(FailureReason.DEADLINE, False)
-            self._conclude(plan, answers.failed(result), result, None)
+            self._refuse(plan, FailureReason.DEADLINE, None)
             return
         self._start(plan)
 
+    def _refuse(
+        self, plan: _Plan, reason: FailureReason, retry_after: timedelta | None
+    ) -> None:
+        result = NotAnswered(reason, False, retry_after)
+        self._conclude(plan, plan.answers.failed(result), result, None)
+
     def _services(self, route: Route) -> tuple[str, ...] | None:
         match route.destination:
             case OneService(service=service):
@@ -184,6 +196,11 @@
 
     def _start(self, plan: _Plan) -> None:
         request = plan.call.request
+        state = self.suspicion.state(request)
+        if state is SuspicionState.QUARANTINED:
+            self._refuse(plan, FailureReason.QUARANTINED, None)
+            return
+        is_suspect = state is SuspicionState.SUSPECT
         template = PlatformTemplate(request)
         first = CallPlan(
             plan.services[0],
@@ -197,8 +214,7 @@
         if isinstance(plan.route.destination, AllShards):
             retry_after = self.guard.admit(plan.route)
             if retry_after is not None:
-                result = NotAnswered(FailureReason.OVERLOADED, False, retry_after)
-                self._conclude(plan, plan.answers.failed(result), result, None)
+                self._refuse(plan, FailureReason.OVERLOADED, retry_after)
                 return
             plans = tuple(replace(first, service=name) for name in plan.services)
             query = GatherQuery(
@@ -207,6 +223,7 @@
                 plan.route.destination,
                 plan.times,
                 lambda result: self._on_gathered(number, plan, result),
+                partial(self.suspicion.survived, request) if is_suspect else None,
             )
         else:
             query = SingleQuery(
@@ -214,6 +231,7 @@
                 first,
                 plan.times,
                 lambda result: self._on_single(number, plan, result),
+                is_suspect,
             )
         self._running[number] = (plan, query)
         plan.call.on_gone = lambda: self._on_gone(number, plan)
@@ -230,6 +248,7 @@
     def _on_single(self, number: int, plan: _Plan, result: SingleResult) -> None:
         match result:
             case ServiceAnswer():
+                self.suspicion.survived(plan.call.request)
                 response = plan.answers.forwarded(result)
             case _:
                 response = plan.answers.failed(result)
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -13,12 +13,13 @@
 
 from result import Result
 
-from foxtailseam.clocks import SuspendAwareClock
+from foxtailseam.clocks import HybridClock, SuspendAwareClock
 from foxtailseam.dispatch import BudgetSettings, Dispatcher
 from foxtailseam.fleet import FleetController, FleetSettings, HostRecord
 from foxtailseam.front._front import FrontEnd
 from foxtailseam.front._knowledge import Knowledge
 from foxtailseam.front._overload import OverloadGuard
+from foxtailseam.front._suspicion import SuspicionGuard
 from foxtailseam.front._timing import TimingSettings
 from foxtailseam.http import (
     Call,
@@ -39,6 +40,7 @@
     decode_settings,
     read_answer,
 )
+from foxtailseam.quarantine import QuarantineController
 from foxtailseam.routing import Configuration
 from foxtailseam.store import (
     Change,
@@ -111,6 +113,9 @@
             self.dispatcher, self.clock, self.log, self._generator, self._on_configured
         )
         self._guard = OverloadGuard(self.clock, self._generator)
+        quarantine = QuarantineController(self.clock, HybridClock(self.clock))
+        self._suspicion = SuspicionGuard(quarantine, self.log)
+        self.dispatcher.on_crash = self._suspicion.crashed
         self.front = FrontEnd(
             self.knowledge,
             self.dispatcher,
@@ -120,6 +125,7 @@
             self._is_level,
             TimingSettings(),
             self._guard,
+            self._suspicion,
         )
         self._replica = StoreReplica(self._on_change)
         self._store = PlatformStore(settings.service_address, self.clock)
@@ -142,7 +148,9 @@
             self.log,
             self._generator,
             self._on_members,
+            quarantine,
         )
+        self._suspicion.on_news = self._fleet.spread
         self._callers = Listener(self.front.serve, self.clock, self._on_unreadable)
         self._questions = Listener(self._answer_question, self.clock)
         self._reports = Listener(self._answer_report, self.clock)
--- a/foxtailseam/front/tests/test_load.py
+++ b/foxtailseam/front/tests/test_load.py
@@ -83,6 +83,18 @@
             assert not any(searcher.runs for pair in pairs for searcher in pair)
 
 
+class TestLostAnswers:
+    def test_answers_that_are_reset_are_asked_for_again(self):
+        with simulated_shards() as tier:
+            for pair in tier.searchers.values():
+                for searcher in pair:
+                    searcher.lost_share = 0.15
+            tier.load("/urgent/q", 20, 0, 5)
+            tier.time.run_until(8)
+            statuses = [call.response.status for call in tier.answered()]
+            assert statuses.count(200) / len(statuses) > 0.97
+
+
 class TestSlowSearchers:
     def test_slow_searchers_are_avoided(self):
         with simulated_shards() as tier:
@@ -169,3 +181,35 @@
             assert call.response is None
             assert tier.front.in_flight == 0
             assert all(item.in_flight == 0 for item in tier.dispatcher.searchers)
+
+
+class TestCrashingRequest:
+    def test_it_takes_few_searchers_and_is_then_refused(self):
+        with simulated_shards() as tier:
+            searchers = [item for pair in tier.searchers.values() for item in pair]
+            for searcher in searchers:
+                searcher.crashes_on = b"/urgent/poison"
+            for number in range(20):
+                tier.time.call_later(3.0 * number, tier.send, "/urgent/poison")
+            tier.load("/urgent/q", 10, 0, 60)
+            tier.time.run_until(65)
+            # Each shard once at most at the first run, then one shard alone.
+            assert sum(searcher.crashes for searcher in searchers) <= 22
+            poison = list(tier.answered("poison"))
+            assert [c.response.status for c in poison[-15:]] == [503] * 15
+            assert all(call.seconds < 0.2 for call in poison)
+            late = [c for c in tier.answered("/q") if c.sent_at > 12]
+            assert in_goal(late) > 0.99
+
+    def test_innocent_requests_in_flight_are_cleared(self):
+        with simulated_shards() as tier:
+            for searcher in tier.searchers["shard1"]:
+                searcher.crashes_on = b"/urgent/q"
+            tier.send("/urgent/q")
+            tier.time.run_until(4)
+            for searcher in tier.searchers["shard1"]:
+                searcher.crashes_on = b""
+            for number in range(3):
+                tier.time.call_later(0.5 * number, tier.send, "/urgent/q")
+            tier.time.run_until(8)
+            assert [c.response.status for c in tier.answered()][1:] == [200] * 3
--- a/foxtailseam/http/_pool.py
+++ b/foxtailseam/http/_pool.py
@@ -10,6 +10,10 @@
 from foxtailseam.http._exchange import ExchangeResult, LossKind, Lost
 from foxtailseam.http._upstream import ConnectionState, Done, UpstreamConnection
 
+# A process that crashed may still accept connections while it is taken down.
+PROBE_DELAY = timedelta(milliseconds=20)
+PROBE_TIMEOUT = timedelta(milliseconds=300)
+
 
 @dataclass(frozen=True, slots=True)
 class PoolSettings:
@@ -104,6 +108,7 @@
         self._connections: set[UpstreamConnection] = set()
         self._idle: list[UpstreamConnection] = []
         self._opening: set[asyncio.Task] = set()
+        self._probes: set[asyncio.Task] = set()
 
     @property
     def limit(self) -> int:
@@ -160,6 +165,12 @@
         task.add_done_callback(self._opening.discard)
         return exchange
 
+    def probe(self, done: Callable[[bool], None]) -> None:
+        """Find out whether the searcher lives, by its connections or a new one."""
+        task = asyncio.get_running_loop().create_task(self._probe(done))
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+
     def close_idle(self) -> None:
         """Close the connections without a request."""
         for connection in list(self._connections):
@@ -172,11 +183,27 @@
 
     def abort(self) -> None:
         """Close all connections at once."""
-        for task in self._opening:
+        for task in (*self._opening, *self._probes):
             task.cancel()
         for connection in list(self._connections):
             connection.abort()
 
+    async def _probe(self, done: Callable[[bool], None]) -> None:
+        await asyncio.sleep(PROBE_DELAY.total_seconds())
+        if self._connections:
+            # A process that crashed leaves none open.
+            done(True)
+            return
+        try:
+            seconds = PROBE_TIMEOUT.total_seconds()
+            connection = await asyncio.wait_for(self._connect(), seconds)
+        except (TimeoutError, OSError):
+            done(False)
+            return
+        self._connections.add(connection)
+        self._idle.append(connection)
+        done(True)
+
     async def _open(self, exchange: Exchange) -> None:
         self.opened += 1
         try:
--- a/foxtailseam_bench/simulation.py
+++ b/foxtailseam_bench/simulation.py
@@ -9,14 +9,24 @@
 from datetime import UTC, datetime, timedelta
 from itertools import count
 
+from foxtailseam.clocks import HybridClock
 from foxtailseam.dispatch import AnswerMarks, BudgetSettings, Dispatcher
-from foxtailseam.front import FrontEnd, Knowledge, OverloadGuard, TimingSettings
+from foxtailseam.front import (
+    FrontEnd,
+    Knowledge,
+    OverloadGuard,
+    SuspicionGuard,
+    TimingSettings,
+)
 from foxtailseam.http import HttpRequest, HttpResponse, LossKind, Lost, Received
 from foxtailseam.metrics import Metrics
+from foxtailseam.quarantine import QuarantineController
 from foxtailseam.store import Item
 
 NETWORK_SECONDS = 0.0005
 SHED_STATUS = 503
+# A searcher that crashed is back after this time.
+CRASH_SECONDS = 2.0
 START = datetime(2026, 1, 1, tzinfo=UTC)
 
 
@@ -77,6 +87,7 @@
 
     done: Callable[[object], None] | None
     identifier: bytes
+    payload: bytes
     is_sent: bool = True
     timer: Timer | None = None
 
@@ -120,6 +131,9 @@
         self.is_dark = False
         self.is_refusing = False
         self.paused_until = 0.0
+        self.crashes_on = b""
+        self.crashes = 0
+        self.lost_share = 0.0
         self.arrivals: list[tuple[float, bytes]] = []
         self.sheds = 0
         self.runs: list[bytes] = []
@@ -136,6 +150,11 @@
         """Return True: only slots are scarce here."""
         return True
 
+    def probe(self, done: Callable[[bool], None]) -> None:
+        """Tell after the way there and back whether the searcher lives."""
+        lives = not (self.is_refusing or self.is_dark)
+        self.time.call_later(2 * NETWORK_SECONDS, done, lives)
+
     def retire(self) -> None:
         """Do nothing: there are no connections."""
 
@@ -147,13 +166,12 @@
         done: Callable[[object], None],
     ) -> SimulatedExchange:
         """Receive a request after the way through the network."""
-        exchange = SimulatedExchange(done, identifier)
+        exchange = SimulatedExchange(done, identifier, payload())
         if self.is_refusing:
             exchange.is_sent = False
             lost = Lost(LossKind.REFUSED, sent=False)
             self.time.call_later(NETWORK_SECONDS, self._reply, exchange, lost)
         else:
-            payload()
             self.time.call_later(NETWORK_SECONDS, self._arrive, exchange)
         return exchange
 
@@ -177,9 +195,28 @@
             shed = Received(HttpResponse(SHED_STATUS))
             self.time.call_later(NETWORK_SECONDS, self._reply, exchange, shed)
 
+    def _crash(self, exchange: SimulatedExchange) -> None:
+        self.crashes += 1
+        self.is_refusing = True
+        self.time.call_later(CRASH_SECONDS, self._restart)
+        lost = Lost(LossKind.RESET, sent=True)
+        self.time.call_later(NETWORK_SECONDS, self._reply, exchange, lost)
+
+    def _restart(self) -> None:
+        self.is_refusing = False
+
     def _run(self, exchange: SimulatedExchange) -> None:
         self._running += 1
         self.runs.append(exchange.identifier)
+        if self.generator.random() < self.lost_share:
+            self._running -= 1
+            lost = Lost(LossKind.RESET, sent=True)
+            self.time.call_later(NETWORK_SECONDS, self._reply, exchange, lost)
+            return
+        if self.crashes_on and self.crashes_on in exchange.payload:
+            self._running -= 1
+            self._crash(exchange)
+            return
         spread = self.generator.uniform(0.6, 1.4)
         seconds = self.service_seconds * self.slowness * spread
         self.time.call_later(seconds, self._end, exchange)
@@ -291,6 +328,9 @@
         self.dispatcher.hosts = hosts
         guard = OverloadGuard(time, generator)
         log = _SilentLog()
+        quarantine = QuarantineController(time, HybridClock(time))
+        suspicion = SuspicionGuard(quarantine, log)
+        self.dispatcher.on_crash = suspicion.crashed
         self.knowledge = Knowledge(
             self.dispatcher, time, log, generator, guard.configure
         )
@@ -303,6 +343,7 @@
             lambda: True,
             TimingSettings(),
             guard,
+            suspicion,
         )
         self._publish(routes)
 
