Stop what is cancelled: time limits that swallow a cancellation are gone

Cause: asyncio.wait_for of Python 3.11 returns a result that arrives together with a cancellation and drops the cancellation. A task that followed another host went on after it was stopped, so a fleet test hung for good in 1 of 2 runs of the whole suite beside busy processes, and a host could have outlived its drain.

Ruled out: a connection that is never closed (the hang has no socket open), the time limits of the test (none was reached).

Change: asyncio.timeout in place of wait_for in all new code. A test stops a fleet at each of the first twelve steps after news and looks for tasks that go on.

--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -218,7 +218,8 @@
                 continue
             try:
                 seconds = self.settings.update_interval.total_seconds()
-                await asyncio.wait_for(news.wait(), seconds)
+                async with asyncio.timeout(seconds):
+                    await news.wait()
             except TimeoutError:
                 # Nothing new: the next update only tells the age.
                 continue
--- a/foxtailseam/fleet/_service.py
+++ b/foxtailseam/fleet/_service.py
@@ -97,7 +97,8 @@
             self._channel, EXCHANGE_PATH, MemberExchange, MemberExchange
         )
         await self._connect()
-        return await asyncio.wait_for(call(message), timeout)
+        async with asyncio.timeout(timeout):
+            return await call(message)
 
     async def follow(
         self, request: FollowRequest, silence: float
@@ -110,7 +111,8 @@
         async with method.open() as stream:
             await stream.send_message(request, end=True)
             while True:
-                update = await asyncio.wait_for(stream.recv_message(), silence)
+                async with asyncio.timeout(silence):
+                    update = await stream.recv_message()
                 if update is None:
                     return
                 yield update
@@ -120,4 +122,5 @@
         self._channel.close()
 
     async def _connect(self) -> None:
-        await asyncio.wait_for(self._channel.__connect__(), self.connect_timeout)
+        async with asyncio.timeout(self.connect_timeout):
+            await self._channel.__connect__()
--- a/foxtailseam/fleet/tests/test_controller.py
+++ b/foxtailseam/fleet/tests/test_controller.py
@@ -264,3 +264,33 @@
             await eventually(lambda: have(hosts, "b", b"2"), 2.0)
 
         play(scenario)
+
+
+class TestCancellation:
+    @pytest.mark.parametrize("steps", range(12))
+    def test_a_follower_that_is_stopped_at_any_step_stops(self, steps):
+        """A result that comes with the cancellation must not undo it."""
+
+        async def main():
+            service = Service()
+            service.put("a", b"1")
+            addresses = free_addresses(3)
+            hosts = [Host(address, tuple(addresses), service) for address in addresses]
+            for host in hosts:
+                await host.fleet.start()
+            await eventually(lambda: have(hosts, "a", b"1"))
+            await eventually(lambda: hosts[0].fleet.membership.alive[1:])
+            service.put("b", b"2")
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            for host in hosts:
+                await host.fleet.stop()
+            await asyncio.sleep(0.3)
+            own = asyncio.current_task()
+            return [
+                task
+                for task in asyncio.all_tasks() - {own}
+                if "_follow_parent" in repr(task) or "_loop" in repr(task)
+            ]
+
+        assert asyncio.run(main()) == []
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -182,7 +182,8 @@
         while not stop.is_set():
             self._fleet.check()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(stop.wait(), CHECK_SECONDS)
+                async with asyncio.timeout(CHECK_SECONDS):
+                    await stop.wait()
         await self._drain()
         await self._fleet.stop()
         self.log.write(EventCode.PROCESS_STOPPED)
--- a/foxtailseam/http/_pool.py
+++ b/foxtailseam/http/_pool.py
@@ -196,7 +196,8 @@
             return
         try:
             seconds = PROBE_TIMEOUT.total_seconds()
-            connection = await asyncio.wait_for(self._connect(), seconds)
+            async with asyncio.timeout(seconds):
+                connection = await self._connect()
         except (TimeoutError, OSError):
             done(False)
             return
@@ -208,7 +209,8 @@
         self.opened += 1
         try:
             seconds = self.settings.connect_timeout.total_seconds()
-            connection = await asyncio.wait_for(self._connect(), seconds)
+            async with asyncio.timeout(seconds):
+                connection = await self._connect()
         except TimeoutError:
             exchange.finish(Lost(LossKind.CONNECT_TIMEOUT, sent=False))
             return
--- a/foxtailseam/platform/_store.py
+++ b/foxtailseam/platform/_store.py
@@ -147,7 +147,8 @@
 
         exchange = self._pool.send(lambda: payload, b"", False, finish)
         try:
-            result = await asyncio.wait_for(future, timeout.total_seconds())
+            async with asyncio.timeout(timeout.total_seconds()):
+                result = await future
         except TimeoutError:
             return StoreFailure("timeout")
         finally:
