Keep searchers whose entries lapse together: the service was away unseen

Change: an entry that goes missing without a word of draining is kept for 0.5 s as a last choice; where three or more lapse together they have the whole grace of 2 s. A searcher that said that it drains goes at once, as before.

--- a/foxtailseam/catalogue/_catalogue.py
+++ b/foxtailseam/catalogue/_catalogue.py
@@ -1,5 +1,12 @@
-"""Keeps the searchers of each service, and decides how long a lapsed one stays."""
+"""Keeps the searchers of each service, and decides how long a lapsed one stays.
 
+A searcher that says that it drains is dropped with its entry. An entry that goes
+missing without that has lapsed: its searcher crashed, left without a word, or
+could not renew the entry while the configuration service was away. Lapsed
+searchers are kept for a moment, as a last choice.
+"""
+
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
 
@@ -9,6 +16,10 @@
 # Entries that lapsed while the service was away are written anew within this
 # time of its return; what is missing after it is gone.
 LAPSE_GRACE = timedelta(seconds=2)
+# A single lapsed searcher is kept for so long, to see whether others follow.
+LAPSE_HOLD = timedelta(milliseconds=500)
+# Entries that lapse together: the service was away, though no call showed it.
+LAPSE_GROUP = 3
 
 
 class CatalogueListener(Protocol):
@@ -17,10 +28,19 @@
     def searcher_changed(self, entry: SearcherEntry) -> None:
         """Take a new or changed searcher."""
 
+    def searcher_lapsed(self, identifier: str, is_lapsed: bool) -> None:
+        """Take note that a searcher's entry went missing, or came back."""
+
     def searcher_gone(self, identifier: str) -> None:
         """Let go of a searcher."""
 
 
+@dataclass(slots=True)
+class _Lapse:
+    since: float
+    ends: float
+
+
 class Catalogue:
     """The published searchers.
 
@@ -36,7 +56,7 @@
         self.clock = clock
         self.listener = listener
         self._entries: dict[str, SearcherEntry] = {}
-        self._lapsed: dict[str, float] = {}
+        self._lapsed: dict[str, _Lapse] = {}
         self._grace_ends = float("-inf")
 
     @property
@@ -56,7 +76,8 @@
 
     def publish(self, entry: SearcherEntry) -> None:
         """Take an entry as it is published now."""
-        self._lapsed.pop(entry.identifier, None)
+        if self._lapsed.pop(entry.identifier, None) is not None:
+            self.listener.searcher_lapsed(entry.identifier, False)
         if self._entries.get(entry.identifier) == entry:
             return
         for other in self._others_at(entry):
@@ -70,13 +91,21 @@
     def withdraw(self, identifier: str) -> None:
         """Take note that an entry is missing."""
         entry = self._entries.get(identifier)
-        if entry is None:
+        if entry is None or identifier in self._lapsed:
             return
-        in_grace = self.clock.monotonic() < self._grace_ends
-        if in_grace and not entry.is_draining:
-            self._lapsed.setdefault(identifier, self._grace_ends)
-        else:
+        if entry.is_draining:
             self._drop(identifier)
+            return
+        now = self.clock.monotonic()
+        ends = max(self._grace_ends, now + LAPSE_HOLD.total_seconds())
+        self._lapsed[identifier] = _Lapse(now, ends)
+        self.listener.searcher_lapsed(identifier, True)
+        if len(self._lapsed) >= LAPSE_GROUP:
+            self._extend_lapses()
+
+    def _extend_lapses(self) -> None:
+        for lapse in self._lapsed.values():
+            lapse.ends = max(lapse.ends, lapse.since + LAPSE_GRACE.total_seconds())
 
     def service_returned(self) -> None:
         """Begin the grace: the configuration service can be read again."""
@@ -90,8 +119,8 @@
     def expire(self) -> None:
         """Drop the searchers whose entry stayed missing."""
         now = self.clock.monotonic()
-        for identifier, ends in list(self._lapsed.items()):
-            if now >= ends:
+        for identifier, lapse in list(self._lapsed.items()):
+            if now >= lapse.ends:
                 self._drop(identifier)
 
     def _others_at(self, entry: SearcherEntry) -> list[SearcherEntry]:
--- a/foxtailseam/dispatch/_choice.py
+++ b/foxtailseam/dispatch/_choice.py
@@ -10,6 +10,8 @@
 NEW_CONNECTION_SECONDS = 0.006
 # How much a failure costs, in typical response times.
 FAILURE_COST = 6.0
+# What a missing entry costs, in typical response times.
+LAPSE_COST = 3.0
 # Slower by this factor while a searcher warms up.
 WARMUP_FACTOR = 1.6
 
@@ -36,6 +38,8 @@
         Whether it started a short time ago.
     is_stalled : bool
         Whether a request there is overdue and nothing was heard since.
+    is_lapsed : bool
+        Whether its published entry is missing.
     is_ejected : bool
         Whether it is to be left alone.
     """
@@ -49,6 +53,7 @@
     has_connection: bool = True
     is_warming: bool = False
     is_stalled: bool = False
+    is_lapsed: bool = False
     is_ejected: bool = False
 
     def cost(self, typical: float) -> float:
@@ -66,6 +71,8 @@
             cost += OTHER_DOMAIN_SECONDS
         if not self.has_connection:
             cost += NEW_CONNECTION_SECONDS
+        if self.is_lapsed:
+            cost += LAPSE_COST * typical
         return cost
 
 
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -134,6 +134,12 @@
             members[entry.identifier] = searcher
         self.room_made(entry.service)
 
+    def searcher_lapsed(self, identifier: str, is_lapsed: bool) -> None:
+        """Use a searcher as a last choice, or as any other again."""
+        searcher = self._searchers.get(identifier)
+        if searcher is not None:
+            searcher.is_lapsed = is_lapsed
+
     def searcher_gone(self, identifier: str) -> None:
         """Use a searcher no more; requests in flight there go on."""
         searcher = self._searchers.pop(identifier, None)
--- a/foxtailseam/dispatch/_searcher.py
+++ b/foxtailseam/dispatch/_searcher.py
@@ -72,6 +72,8 @@
         self.link = link
         self.clock = clock
         self.health = SearcherHealth(clock)
+        # Whether its published entry went missing.
+        self.is_lapsed = False
         self._warm_at = clock.monotonic() + entry.warmup.total_seconds()
         # Requests in flight, the oldest first: when sent, and the typical time.
         self._in_flight: dict[int, tuple[float, float]] = {}
@@ -128,5 +130,6 @@
             has_connection=self.link.has_idle,
             is_warming=self.clock.monotonic() < self._warm_at,
             is_stalled=self.is_stalled(),
+            is_lapsed=self.is_lapsed,
             is_ejected=health.is_ejected,
         )
--- a/foxtailseam/dispatch/tests/test_decisions.py
+++ b/foxtailseam/dispatch/tests/test_decisions.py
@@ -41,6 +41,7 @@
             ({"has_connection": False}, "needs a connection"),
             ({"is_warming": True}, "just started"),
             ({"is_stalled": True}, "stalls"),
+            ({"is_lapsed": True}, "its entry is missing"),
             ({"is_ejected": True}, "ejected"),
         ],
     )
@@ -49,6 +50,10 @@
         for draw in (0.0, 0.999):
             assert choose(pair, TYPICAL, draw).identifier == "b", why
 
+    def test_one_whose_entry_is_missing_is_better_than_a_very_slow_one(self):
+        pair = [Candidate("a", is_lapsed=True), Candidate("b", slowness=8.0)]
+        assert choose(pair, TYPICAL).identifier == "a"
+
     def test_equals_share_the_requests(self):
         pair = [Candidate("a"), Candidate("b")]
         chosen = {choose(pair, TYPICAL, draw).identifier for draw in (0.1, 0.9)}
--- a/foxtailseam/fleet/tests/test_controller.py
+++ b/foxtailseam/fleet/tests/test_controller.py
@@ -91,6 +91,9 @@
     def searcher_changed(self, entry):
         pass
 
+    def searcher_lapsed(self, identifier, is_lapsed):
+        pass
+
     def searcher_gone(self, identifier):
         pass
 
--- a/foxtailseam/front/_knowledge.py
+++ b/foxtailseam/front/_knowledge.py
@@ -114,6 +114,12 @@
         )
         self.dispatcher.searcher_changed(entry)
 
+    def searcher_lapsed(self, identifier: str, is_lapsed: bool) -> None:
+        """Make a searcher the last choice while its entry is missing."""
+        code = EventCode.SEARCHER_LAPSED if is_lapsed else EventCode.SEARCHER_BACK
+        self.log.write(code, searcher=identifier)
+        self.dispatcher.searcher_lapsed(identifier, is_lapsed)
+
     def searcher_gone(self, identifier: str) -> None:
         """Take a searcher from the dispatcher."""
         self.log.write(EventCode.SEARCHER_GONE, searcher=identifier)
--- a/foxtailseam/logs/_catalogue.py
+++ b/foxtailseam/logs/_catalogue.py
@@ -57,6 +57,8 @@
     SEARCHER_LEAVING = (405, Severity.INFO, "a searcher drains and gets no new work")
     SEARCHER_GONE = (406, Severity.INFO, "a searcher's entry is gone")
     SEARCHER_EJECTED = (407, Severity.WARNING, "a searcher is left alone for a while")
+    SEARCHER_LAPSED = (409, Severity.INFO, "a searcher's entry is missing")
+    SEARCHER_BACK = (410, Severity.INFO, "a missing entry was published again")
     ENTRY_REFUSED = (408, Severity.WARNING, "an entry names no searcher to use")
     PEER_STATE = (500, Severity.INFO, "what is known of a peer changed")
     PEER_UNREACHABLE = (501, Severity.WARNING, "another host did not answer a call")
--- /dev/null
+++ b/foxtailseam_bench/simulation/__init__.py
@@ -0,0 +1,17 @@
+"""A tier in virtual time: the real decisions, simulated searchers and callers."""
+
+from foxtailseam_bench.simulation._searcher import SimulatedSearcher
+from foxtailseam_bench.simulation._tier import (
+    SimulatedCall,
+    SimulatedTier,
+    simulated_shards,
+)
+from foxtailseam_bench.simulation._time import VirtualTime
+
+__all__ = [
+    "SimulatedCall",
+    "SimulatedSearcher",
+    "SimulatedTier",
+    "VirtualTime",
+    "simulated_shards",
+]
--- /dev/null
+++ b/foxtailseam_bench/simulation/_tier.py
@@ -0,0 +1,232 @@
+"""One host's front end over searchers in virtual time, and its callers."""
+
+import json
+import random
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from datetime import timedelta
+from itertools import count
+
+from foxtailseam.clocks import HybridClock
+from foxtailseam.dispatch import AnswerMarks, BudgetSettings, Dispatcher
+from foxtailseam.front import (
+    FrontEnd,
+    Knowledge,
+    OverloadGuard,
+    SuspicionGuard,
+    TimingSettings,
+)
+from foxtailseam.http import HttpRequest, HttpResponse
+from foxtailseam.metrics import Metrics
+from foxtailseam.quarantine import QuarantineController
+from foxtailseam.store import Item, Removal
+from foxtailseam_bench.simulation._searcher import SHED_STATUS, SimulatedSearcher
+from foxtailseam_bench.simulation._time import VirtualTime
+
+TICK_SECONDS = 0.25
+
+
+@dataclass
+class SimulatedCall:
+    """A caller's request; implements what the front end uses of a `Call`."""
+
+    request: HttpRequest
+    sent_at: float
+    kind: str
+    on_gone: Callable[[], None] | None = None
+    response: HttpResponse | None = None
+    answered_at: float = 0.0
+    time: VirtualTime | None = None
+
+    def answer(self, response: HttpResponse) -> None:
+        """Keep the answer."""
+        if self.response is not None:
+            raise AssertionError("a request was answered twice")
+        self.response = response
+        self.answered_at = self.time.monotonic()
+
+    @property
+    def seconds(self) -> float:
+        """Return how long the answer took."""
+        return self.answered_at - self.sent_at
+
+    @property
+    def missing(self) -> int:
+        """Return how many shards the answer lacks."""
+        headers = {name.lower(): value for name, value in self.response.headers}
+        return int(headers.get(b"foxtailseam-missing-parts", b"0"))
+
+
+class _SilentLog:
+    def write(self, *_args, **_fields) -> None:
+        """Keep nothing."""
+
+
+def read_simulated_answer(status: int, headers) -> AnswerMarks:
+    """Read what a simulated searcher says of its answer."""
+    stamp = b"s" if headers else b""
+    return AnswerMarks(stamp, status == SHED_STATUS, False)
+
+
+class SimulatedTier:
+    """One host's front end over simulated searchers.
+
+    Parameters
+    ----------
+    routes : list of dict
+        Routes in the platform's form.
+    searchers : dict of str to list of SimulatedSearcher
+        The searchers of each service.
+    time : VirtualTime
+        Clock and timers.
+    seed : int
+        Seed of the choices.
+    hosts : int
+        Hosts that share the budgets.
+    """
+
+    def __init__(
+        self,
+        routes: list[dict],
+        searchers: dict[str, list[SimulatedSearcher]],
+        time: VirtualTime,
+        seed: int = 1,
+        hosts: int = 1,
+    ):
+        self.time = time
+        self.searchers = searchers
+        self.metrics = Metrics()
+        self.calls: list[SimulatedCall] = []
+        self._numbers = count()
+        generator = random.Random(seed)
+        self._links: dict[str, SimulatedSearcher] = {}
+        self.dispatcher = Dispatcher(
+            time,
+            time,
+            lambda address, limit: self._links[address],
+            read_simulated_answer,
+            BudgetSettings(0.2, 50.0, timedelta(seconds=10)),
+            "d1",
+            self.metrics,
+            generator,
+        )
+        self.dispatcher.hosts = hosts
+        guard = OverloadGuard(time, generator)
+        log = _SilentLog()
+        quarantine = QuarantineController(time, HybridClock(time))
+        suspicion = SuspicionGuard(quarantine, log)
+        self.dispatcher.on_crash = suspicion.crashed
+        self.knowledge = Knowledge(
+            self.dispatcher, time, log, generator, guard.configure
+        )
+        self.front = FrontEnd(
+            self.knowledge,
+            self.dispatcher,
+            time,
+            log,
+            self.metrics,
+            lambda: True,
+            TimingSettings(),
+            guard,
+            suspicion,
+        )
+        self._publish(routes)
+        self._tick()
+
+    def send(self, path: str, deadline_ms: int = 1_200) -> SimulatedCall:
+        """Send a request now."""
+        identifier = b"%016x" % next(self._numbers)
+        headers = (
+            (b"Host", b"a.example"),
+            (b"Foxtailseam-Request-Id", identifier),
+            (b"Foxtailseam-Deadline-Ms", b"%d" % deadline_ms),
+        )
+        now = self.time.monotonic()
+        request = HttpRequest(b"GET", path.encode(), headers, b"", now, 0.006)
+        call = SimulatedCall(request, now, path, time=self.time)
+        self.calls.append(call)
+        self.front.serve(call)
+        return call
+
+    def load(self, path: str, rate: float, start: float, end: float) -> None:
+        """Send requests at a steady rate between two times."""
+        for number in range(int((end - start) * rate)):
+            at = start + number / rate
+            self.time.call_later(at - self.time.monotonic(), self.send, path)
+
+    def answered(self, path: str = "") -> Iterator[SimulatedCall]:
+        """Yield the calls that have an answer."""
+        for call in self.calls:
+            if call.response is not None and path in call.kind:
+                yield call
+
+    def publish(self, service: str, number: int, state: str = "ready") -> None:
+        """Publish a searcher's entry."""
+        searcher = self.searchers[service][number]
+        entry = {
+            "service": service,
+            "address": self._address_of(searcher),
+            "zone": f"d{number + 1}",
+            "max_concurrency": searcher.slots,
+            "state": state,
+        }
+        key = f"servers/{service}-{number}"
+        self.knowledge.take(Item(key, json.dumps(entry).encode(), 2))
+
+    def withdraw(self, service: str, number: int) -> None:
+        """Take a searcher's entry away."""
+        self.knowledge.take(Removal(f"servers/{service}-{number}", 3))
+
+    def _address_of(self, searcher: SimulatedSearcher) -> str:
+        for address, known in self._links.items():
+            if known is searcher:
+                return address
+        address = f"10.0.{len(self._links)}.1:80"
+        self._links[address] = searcher
+        return address
+
+    def _publish(self, routes: list[dict]) -> None:
+        services = [{"name": name, "max_conns": 26} for name in self.searchers]
+        document = {"version": 1, "routes": routes, "services": services}
+        value = json.dumps(document).encode()
+        self.knowledge.take(Item("op/config", value, 1))
+        for service, members in self.searchers.items():
+            for number in range(len(members)):
+                self.publish(service, number)
+
+    def _tick(self) -> None:
+        self.knowledge.catalogue.expire()
+        self.time.call_later(TICK_SECONDS, self._tick)
+
+
+@contextmanager
+def simulated_shards(
+    shards: int = 20, service_seconds: float = 0.011, seed: int = 1, **options
+):
+    """Give a tier with shards of two searchers and a query over all of them."""
+    time = VirtualTime()
+    generator = random.Random(seed)
+    searchers = {
+        f"shard{number}": [
+            SimulatedSearcher(time, 2, service_seconds, generator) for _ in range(2)
+        ]
+        for number in range(shards)
+    }
+    routes = [
+        {
+            "name": name,
+            "host": "a.example",
+            "path_prefix": f"/{name}/",
+            "type": "idempotent",
+            "timeout_ms": 1_200,
+            "latency_goal_ms": 92,
+            "max_attempts": 2,
+            "priority": priority,
+            "gather": list(searchers),
+            "top_k": 5,
+            "min_version": 0.89,
+        }
+        for name, priority in (("urgent", 1), ("other", 2))
+    ]
+    yield SimulatedTier(routes, searchers, time, seed, **options)
