Listen for callers before the imports; early requests wait for the configuration

Cause: after a kill of all hosts the callers' connections were refused until the interpreter had imported the program, and requests that came in the 25 ms before the first configuration got a 503 with a pause of 0.5 s; callers try twice.

Change: foxtailseam.launch opens the listener with the standard library's sockets and imports the rest then; the address comes as an argument from the deploy file. Early requests wait for the first configuration for 0.3 s from the start, or a quarter of the time their caller has; later ones are refused at once. The listener module is split into call, caller's connection and listener.

--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -22,6 +22,7 @@
 from foxtailseam.front._answers import Answers
 from foxtailseam.front._knowledge import Knowledge
 from foxtailseam.front._overload import OverloadGuard
+from foxtailseam.front._startup import StartupLine
 from foxtailseam.front._suspicion import SuspicionGuard
 from foxtailseam.front._timing import TimingSettings, query_times
 from foxtailseam.http import Call, HttpResponse
@@ -119,6 +120,7 @@
         self.timing = timing
         self.guard = guard
         self.suspicion = suspicion
+        self._startup = StartupLine(clock, dispatcher.timers)
         self._running: dict[int, tuple[_Plan, GatherQuery | SingleQuery]] = {}
 
     @property
@@ -134,8 +136,7 @@
             self._turn_away(call, marks, "no identifier", answers.bad_request())
             return
         if self.knowledge.configuration is None:
-            refusal = answers.refused(RETRY_UNTIL_READY)
-            self._turn_away(call, marks, "no configuration yet", refusal)
+            self._startup.join(call, marks.remaining, self._not_configured)
             return
         route = self.knowledge.find_route(call.request.host, call.request.path)
         if route is None:
@@ -143,6 +144,11 @@
             return
         self._serve_route(call, marks, answers, route)
 
+    def configured(self) -> None:
+        """Serve what came before the configuration."""
+        if self._startup.waiting:
+            self._startup.release(self.serve)
+
     def give_up(self) -> None:
         """End every request that still runs: the process must stop."""
         for number, (plan, query) in list(self._running.items()):
@@ -151,6 +157,11 @@
             result = NotAnswered(FailureReason.DEADLINE, ran)
             self._finish(number, plan, plan.answers.failed(result), result, query)
 
+    def _not_configured(self, call: Call) -> None:
+        marks = read_request(call.request.headers)
+        refusal = Answers(marks.identifier).refused(RETRY_UNTIL_READY)
+        self._turn_away(call, marks, "no configuration yet", refusal)
+
     def _no_route(self, call: Call, marks: RequestMarks, answers: Answers) -> None:
         if self.is_level():
             self._turn_away(call, marks, "no route", answers.no_route())
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -6,6 +6,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 from dataclasses import replace
 from datetime import timedelta
@@ -85,10 +86,13 @@
     ----------
     settings : HostSettings
         Identity, addresses and limits.
+    listener : socket.socket or None
+        Listens for callers already; None to open a socket at the start.
     """
 
-    def __init__(self, settings: HostSettings):
+    def __init__(self, settings: HostSettings, listener: socket.socket | None = None):
         self.settings = settings
+        self.listener = listener
         self.clock = SuspendAwareClock()
         self.metrics = Metrics()
         self.log = LogWriter(sys.stdout.fileno(), settings.name, self.clock)
@@ -193,7 +197,7 @@
         settings = self.settings
         self._set_limits(ListenerLimits())
         await self._questions.start(settings.readiness)
-        await self._callers.start(settings.callers)
+        await self._callers.start(settings.callers, self.listener)
         await self._reports.start(f"{settings.address}:{METRICS_PORT}")
 
     async def _drain(self) -> None:
@@ -255,6 +259,7 @@
 
     def _on_configured(self, configuration: Configuration) -> None:
         self._guard.configure(configuration)
+        self.front.configured()
         limits = configuration.limits
         self._set_limits(
             ListenerLimits(
@@ -341,17 +346,23 @@
     return decode_settings(text)
 
 
-def run_host() -> int:
-    """Run the process; return its exit code."""
+def run_host(listener: socket.socket | None = None) -> int:
+    """Run the process; return its exit code.
+
+    Parameters
+    ----------
+    listener : socket.socket or None
+        Listens for callers already; None to open a socket at the start.
+    """
     settings = read_settings()
     if settings.is_err():
         sys.stderr.write(f"{settings.unwrap_err()}\n")
         return 1
     gc.set_threshold(COLLECTION_THRESHOLD, 20, 20)
     gc.freeze()
-    asyncio.run(_run(settings.unwrap()))
+    asyncio.run(_run(settings.unwrap(), listener))
     return 0
 
 
-async def _run(settings: HostSettings) -> None:
-    await Host(settings).run()
+async def _run(settings: HostSettings, listener: socket.socket | None) -> None:
+    await Host(settings, listener).run()
--- a/foxtailseam/front/tests/test_host.py
+++ b/foxtailseam/front/tests/test_host.py
@@ -108,7 +108,7 @@
         log = (self.directory / f"host-{number}.log").open("wb")
         process = await asyncio.create_subprocess_exec(
             sys.executable,
-            *("-m", "foxtailseam.front"),
+            *("-m", "foxtailseam.launch", f"{host}:{callers}"),
             cwd=ROOT,
             env=os.environ | {"FOXTAILSEAM_CONFIG": str(path)},
             stdout=log,
--- a/foxtailseam/front/tests/test_load.py
+++ b/foxtailseam/front/tests/test_load.py
@@ -40,6 +40,43 @@
             assert all(call.missing == 0 for call in tier.answered())
 
 
+class TestStart:
+    @pytest.mark.parametrize(
+        ("configured_at", "deadline_ms", "status", "most_seconds"),
+        [
+            (0.05, 1_200, 200, 0.15),
+            # Waits in vain, for as long as a configuration is expected.
+            (9.0, 4_000, 503, 0.3),
+            # Waits for a part of the time that its caller has.
+            (9.0, 400, 503, 0.1),
+        ],
+    )
+    def test_early_requests_wait_for_the_first_configuration(
+        self, configured_at, deadline_ms, status, most_seconds
+    ):
+        with simulated_shards(configured_at=configured_at) as tier:
+            call = tier.send("/urgent/q", deadline_ms)
+            tier.time.run_until(2)
+            assert call.response.status == status
+            assert call.seconds <= most_seconds + 1e-9
+
+    def test_later_requests_are_refused_at_once(self):
+        with simulated_shards(configured_at=9.0) as tier:
+            tier.time.run_until(1)
+            call = tier.send("/urgent/q")
+            assert call.response.status == 503
+            assert call.seconds == 0.0
+            assert float(dict(call.response.headers)[b"Retry-After"]) > 0
+
+    def test_a_caller_that_leaves_is_not_served_later(self):
+        with simulated_shards(configured_at=0.1) as tier:
+            call = tier.send("/urgent/q")
+            call.on_gone()
+            tier.time.run_until(2)
+            pairs = tier.searchers.values()
+            assert not any(searcher.runs for pair in pairs for searcher in pair)
+
+
 class TestPauses:
     def test_a_pause_of_each_searcher_is_hedged_within_the_budget(self):
         with simulated_shards() as tier:
--- a/foxtailseam/http/__init__.py
+++ b/foxtailseam/http/__init__.py
@@ -5,13 +5,15 @@
 request, and connections that may not be used again.
 """
 
+from foxtailseam.http._call import Call
+from foxtailseam.http._caller import ListenerLimits
 from foxtailseam.http._exchange import (
     ExchangeResult,
     LossKind,
     Lost,
     Received,
 )
-from foxtailseam.http._listener import Call, Listener, ListenerLimits
+from foxtailseam.http._listener import Listener
 from foxtailseam.http._messages import (
     Headers,
     HttpRequest,
--- a/foxtailseam_bench/simulation/_tier.py
+++ b/foxtailseam_bench/simulation/_tier.py
@@ -20,6 +20,7 @@
 from foxtailseam.http import HttpRequest, HttpResponse
 from foxtailseam.metrics import Metrics
 from foxtailseam.quarantine import QuarantineController
+from foxtailseam.routing import Configuration
 from foxtailseam.store import Item, Removal
 from foxtailseam_bench.simulation._searcher import SHED_STATUS, SimulatedSearcher
 from foxtailseam_bench.simulation._time import VirtualTime
@@ -27,7 +28,7 @@
 TICK_SECONDS = 0.25
 
 
-@dataclass
+@dataclass(eq=False)
 class SimulatedCall:
     """A caller's request; implements what the front end uses of a `Call`."""
 
@@ -84,6 +85,8 @@
         Seed of the choices.
     hosts : int
         Hosts that share the budgets.
+    configured_at : float or None
+        When the host learns its configuration, in seconds; None for at once.
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         time: VirtualTime,
         seed: int = 1,
         hosts: int = 1,
+        configured_at: float | None = None,
     ):
         self.time = time
         self.searchers = searchers
@@ -112,13 +116,13 @@
             generator,
         )
         self.dispatcher.hosts = hosts
-        guard = OverloadGuard(time, generator)
+        self._guard = OverloadGuard(time, generator)
         log = _SilentLog()
         quarantine = QuarantineController(time, HybridClock(time))
         suspicion = SuspicionGuard(quarantine, log)
         self.dispatcher.on_crash = suspicion.crashed
         self.knowledge = Knowledge(
-            self.dispatcher, time, log, generator, guard.configure
+            self.dispatcher, time, log, generator, self._on_configured
         )
         self.front = FrontEnd(
             self.knowledge,
@@ -128,10 +132,13 @@
             self.metrics,
             lambda: True,
             TimingSettings(),
-            guard,
+            self._guard,
             suspicion,
         )
-        self._publish(routes)
+        if configured_at is None:
+            self.publish_all(routes)
+        else:
+            time.call_later(configured_at, self.publish_all, routes)
         self._tick()
 
     def send(self, path: str, deadline_ms: int = 1_200) -> SimulatedCall:
@@ -178,6 +185,10 @@
         """Take a searcher's entry away."""
         self.knowledge.take(Removal(f"servers/{service}-{number}", 3))
 
+    def _on_configured(self, configuration: Configuration) -> None:
+        self._guard.configure(configuration)
+        self.front.configured()
+
     def _address_of(self, searcher: SimulatedSearcher) -> str:
         for address, known in self._links.items():
             if known is searcher:
@@ -186,7 +197,8 @@
         self._links[address] = searcher
         return address
 
-    def _publish(self, routes: list[dict]) -> None:
+    def publish_all(self, routes: list[dict]) -> None:
+        """Publish the configuration and every searcher."""
         services = [{"name": name, "max_conns": 26} for name in self.searchers]
         document = {"version": 1, "routes": routes, "services": services}
         value = json.dumps(document).encode()
