Time hedges by each shard's budget and by its last sending

Cause: the time of a query's hedges came from the quantiles of its route and from the budget of its first shard.

Change: a slow response counts as 2.5 typical ones at most; each shard's hedge is due by its own budget and from its own last sending. What queries to one service and to all shards share (times, timers, refusals) is one base class. Log lines name when each attempt was sent.

--- a/foxtailseam/dispatch/__init__.py
+++ b/foxtailseam/dispatch/__init__.py
@@ -9,18 +9,13 @@
 from foxtailseam.dispatch._choice import Candidate, choose
 from foxtailseam.dispatch._dispatcher import Dispatcher, TimerHandle, Timers
 from foxtailseam.dispatch._format import AnswerMarks, AnswerReader, RequestTemplate
-from foxtailseam.dispatch._gather import (
-    GatherQuery,
-    GatherResult,
-    Merged,
-    NotAnswered,
-    QueryTimes,
-)
+from foxtailseam.dispatch._gather import GatherQuery, GatherResult, Merged
 from foxtailseam.dispatch._health import Failure, SearcherHealth
 from foxtailseam.dispatch._hedging import HedgeInputs, hedge_delay
 from foxtailseam.dispatch._latency import Baseline, ResponseTimes
 from foxtailseam.dispatch._line import WaitingLine, expected_wait, retry_after
 from foxtailseam.dispatch._partial import PartialDecision, Progress, decide
+from foxtailseam.dispatch._query import NotAnswered, Query, QueryTimes
 from foxtailseam.dispatch._results import (
     FailureReason,
     ServiceAnswer,
@@ -49,6 +44,7 @@
     "PartialDecision",
     "PendingExchange",
     "Progress",
+    "Query",
     "QueryTimes",
     "RequestTemplate",
     "ResponseTimes",
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -6,6 +6,7 @@
 from foxtailseam.dispatch._dispatcher import Dispatcher
 from foxtailseam.dispatch._format import RequestTemplate
 from foxtailseam.dispatch._health import Failure
+from foxtailseam.dispatch._hedging import HedgeInputs, hedge_delay
 from foxtailseam.dispatch._latency import ResponseTimes
 from foxtailseam.dispatch._line import Place
 from foxtailseam.dispatch._results import (
@@ -83,6 +84,8 @@
         Where to.
     number : int
         Number of the request at the searcher.
+    sent_at : float
+        When, on the dispatcher's clock.
     exchange : PendingExchange or None
         The request on its way; None before it has begun.
     outcome : str
@@ -91,6 +94,7 @@
 
     searcher: Searcher
     number: int
+    sent_at: float
     exchange: PendingExchange | None = None
     outcome: str = ""
 
@@ -99,12 +103,15 @@
 class CallRecord:
     """What a call did, for the log line of its request."""
 
+    started_at: float
     attempts: list[Attempt] = field(default_factory=list)
 
     def describe(self) -> str:
-        """Return each attempt as ``searcher:outcome``."""
+        """Return each attempt as ``searcher@MILLISECONDS:outcome``."""
         return ",".join(
-            f"{item.searcher.entry.identifier}:{item.outcome or 'pending'}"
+            f"{item.searcher.entry.identifier}"
+            f"@{round((item.sent_at - self.started_at) * 1000)}"
+            f":{item.outcome or 'pending'}"
             for item in self.attempts
         )
 
@@ -137,7 +144,7 @@
         self.on_result = on_result
         self.may_repeat = may_repeat
         self.on_held: Callable[[], None] = lambda: None
-        self.record = CallRecord()
+        self.record = CallRecord(dispatcher.clock.monotonic())
         self._times: ResponseTimes = dispatcher.response_times(plan.route)
         self._running: dict[int, Attempt] = {}
         self._tried: set[str] = set()
@@ -167,6 +174,20 @@
         """Send to the best searcher, or wait for room."""
         self._send_or_wait()
 
+    def hedge_at(self, goal_at: float) -> float:
+        """Return when a second searcher should be asked.
+
+        Parameters
+        ----------
+        goal_at : float
+            When the answer must leave, on the dispatcher's clock.
+        """
+        attempts = self.record.attempts
+        sent_at = attempts[-1].sent_at if attempts else self.record.started_at
+        budget = self.dispatcher.budget(self.plan.service)
+        left = budget.left(self.dispatcher.hosts)
+        return sent_at + hedge_delay(HedgeInputs(goal_at - sent_at, self._times, left))
+
     def hedge(self) -> bool:
         """Ask a second searcher while the first is silent; return whether it is done.
 
@@ -232,16 +253,19 @@
 
     def _send(self, searcher: Searcher) -> None:
         plan = self.plan
+        dispatcher = self.dispatcher
         if self._time_left() < LEAST_TIME:
             self._reason = FailureReason.DEADLINE
             self._fail()
             return
         if not self._counted:
             self._counted = True
-            self.dispatcher.budget(plan.service).count_request()
+            dispatcher.budget(plan.service).count_request()
         identifier = searcher.entry.identifier
         self._tried.add(identifier)
-        attempt = Attempt(searcher, searcher.begin(self._times.median))
+        attempt = Attempt(
+            searcher, searcher.begin(self._times.median), dispatcher.clock.monotonic()
+        )
         self._running[id(attempt)] = attempt
         self.record.attempts.append(attempt)
         attempt.exchange = searcher.link.send(
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -2,13 +2,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from datetime import timedelta
 
 from foxtailseam.dispatch._call import CallPlan, ServiceCall
-from foxtailseam.dispatch._dispatcher import Dispatcher, TimerHandle
-from foxtailseam.dispatch._hedging import HedgeInputs, hedge_delay
-from foxtailseam.dispatch._line import retry_after
+from foxtailseam.dispatch._dispatcher import Dispatcher
 from foxtailseam.dispatch._partial import PartialDecision, Progress, decide
+from foxtailseam.dispatch._query import LINGER, NotAnswered, Query, QueryTimes
 from foxtailseam.dispatch._results import (
     FailureReason,
     ServiceAnswer,
@@ -18,39 +16,11 @@
 from foxtailseam.outcomes import merge_records
 from foxtailseam.routing import AllShards
 
-# Time between looks at shards that could not be hedged at once, in seconds.
-HEDGE_RECHECK = 0.01
-# After the answer, requests still out may end by themselves for this long; a
-# searcher that is cut off costs a new connection. In seconds.
-LINGER = 0.25
+# Least time between two looks at shards that may need a hedge, in seconds.
+HEDGE_RECHECK = 0.005
 _FIRST_FAILURE_STATUS = 300
 
 
-@dataclass(frozen=True, slots=True)
-class QueryTimes:
-    """When a query must end, in seconds of the dispatcher's clock.
-
-    Parameters
-    ----------
-    started_at : float
-        When the request arrived.
-    goal_at : float
-        When the answer must leave to be within the latency goal.
-    goal_ends_at : float
-        Until when it may leave and still be within the goal, with luck.
-    late_at : float
-        When an answer that missed the goal waits no longer to be complete.
-    deadline_at : float
-        When the last answer must leave.
-    """
-
-    started_at: float
-    goal_at: float
-    goal_ends_at: float
-    late_at: float
-    deadline_at: float
-
-
 @dataclass(frozen=True, slots=True)
 class Merged:
     """An answer from all or some shards.
@@ -70,29 +40,10 @@
     records: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class NotAnswered:
-    """No answer.
-
-    Parameters
-    ----------
-    reason : FailureReason
-        Why.
-    may_have_run : bool
-        False only if no searcher ran the request, nor ever will.
-    retry_after : timedelta or None
-        When to come back; None if nothing is known of that.
-    """
-
-    reason: FailureReason
-    may_have_run: bool
-    retry_after: timedelta | None = None
-
-
 GatherResult = Merged | NotAnswered
 
 
-class GatherQuery:
+class GatherQuery(Query):
     """Asks every shard, hedges, and answers by the latency goal.
 
     Parameters
@@ -121,14 +72,11 @@
         on_result: Callable[[GatherResult], None],
         on_survived: Callable[[], None] | None = None,
     ):
-        self.dispatcher = dispatcher
+        super().__init__(dispatcher, times)
         self.plans = plans
         self.destination = destination
-        self.times = times
         self.on_result = on_result
         self.on_survived = on_survived
-        self.hedges = 0
-        self.late_shards = ""
         self._calls: list[ServiceCall] = []
         self._waiting: set[ServiceCall] = set()
         self._hedged: set[ServiceCall] = set()
@@ -136,7 +84,6 @@
         self._part_times: list[float] = []
         self._asked_at = 0.0
         self._failures: list[ServiceFailure] = []
-        self._timers: list[TimerHandle] = []
         self._missed_goal = False
         self._is_over = False
 
@@ -147,7 +94,7 @@
 
     def start(self) -> None:
         """Ask every shard; refuse at once if too few can be asked in time."""
-        refusal = self._refusal()
+        refusal = self._refusal(self.plans, self.destination.least_shards)
         if refusal is not None:
             self._is_over = True
             self.on_result(refusal)
@@ -159,13 +106,14 @@
         for call in self._calls:
             call.on_held = self._settle
         self._waiting = set(self._calls)
-        now = self._asked_at = self.dispatcher.clock.monotonic()
-        self._at(now + self._hedge_delay(now), self._hedge)
+        self._asked_at = self._now()
         self._at(self.times.goal_at, self._on_goal)
         self._at(self.times.late_at, self._settle)
         self._at(self.times.deadline_at, self._settle)
         alone = 1 if self.on_survived is not None else len(self._calls)
         self._start_calls(self._calls[:alone])
+        if not self._is_over:
+            self._hedge()
 
     def cancel(self) -> None:
         """Give up: the caller has left."""
@@ -182,7 +130,7 @@
         last = self.destination.least_shards - 1
         if last < len(self._part_times):
             return self._part_times[last]
-        return self.dispatcher.clock.monotonic() - self._asked_at
+        return self._now() - self._asked_at
 
     @property
     def may_have_run(self) -> bool:
@@ -214,55 +162,20 @@
         for call in list(self._waiting):
             call.resume()
 
-    def _refusal(self) -> NotAnswered | None:
-        """Return a refusal if enough shards cannot be asked in time."""
-        dispatcher = self.dispatcher
-        remaining = self.times.deadline_at - dispatcher.clock.monotonic()
-        waits = []
-        for plan in self.plans:
-            if not dispatcher.usable(plan.service):
-                continue
-            waits.append(
-                dispatcher.expected_wait(plan.service, plan.route, plan.deadline_at)
-            )
-        least = self.destination.least_shards
-        if len(waits) < least:
-            # New searchers need about as long to be known.
-            return NotAnswered(
-                FailureReason.NO_SEARCHER, False, timedelta(seconds=retry_after(0.5))
-            )
-        wait = sorted(waits)[least - 1]
-        if wait >= remaining:
-            return NotAnswered(
-                FailureReason.SHED, False, timedelta(seconds=retry_after(wait))
-            )
-        return None
-
-    def _hedge_delay(self, now: float) -> float:
-        dispatcher = self.dispatcher
-        plan = self.plans[0]
-        return hedge_delay(
-            HedgeInputs(
-                self.times.goal_at - now,
-                dispatcher.response_times(plan.route),
-                dispatcher.budget(plan.service).left(dispatcher.hosts),
-            )
-        )
-
-    def _at(self, when: float, callback: Callable[[], None]) -> None:
-        delay = max(0.0, when - self.dispatcher.clock.monotonic())
-        self._timers.append(self.dispatcher.timers.call_later(delay, callback))
-
     def _hedge(self) -> None:
-        # A query that crashes searchers must not take the second ones, too.
-        hedgeable = self._waiting - self._hedged if self._is_harmless() else ()
-        for call in hedgeable:
-            if call.hedge():
+        """Ask second searchers where that is due; come back when more are."""
+        now = self._now()
+        next_at = self.times.late_at
+        for call in self._waiting - self._hedged:
+            due_at = call.hedge_at(self.times.goal_at)
+            # A query that crashes searchers must not take the second ones, too.
+            if due_at <= now and self._is_harmless() and call.hedge():
                 self.hedges += 1
                 self._hedged.add(call)
-        now = self.dispatcher.clock.monotonic()
-        if self._waiting - self._hedged and now + HEDGE_RECHECK < self.times.late_at:
-            self._at(now + HEDGE_RECHECK, self._hedge)
+            else:
+                next_at = min(next_at, max(due_at, now + HEDGE_RECHECK))
+        if next_at < self.times.late_at:
+            self._at(next_at, self._hedge)
 
     def _on_goal(self) -> None:
         self._settle()
@@ -276,7 +189,7 @@
             case ServiceAnswer(stamp=stamp, response=response):
                 if response.status < _FIRST_FAILURE_STATUS and stamp:
                     self._parts[call.plan.service] = result
-                    now = self.dispatcher.clock.monotonic()
+                    now = self._now()
                     self._part_times.append(now - self._asked_at)
                     if len(self._parts) == 1 and not self._is_over:
                         self._first_part()
@@ -297,7 +210,7 @@
             included=len(self._parts),
             pending=self._pending(),
             least=self.destination.least_shards,
-            now=self.dispatcher.clock.monotonic(),
+            now=self._now(),
             goal_at=times.goal_at,
             goal_ends_at=times.goal_ends_at,
             late_at=times.late_at,
@@ -335,7 +248,7 @@
     def _fail(self) -> None:
         reasons = [failure.reason for failure in self._failures]
         reason = max(set(reasons), key=reasons.count, default=FailureReason.LOST)
-        if self.dispatcher.clock.monotonic() >= self.times.deadline_at:
+        if self._now() >= self.times.deadline_at:
             reason = FailureReason.DEADLINE
         self._conclude(NotAnswered(reason, self.may_have_run))
 
@@ -350,8 +263,7 @@
 
     def _end(self) -> None:
         self._is_over = True
-        for timer in self._timers:
-            timer.cancel()
+        self._cancel_timers()
 
     def _end_calls(self) -> None:
         for call in self._calls:
--- a/foxtailseam/dispatch/_hedging.py
+++ b/foxtailseam/dispatch/_hedging.py
@@ -16,6 +16,9 @@
 PATIENCE_FACTOR = 1.1
 # No request waits longer than this multiple of a typical response.
 MOST_TYPICAL_TIMES = 4.0
+# A slow response is at most so many typical ones: a few slow searchers must not
+# put off the hedges of all others.
+MOST_SPREAD = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,9 +47,13 @@
     still silent then is held up at its searcher; but not so early that the
     budget would not last.
     """
-    times = inputs.times
     span = LATE_QUANTILE - EARLY_QUANTILE
     quantile = LATE_QUANTILE - span * inputs.budget_left
-    patience = PATIENCE_FACTOR * times.quantile(quantile)
-    latest = inputs.until_goal - ANSWER_FACTOR * times.quantile(SLOW_QUANTILE)
-    return max(patience, min(latest, MOST_TYPICAL_TIMES * times.median))
+    patience = PATIENCE_FACTOR * _usual(inputs.times, quantile)
+    slow = _usual(inputs.times, SLOW_QUANTILE)
+    latest = inputs.until_goal - ANSWER_FACTOR * slow
+    return max(patience, min(latest, MOST_TYPICAL_TIMES * inputs.times.median))
+
+
+def _usual(times: ResponseTimes, share: float) -> float:
+    return min(times.quantile(share), MOST_SPREAD * times.median)
--- a/foxtailseam/dispatch/tests/test_decisions.py
+++ b/foxtailseam/dispatch/tests/test_decisions.py
@@ -231,6 +231,14 @@
         assert early < late
         assert early >= self.times().quantile(0.8)
 
+    def test_slow_searchers_do_not_put_off_the_hedges_of_others(self):
+        # Both searchers of two shards in twenty are eight times slower.
+        times = ResponseTimes(0.09)
+        for number in range(256):
+            times.record(0.1 if number % 10 == 0 else 0.012)
+        for budget_left in (1.0, 0.5, 0.0):
+            assert hedge_delay(HedgeInputs(0.08, times, budget_left)) < 0.04
+
     def test_the_goal_guides_until_there_are_samples(self):
         delay = hedge_delay(HedgeInputs(0.09, ResponseTimes(0.1), 1.0))
         assert 0.02 < delay < 0.09
--- a/foxtailseam/front/tests/test_load.py
+++ b/foxtailseam/front/tests/test_load.py
@@ -155,6 +155,24 @@
             assert statuses.count(200) / len(statuses) > 0.97
 
 
+class TestSlowShards:
+    def test_pauses_are_hedged_while_as_many_shards_as_may_lack_are_slow(self):
+        with simulated_shards() as tier:
+            for number in range(2):
+                for searcher in tier.searchers[f"shard{number}"]:
+                    searcher.slowness = 8.0
+            for number in range(2, 20):
+                for which, searcher in enumerate(tier.searchers[f"shard{number}"]):
+                    for turn in range(5):
+                        at = turn * 2.4 + number * 0.11 + which * 1.2
+                        searcher.pause(at, 0.1)
+            tier.load("/urgent/q", 10, 0, 10)
+            tier.time.run_until(12)
+            after = [call for call in tier.answered() if call.sent_at > 2]
+            assert in_goal(after) > 0.95
+            assert {call.missing for call in after} <= {0, 1, 2}
+
+
 class TestSlowSearchers:
     def test_slow_searchers_are_avoided(self):
         with simulated_shards() as tier:
