Ask shards that cannot answer in time only where a query needs them

Hedges went to the slow searchers, too. Found on the way: a searcher's speed was judged by raw responses, a pause of 100 ms among them, and by routes that have too few responses to compare with.

Change: a pure decision, `place`, before the first sending: shards that may answer in time are asked; of the others as many as the least share needs, told apart by chance; where none is needed, those where this host has nothing in flight. What is left out is asked later only if too few others remain. A searcher whose expected time is over 2.5 times the time left gets no hedge. The choice tells expected time from price: traffic between failure domains weighs 12 ms, not 6.

--- a/foxtailseam/dispatch/__init__.py
+++ b/foxtailseam/dispatch/__init__.py
@@ -15,6 +15,7 @@
 from foxtailseam.dispatch._latency import Baseline, ResponseTimes
 from foxtailseam.dispatch._line import WaitingLine, expected_wait, retry_after
 from foxtailseam.dispatch._partial import PartialDecision, Progress, decide
+from foxtailseam.dispatch._placement import Prospect, place
 from foxtailseam.dispatch._query import NotAnswered, Query, QueryTimes
 from foxtailseam.dispatch._results import (
     FailureReason,
@@ -44,6 +45,7 @@
     "PartialDecision",
     "PendingExchange",
     "Progress",
+    "Prospect",
     "Query",
     "QueryTimes",
     "RequestTemplate",
@@ -64,5 +66,6 @@
     "decide",
     "expected_wait",
     "hedge_delay",
+    "place",
     "retry_after",
 ]
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -9,6 +9,7 @@
 from foxtailseam.dispatch._hedging import HedgeInputs, hedge_delay
 from foxtailseam.dispatch._latency import ResponseTimes
 from foxtailseam.dispatch._line import Place
+from foxtailseam.dispatch._placement import Prospect
 from foxtailseam.dispatch._results import (
     FailureReason,
     ServiceAnswer,
@@ -28,6 +29,9 @@
 
 # Nothing is sent that leaves a searcher less time than this, in seconds.
 LEAST_TIME = 0.005
+# A searcher that is expected to take longer than so many times the time left is
+# not asked as the second one: it would only be loaded.
+HEDGE_LUCK = 2.5
 # Turned away more often than this, a request is not sent again.
 MOST_REJECTIONS = 3
 # An attempt that is given up counts as silence after so many typical times.
@@ -148,6 +152,7 @@
         self._times: ResponseTimes = dispatcher.response_times(plan.route)
         self._running: dict[int, Attempt] = {}
         self._tried: set[str] = set()
+        self._chosen: Searcher | None = None
         self._place: Place | None = None
         self._is_over = False
         self._is_held = False
@@ -170,9 +175,20 @@
             for attempt in self._running.values()
         )
 
+    def prospect(self) -> Prospect:
+        """Return what may be expected of the service, and keep its best searcher."""
+        prospect, self._chosen = self.dispatcher.prospect(
+            self.plan.service, self._times.median
+        )
+        return prospect
+
     def start(self) -> None:
         """Send to the best searcher, or wait for room."""
-        self._send_or_wait()
+        chosen, self._chosen = self._chosen, None
+        if chosen is not None and chosen.has_room:
+            self._send(chosen)
+        else:
+            self._send_or_wait()
 
     def hedge_at(self, goal_at: float) -> float:
         """Return when a second searcher should be asked.
@@ -188,16 +204,26 @@
         left = budget.left(self.dispatcher.hosts)
         return sent_at + hedge_delay(HedgeInputs(goal_at - sent_at, self._times, left))
 
-    def hedge(self) -> bool:
+    def hedge(self, useful_until: float) -> bool:
         """Ask a second searcher while the first is silent; return whether it is done.
 
         Only for requests that may run more than once.
+
+        Parameters
+        ----------
+        useful_until : float
+            After this an answer is of little use, on the dispatcher's clock.
         """
         if self._is_over or not self._running or not self._may_send_again():
             return False
-        searcher = self._other_searcher()
+        searcher = self.dispatcher.choose(
+            self.plan.service, self._times.median, self._tried
+        )
         if searcher is None or searcher.health.is_ejected:
             return False
+        expected = searcher.health.slowness * self._times.median
+        if expected > HEDGE_LUCK * (useful_until - self.dispatcher.clock.monotonic()):
+            return False
         if not self._take_extra():
             return False
         self.dispatcher.metrics.add("hedges_sent")
@@ -314,7 +340,8 @@
             self._failure_response = response
             self._on_failure(is_free=False)
             return
-        attempt.searcher.health.answered(seconds, self._times.median)
+        typical = self._times.median if self._times.is_known else None
+        attempt.searcher.health.answered(seconds, typical)
         self._times.record(seconds)
         if not self._is_over:
             self._is_over = True
@@ -359,11 +386,6 @@
         self.dispatcher.metrics.add("extras_denied")
         return False
 
-    def _other_searcher(self) -> Searcher | None:
-        return self.dispatcher.choose(
-            self.plan.service, self._times.median, self._tried
-        )
-
     def _untried(self) -> bool:
         return any(
             searcher.entry.identifier not in self._tried
--- a/foxtailseam/dispatch/_choice.py
+++ b/foxtailseam/dispatch/_choice.py
@@ -5,7 +5,7 @@
 
 # What a searcher in another failure domain costs beside its response time:
 # traffic between domains, in seconds of response time.
-OTHER_DOMAIN_SECONDS = 0.006
+OTHER_DOMAIN_SECONDS = 0.012
 # What opening a connection adds.
 NEW_CONNECTION_SECONDS = 0.006
 # How much a failure costs, in typical response times.
@@ -56,7 +56,7 @@
     is_lapsed: bool = False
     is_ejected: bool = False
 
-    def cost(self, typical: float) -> float:
+    def expected(self, typical: float) -> float:
         """Return the expected time of a request, in seconds.
 
         Parameters
@@ -64,9 +64,19 @@
         typical : float
             Typical response time of the request's route, in seconds.
         """
-        speed = self.slowness * (WARMUP_FACTOR if self.is_warming else 1.0)
+        queue = max(1.0, (self.in_flight + 1) / self.slots)
+        return typical * self._speed * queue
+
+    def cost(self, typical: float) -> float:
+        """Return what tells better searchers from worse, in seconds.
+
+        Parameters
+        ----------
+        typical : float
+            Typical response time of the request's route, in seconds.
+        """
         load = 1.0 + self.in_flight / self.slots
-        cost = typical * (speed * load + FAILURE_COST * self.failure_share)
+        cost = typical * (self._speed * load + FAILURE_COST * self.failure_share)
         if not self.is_near:
             cost += OTHER_DOMAIN_SECONDS
         if not self.has_connection:
@@ -75,6 +85,10 @@
             cost += LAPSE_COST * typical
         return cost
 
+    @property
+    def _speed(self) -> float:
+        return self.slowness * (WARMUP_FACTOR if self.is_warming else 1.0)
+
 
 def choose(
     candidates: Iterable[Candidate], typical: float, draw: float = 0.0
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -1,5 +1,6 @@
 """The searchers of all services, with the budgets and lines that requests share."""
 
+import math
 import random
 from collections.abc import Callable, Iterable
 from typing import Protocol
@@ -7,10 +8,11 @@
 from foxtailseam.catalogue import SearcherEntry
 from foxtailseam.clocks import Clock
 from foxtailseam.dispatch._budget import BudgetSettings, ExtraBudget
-from foxtailseam.dispatch._choice import choose
+from foxtailseam.dispatch._choice import Candidate, choose
 from foxtailseam.dispatch._format import AnswerReader
 from foxtailseam.dispatch._latency import ResponseTimes
 from foxtailseam.dispatch._line import WaitingLine, expected_wait
+from foxtailseam.dispatch._placement import Prospect
 from foxtailseam.dispatch._searcher import Searcher, SearcherLink
 from foxtailseam.http import HttpRequest
 from foxtailseam.metrics import Metrics
@@ -166,13 +168,37 @@
         excluded : iterable of str
             Searchers that were tried already.
         """
+        best = self._best(service, typical, excluded)
+        return self._searchers[best.identifier] if best else None
+
+    def prospect(
+        self, service: str, typical: float
+    ) -> tuple[Prospect, Searcher | None]:
+        """Return what may be expected of a service, and its best searcher.
+
+        Parameters
+        ----------
+        service : str
+            Service of the request.
+        typical : float
+            Typical response time of its route in seconds.
+        """
+        best = self._best(service, typical, ())
+        if best is None:
+            return Prospect(math.inf), None
+        expected = math.inf if best.is_ejected else best.expected(typical)
+        searcher = self._searchers[best.identifier]
+        return Prospect(expected, searcher.in_flight), searcher
+
+    def _best(
+        self, service: str, typical: float, excluded: Iterable[str]
+    ) -> Candidate | None:
         candidates = [
             searcher.candidate(self.failure_domain)
             for searcher in self.usable(service)
             if searcher.entry.identifier not in excluded and searcher.has_room
         ]
-        best = choose(candidates, typical, self.generator.random())
-        return self._searchers[best.identifier] if best else None
+        return choose(candidates, typical, self.generator.random())
 
     def lost(self, searcher: Searcher, request: HttpRequest) -> None:
         """Find out whether a searcher crashed while it ran a request."""
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -6,6 +6,7 @@
 from foxtailseam.dispatch._call import CallPlan, ServiceCall
 from foxtailseam.dispatch._dispatcher import Dispatcher
 from foxtailseam.dispatch._partial import PartialDecision, Progress, decide
+from foxtailseam.dispatch._placement import place
 from foxtailseam.dispatch._query import LINGER, NotAnswered, Query, QueryTimes
 from foxtailseam.dispatch._results import (
     FailureReason,
@@ -78,6 +79,8 @@
         self.on_result = on_result
         self.on_survived = on_survived
         self._calls: list[ServiceCall] = []
+        # Asked only if the query cannot do without.
+        self._deferred: list[ServiceCall] = []
         self._waiting: set[ServiceCall] = set()
         self._hedged: set[ServiceCall] = set()
         self._parts: dict[str, ServiceAnswer] = {}
@@ -105,13 +108,14 @@
         ]
         for call in self._calls:
             call.on_held = self._settle
-        self._waiting = set(self._calls)
+        asked = self._place_calls()
         self._asked_at = self._now()
         self._at(self.times.goal_at, self._on_goal)
         self._at(self.times.late_at, self._settle)
         self._at(self.times.deadline_at, self._settle)
-        alone = 1 if self.on_survived is not None else len(self._calls)
-        self._start_calls(self._calls[:alone])
+        alone = 1 if self.on_survived is not None else len(asked)
+        self._first, self._rest = asked[0], asked[alone:]
+        self._start_calls(asked[:alone])
         if not self._is_over:
             self._hedge()
 
@@ -145,6 +149,27 @@
             if call.plan.service not in self._parts
         )
 
+    def _place_calls(self) -> list[ServiceCall]:
+        """Return the calls to start now; keep the others for later."""
+        destination = self.destination
+        chosen = place(
+            [call.prospect() for call in self._calls],
+            self.times.goal_at - self._now(),
+            len(self._calls) - destination.least_shards,
+            [self.dispatcher.generator.random() for _ in self._calls],
+        )
+        pairs = list(zip(self._calls, chosen, strict=True))
+        asked = [call for call, is_chosen in pairs if is_chosen]
+        self._deferred = [call for call, is_chosen in pairs if not is_chosen]
+        self._waiting = set(asked)
+        return asked
+
+    def _start_deferred(self, most: int) -> None:
+        """Ask up to `most` of the shards that were left out at first."""
+        calls, self._deferred = self._deferred[:most], self._deferred[most:]
+        self._waiting.update(calls)
+        self._start_calls(calls)
+
     def _start_calls(self, calls: list[ServiceCall]) -> None:
         for call in calls:
             if not self._is_over:
@@ -158,7 +183,7 @@
         """Go on with what waited for the evidence that the query is harmless."""
         if self.on_survived is not None:
             self.on_survived()
-            self._start_calls(self._calls[1:])
+            self._start_calls(self._rest)
         for call in list(self._waiting):
             call.resume()
 
@@ -166,10 +191,12 @@
         """Ask second searchers where that is due; come back when more are."""
         now = self._now()
         next_at = self.times.late_at
+        # One that missed its goal waits until then for more parts.
+        useful_until = self.times.late_at if self._missed_goal else self.times.goal_at
         for call in self._waiting - self._hedged:
             due_at = call.hedge_at(self.times.goal_at)
             # A query that crashes searchers must not take the second ones, too.
-            if due_at <= now and self._is_harmless() and call.hedge():
+            if due_at <= now and self._is_harmless() and call.hedge(useful_until):
                 self.hedges += 1
                 self._hedged.add(call)
             else:
@@ -204,6 +231,11 @@
     def _settle(self) -> None:
         if self._is_over:
             return
+        lacking = self.destination.least_shards - len(self._parts) - self._pending()
+        if lacking > 0 and self._deferred and self._is_harmless():
+            self._start_deferred(lacking)
+            if self._is_over:
+                return
         times = self.times
         progress = Progress(
             total=len(self.plans),
@@ -229,8 +261,7 @@
             return len(self._waiting)
         if self.on_survived is not None:
             # The first shard decides for all.
-            first = self._calls[0]
-            is_open = first in self._waiting and not first.is_held
+            is_open = self._first in self._waiting and not self._first.is_held
             return len(self._waiting) if is_open else 0
         # One that isn't held may answer, and the held ones go on then.
         is_open = any(not call.is_held for call in self._waiting)
@@ -256,7 +287,7 @@
         self._end()
         if any(call.is_running for call in self._calls):
             self.dispatcher.timers.call_later(LINGER, self._end_calls)
-        for call in self._waiting:
+        for call in (*self._waiting, *self._deferred):
             if not call.is_running:
                 call.cancel()
         self.on_result(result)
--- a/foxtailseam/dispatch/_health.py
+++ b/foxtailseam/dispatch/_health.py
@@ -1,12 +1,15 @@
 """What one host has seen of one searcher: its speed, failures and silence."""
 
 import math
+from collections import deque
 from enum import Enum, auto
 
 from foxtailseam.clocks import Clock
 
-# Weight of a new sample of the speed.
-SPEED_WEIGHT = 0.2
+# Weight of a new sample of the speed: the median of the latest responses, since a
+# searcher that pauses for a moment is not a slow one.
+SPEED_WEIGHT = 0.4
+MEDIAN_SAMPLES = 5
 # Highest ratio of one response time to the typical one that counts.
 MOST_SLOWNESS = 20.0
 # Without samples, a searcher is taken for typical again after some of these.
@@ -58,6 +61,7 @@
     def __init__(self, clock: Clock):
         self.clock = clock
         self._slowness = 1.0
+        self._ratios = deque([1.0] * MEDIAN_SAMPLES, maxlen=MEDIAN_SAMPLES)
         self._failure_share = 0.0
         self._seen_at = clock.monotonic()
         self._heard_at = float("-inf")
@@ -82,11 +86,6 @@
         """Return whether the searcher is to be left alone."""
         return self.clock.monotonic() < self._ejected_until
 
-    @property
-    def is_suspect(self) -> bool:
-        """Return whether the last requests all failed."""
-        return self._in_a_row >= EJECT_AFTER
-
     def is_stalled(self, oldest_sent_at: float | None, typical: float) -> bool:
         """Return whether a request has been out for suspiciously long.
 
@@ -103,20 +102,24 @@
         patience = STALL_FACTOR * typical * max(1.0, self.slowness)
         return age > max(LEAST_STALL, patience)
 
-    def answered(self, seconds: float, typical: float) -> None:
+    def answered(self, seconds: float, typical: float | None) -> None:
         """Take note of a response.
 
         Parameters
         ----------
         seconds : float
             Response time.
-        typical : float
-            Typical response time of the same route at any searcher.
+        typical : float or None
+            Typical response time of the same route at any searcher; None where
+            too few are known, so that this one tells nothing of the speed.
         """
-        ratio = min(MOST_SLOWNESS, seconds / max(typical, 1e-4))
         slowness = self.slowness
         share = self.failure_share
-        self._slowness = max(0.2, slowness + SPEED_WEIGHT * (ratio - slowness))
+        if typical is not None:
+            self._ratios.append(min(MOST_SLOWNESS, seconds / max(typical, 1e-4)))
+            ratio = sorted(self._ratios)[MEDIAN_SAMPLES // 2]
+            slowness = max(0.2, slowness + SPEED_WEIGHT * (ratio - slowness))
+        self._slowness = slowness
         self._failure_share = share * (1.0 - FAILURE_WEIGHT)
         self._seen_at = self._heard_at = self.clock.monotonic()
         self._in_a_row = 0
--- a/foxtailseam/dispatch/_latency.py
+++ b/foxtailseam/dispatch/_latency.py
@@ -30,6 +30,11 @@
         self._sorted: list[float] = []
         self._since_refresh = 0
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether there are enough samples to compare others with."""
+        return len(self._samples) >= LEAST_SAMPLES
+
     @property
     def median(self) -> float:
         """Return the typical response time."""
@@ -42,7 +47,7 @@
 
     def quantile(self, share: float) -> float:
         """Return the time within which `share` (0 to 1) of responses came."""
-        if len(self._samples) < LEAST_SAMPLES:
+        if not self.is_known:
             return self.goal * (ASSUMED_MEDIAN if share <= 0.5 else ASSUMED_TAIL)
         if self._since_refresh >= REFRESH_SAMPLES or not self._sorted:
             self._sorted = sorted(self._samples)
--- a/foxtailseam/dispatch/_single.py
+++ b/foxtailseam/dispatch/_single.py
@@ -70,7 +70,7 @@
         return self._call.record.describe()
 
     def _hedge(self) -> None:
-        if self._call.hedge():
+        if self._call.hedge(self.times.deadline_at):
             self.hedges += 1
 
     def _on_call(self, call: ServiceCall, result: ServiceResult) -> None:
--- a/foxtailseam/dispatch/tests/test_decisions.py
+++ b/foxtailseam/dispatch/tests/test_decisions.py
@@ -1,5 +1,6 @@
 """Tests of the single decisions, with values in tables."""
 
+import math
 import random
 from datetime import timedelta
 
@@ -17,6 +18,7 @@
     HedgeInputs,
     PartialDecision,
     Progress,
+    Prospect,
     ResponseTimes,
     SearcherHealth,
     WaitingLine,
@@ -24,6 +26,7 @@
     decide,
     expected_wait,
     hedge_delay,
+    place,
     retry_after,
 )
 
@@ -74,6 +77,24 @@
         clock.advance(timedelta(seconds=15))
         assert health.slowness < 1.1
 
+    def test_a_pause_does_not_make_a_searcher_slow(self):
+        health = SearcherHealth(ManualClock())
+        for seconds in (TYPICAL, TYPICAL, 9 * TYPICAL, 8 * TYPICAL, TYPICAL):
+            health.answered(seconds, TYPICAL)
+            assert health.slowness < 1.1
+
+    def test_a_response_of_a_rare_route_says_nothing_of_the_speed(self):
+        health = SearcherHealth(ManualClock())
+        for _ in range(9):
+            health.answered(8 * TYPICAL, None)
+        assert health.slowness == 1.0
+
+    def test_a_slow_searcher_is_known_after_five_responses(self):
+        health = SearcherHealth(ManualClock())
+        for _ in range(5):
+            health.answered(8 * TYPICAL, TYPICAL)
+        assert health.slowness > 5
+
     @pytest.mark.parametrize(
         ("failure", "is_ejected"),
         [
@@ -263,6 +284,44 @@
         assert excess == 0.0
 
 
+GONE = Prospect(math.inf)
+
+
+class TestPlace:
+    @pytest.mark.parametrize(
+        ("unlikely", "spare", "asked"),
+        [
+            # No shard that cannot answer in time is needed: one is tried while
+            # nothing of this host waits there, none that is to be left alone.
+            ((Prospect(0.2),), 2, (True,)),
+            ((Prospect(0.2, 1),), 2, (False,)),
+            ((GONE,), 2, (False,)),
+            ((GONE, Prospect(0.2, 1)), 2, (False, False)),
+            # As many as are needed are asked, the most promising ones.
+            ((GONE, Prospect(0.9, 3), Prospect(0.2, 3)), 2, (False, False, True)),
+            ((GONE, Prospect(0.9, 3), Prospect(0.2, 3)), 1, (False, True, True)),
+            ((GONE, Prospect(0.9, 3), Prospect(0.2, 3)), 0, (True, True, True)),
+        ],
+    )
+    def test_shards_that_cannot_answer_in_time(self, unlikely, spare, asked):
+        prospects = [Prospect(0.01, 4)] * 10 + list(unlikely)
+        draws = [0.5] * len(prospects)
+        chosen = place(prospects, 0.08, spare, draws)
+        assert chosen == [True] * 10 + list(asked)
+
+    def test_chance_divides_the_load_among_shards_alike(self):
+        prospects = [Prospect(0.2, 1), Prospect(0.2, 1)]
+        first = place(prospects, 0.08, 1, (0.1, 0.9))
+        second = place(prospects, 0.08, 1, (0.9, 0.1))
+        assert (first, second) == ([True, False], [False, True])
+
+    @given(st.lists(st.floats(0.001, 1.0), min_size=1, max_size=30), st.integers(0, 30))
+    def test_enough_shards_for_a_success_are_asked(self, expected, spare):
+        prospects = [Prospect(seconds, 2) for seconds in expected]
+        chosen = place(prospects, 0.08, spare, [0.5] * len(expected))
+        assert sum(chosen) >= min(len(expected), len(expected) - spare)
+
+
 class TestWaitingLine:
     def test_priority_goes_first_then_the_earlier_deadline(self):
         line, order = WaitingLine(), []
--- a/foxtailseam/front/tests/test_load.py
+++ b/foxtailseam/front/tests/test_load.py
@@ -172,6 +172,30 @@
             assert in_goal(after) > 0.95
             assert {call.missing for call in after} <= {0, 1, 2}
 
+    def test_more_slow_shards_than_may_lack_share_the_load(self):
+        # Three shards have one searcher left, twelve times slower: a query needs
+        # one of them. What it can do without must not lengthen their queues.
+        with simulated_shards() as tier:
+            for number in range(3):
+                tier.searchers[f"shard{number}"][0].is_refusing = True
+                tier.searchers[f"shard{number}"][1].slowness = 12.0
+            tier.load("/urgent/q", 25, 0, 10)
+            tier.time.run_until(14)
+            after = [call for call in tier.answered() if call.sent_at > 2]
+            served = [call for call in after if call.response.status == 200]
+            assert len(served) / len(after) > 0.9
+            runs = sum(len(tier.searchers[f"shard{n}"][1].runs) for n in range(3))
+            assert runs < 1.5 * len(tier.calls)
+
+    def test_a_shard_without_searchers_does_not_hold_answers_up(self):
+        with simulated_shards() as tier:
+            for searcher in tier.searchers["shard3"]:
+                searcher.is_refusing = True
+            tier.load("/urgent/q", 20, 0, 8)
+            tier.time.run_until(10)
+            after = sorted(c.seconds for c in tier.answered() if c.sent_at > 2)
+            assert after[len(after) // 2] < 0.04
+
 
 class TestSlowSearchers:
     def test_slow_searchers_are_avoided(self):
