Bound the bodies that callers make a host keep; compute its place only on change

Cause: bodies of 256 KB on each of 1,950 connections are more than the memory of a host, and a process over its memory is killed. A host computed its place in the tree four times a second: 7.7 % of a core at 6,700 hosts.

Change: bodies that are read or served count against a quarter of the memory; beyond it a request is answered 503 with Retry-After, unread and not run. The place in the tree is computed when the set of living hosts has changed. Two uses of getattr are matches on types now.

--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -124,7 +124,7 @@
         self._parents: dict[str, _Parent] = {}
         self._reading: asyncio.Task | None = None
         self._read_until = float("-inf")
-        self._hosts = 0
+        self._members: frozenset[str] = frozenset()
         self._helper: str | None = None
         self._helper_until = float("-inf")
         self._tasks: set[asyncio.Task] = set()
@@ -251,10 +251,10 @@
 
     async def _seed_loop(self) -> None:
         while True:
-            known = {record.address for record in self.membership.alive}
+            known = self.membership.addresses
             unknown = [seed for seed in self.seeds if seed not in known]
             await asyncio.gather(*(self._exchange(seed) for seed in unknown))
-            is_alone = len(self.membership.alive) == 1
+            is_alone = len(self.membership.addresses) == 1
             interval = self.settings.seed_interval / (8 if is_alone else 1)
             await self._pause(interval)
 
@@ -288,11 +288,11 @@
     # Following.
 
     def _update_position(self) -> None:
-        members = [record.address for record in self.membership.alive]
-        if len(members) != self._hosts:
-            self._hosts = len(members)
-            self.on_members(self._hosts)
-        self._position = position_of(self.membership.own.address, members)
+        members = self.membership.addresses
+        if members != self._members:
+            self._members = members
+            self._position = position_of(self.membership.own.address, members)
+            self.on_members(len(members))
         wanted = {*self._position.parents, *self._helpers(members)}
         for address in list(self._parents):
             if address not in wanted:
@@ -302,15 +302,15 @@
                 task = asyncio.create_task(self._follow_parent(address))
                 self._parents[address] = _Parent(task)
 
-    def _helpers(self, members: list[str]) -> tuple[str, ...]:
+    def _helpers(self, members: frozenset[str]) -> tuple[str, ...]:
         """Return a host to follow beside the parents while this one is behind."""
         now = self.clock.monotonic()
         if self.age <= self.settings.fresh_age.total_seconds():
             return ()
         if now >= self._helper_until:
             # Another one each time: the last may be as far behind.
-            others = [item for item in members if item != self.membership.own.address]
-            self._helper = self.generator.choice(others) if others else None
+            others = members - {self.membership.own.address}
+            self._helper = self.generator.choice(sorted(others)) if others else None
             self._helper_until = now + self.settings.silence.total_seconds()
         return (self._helper,) if self._helper in members else ()
 
--- a/foxtailseam/fleet/_members.py
+++ b/foxtailseam/fleet/_members.py
@@ -85,6 +85,11 @@
         )
         return (self._own, *others)
 
+    @property
+    def addresses(self) -> frozenset[str]:
+        """Return the addresses of the hosts that live and stay."""
+        return frozenset(record.address for record in self.alive)
+
     def advance(self) -> None:
         """Count on: this host still runs."""
         self._own = replace(self._own, count=self._own.count + 1)
@@ -95,10 +100,10 @@
 
     def merge(self, records: Iterable[HostRecord]) -> bool:
         """Take what another host names; return whether the living changed."""
-        before = {record.address for record in self.alive}
+        before = self.addresses
         for record in records:
             self._merge(record)
-        return before != {record.address for record in self.alive}
+        return before != self.addresses
 
     def suspect(self, address: str) -> None:
         """Take a host as gone until it counts on: a call to it failed."""
--- a/foxtailseam/front/_answers.py
+++ b/foxtailseam/front/_answers.py
@@ -72,15 +72,20 @@
         """Return the answer to a request that came to nothing."""
         if not result.may_have_run:
             return self.refused(_retry_after(result))
-        response = getattr(result, "response", None)
-        if response is not None and response.status not in _PROMISES:
-            headers = answer_headers(response.headers)
-            return HttpResponse(response.status, headers, response.body)
+        match result:
+            case ServiceFailure(response=HttpResponse(status=status) as response):
+                # A promise of the searcher's is not ours to pass on.
+                if status not in _PROMISES:
+                    headers = answer_headers(response.headers)
+                    return HttpResponse(status, headers, response.body)
         is_late = result.reason is FailureReason.DEADLINE
         status = GATEWAY_TIMEOUT if is_late else BAD_GATEWAY
         return HttpResponse(status, retry_headers(self.identifier, None))
 
 
 def _retry_after(result: ServiceFailure | NotAnswered) -> timedelta:
-    named = getattr(result, "retry_after", None)
-    return named or _RETRY_AFTER[result.reason]
+    match result:
+        case NotAnswered(retry_after=timedelta() as named):
+            return named
+        case _:
+            return _RETRY_AFTER[result.reason]
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -61,6 +61,9 @@
 # Files, listeners and connections to searchers need the rest.
 CALLER_DESCRIPTOR_SHARE = 0.5
 RESERVED_DESCRIPTORS = 200
+# Part of the memory that bodies of requests may take together.
+BODY_MEMORY_SHARE = 0.25
+MEGABYTE = 1_000_000
 
 TICK_SECONDS = 0.25
 CHECK_SECONDS = 1.0
@@ -273,7 +276,12 @@
     def _set_limits(self, limits: ListenerLimits) -> None:
         descriptors = self.settings.limits.descriptors - RESERVED_DESCRIPTORS
         connections = max(1, int(descriptors * CALLER_DESCRIPTOR_SHARE))
-        self._callers.limits = replace(limits, connections=connections)
+        memory = self.settings.limits.memory_mb * MEGABYTE
+        self._callers.limits = replace(
+            limits,
+            connections=connections,
+            buffered_bytes=int(memory * BODY_MEMORY_SHARE),
+        )
 
     def _on_service(self, state: FollowerState, reason: str) -> None:
         if state is FollowerState.LOST:
@@ -317,6 +325,7 @@
         metrics.set("reads_service", self._fleet.is_reading)
         metrics.set("service_calls", self._store.calls)
         metrics.set("requests_in_flight", self.front.in_flight)
+        metrics.set("buffered_body_bytes", self._callers.buffered_bytes)
         searchers = self.dispatcher.searchers
         metrics.set("searchers", len(searchers))
         ejected = sum(item.health.is_ejected for item in searchers)
--- a/foxtailseam/front/_overload.py
+++ b/foxtailseam/front/_overload.py
@@ -6,7 +6,7 @@
 from foxtailseam.admission import AdmissionController
 from foxtailseam.clocks import Clock
 from foxtailseam.dispatch import Baseline
-from foxtailseam.routing import Configuration, Route
+from foxtailseam.routing import AllShards, Configuration, Route
 
 # Part of the latency goal that enough shards may take beyond their least time
 # before fewer queries are admitted.
@@ -82,5 +82,8 @@
 
 
 def _family(route: Route) -> str:
-    shards = getattr(route.destination, "shards", ())
-    return shards[0] if shards else route.name
+    match route.destination:
+        case AllShards(shards=(first, *_)):
+            return first
+        case _:
+            return route.name
--- a/foxtailseam/http/_caller.py
+++ b/foxtailseam/http/_caller.py
@@ -21,6 +21,8 @@
 REQUEST_TIMEOUT = HttpResponse(408)
 CONTENT_TOO_LARGE = HttpResponse(413)
 HEADER_TOO_LARGE = HttpResponse(431)
+# Long enough for the requests whose bodies fill the memory to be answered.
+NO_MEMORY = HttpResponse(503, ((b"Retry-After", b"1"),))
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 # A caller whose answers cannot be written for this long is cut off.
@@ -50,6 +52,9 @@
         Between two requests.
     connections : int
         Most open connections; beyond it the one that is idle longest goes.
+    buffered_bytes : int
+        Bodies of all requests that are read or served; beyond it a request with
+        a body is turned away.
     """
 
     header_bytes: int = 16_384
@@ -58,6 +63,7 @@
     body_timeout: timedelta = timedelta(seconds=10)
     idle_timeout: timedelta = timedelta(seconds=15)
     connections: int = 1_000
+    buffered_bytes: int = 64 * 1024 * 1024
 
 
 class _Phase(Enum):
@@ -76,6 +82,12 @@
     rejected: Callable[[int], None]
     is_draining: bool
 
+    def reserve(self, size: int) -> bool:
+        """Count so many bytes of a body as kept, if there is room."""
+
+    def release(self, size: int) -> None:
+        """Count so many bytes of a body as kept no longer."""
+
     def opened(self, connection: "CallerConnection") -> None:
         """Keep a new connection."""
 
@@ -103,6 +115,8 @@
         self._call: Call | None = None
         self._round_trip: float | None = None
         self._requests = 0
+        # Bytes of bodies of this connection that the listener counts as kept.
+        self._reserved = 0
         self._keep_alive: deque[bool] = deque()
         self._begin_request()
 
@@ -124,6 +138,7 @@
     def answer(self, response: HttpResponse) -> None:
         """Write the answer to the request being served, then serve the next."""
         call, self._call = self._call, None
+        self._release(len(call.request.body))
         keep_alive = self._keep_alive.popleft()
         close = not keep_alive or self.listener.is_draining
         is_head = call.request.method == b"HEAD"
@@ -197,6 +212,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel what is being served."""
         self.listener.closed(self)
+        self._release(self._reserved)
         self._waiting.clear()
         self._phase = _Phase.FAILED
         call, self._call = self._call, None
@@ -247,8 +263,11 @@
         self._body_size += len(body)
         if self._body_size > self.listener.limits.body_bytes:
             self._too_large = True
-        else:
+        elif self.listener.reserve(len(body)):
+            self._reserved += len(body)
             self._body.append(body)
+        else:
+            self._lacks_memory = True
 
     def on_message_complete(self) -> None:
         """Hand over a whole request."""
@@ -286,6 +305,7 @@
         self._header_bytes = 0
         self._body_size = 0
         self._too_large = False
+        self._lacks_memory = False
         self._is_bad = False
         self._arrived_at = 0.0
 
@@ -305,6 +325,12 @@
             self._fail(CONTENT_TOO_LARGE)
         elif self._is_bad:
             self._fail(BAD_REQUEST)
+        elif self._lacks_memory:
+            self._fail(NO_MEMORY)
+
+    def _release(self, size: int) -> None:
+        self._reserved -= size
+        self.listener.release(size)
 
     def _serve_next(self) -> None:
         if self._call is not None:
--- a/foxtailseam/http/_listener.py
+++ b/foxtailseam/http/_listener.py
@@ -40,12 +40,18 @@
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
         self._is_draining = False
+        self._buffered_bytes = 0
 
     @property
     def is_draining(self) -> bool:
         """Return whether each connection ends with its next answer."""
         return self._is_draining
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return how many bytes of bodies are kept."""
+        return self._buffered_bytes
+
     @property
     def in_flight(self) -> int:
         """Return how many requests were read and not yet answered."""
@@ -89,6 +95,17 @@
         for connection in list(self._connections):
             connection.close()
 
+    def reserve(self, size: int) -> bool:
+        """Count so many bytes of a body as kept; return whether there was room."""
+        if self._buffered_bytes + size > self.limits.buffered_bytes:
+            return False
+        self._buffered_bytes += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Count so many bytes of a body as kept no longer."""
+        self._buffered_bytes -= size
+
     def opened(self, connection: CallerConnection) -> None:
         """Keep a new connection; make room for it where there are too many."""
         self._connections.add(connection)
--- a/foxtailseam/http/tests/test_listener.py
+++ b/foxtailseam/http/tests/test_listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
@@ -243,3 +244,35 @@
         first, second = run(scenario).calls
         assert 0 < second.request.transit < 0.5
         assert first.request.transit == pytest.approx(2 * second.request.transit)
+
+
+class TestMemory:
+    def test_bodies_beyond_the_bound_are_refused_as_not_run(self):
+        async def scenario(reader, writer, handled, listener):
+            body = b"b" * 400
+            request = b"POST /%d HTTP/1.1\r\n" + HEAD + b"Content-Length: 400\r\n\r\n"
+            writer.write(request % 1 + body + request % 2 + body)
+            while len(handled.calls) < 1 or listener.buffered_bytes < 800:
+                await asyncio.sleep(0.01)
+            port = listener_port(writer)
+            second_reader, second_writer = await asyncio.open_connection(
+                "127.0.0.1", port
+            )
+            second_writer.write(request % 3 + body)
+            answer = await read_all(second_reader)
+            assert answer.startswith(b"HTTP/1.1 503 ")
+            assert b"Retry-After: 1\r\n" in answer
+            second_writer.close()
+            # Room is made by answers, and by callers that leave.
+            handled.calls[0].answer(HttpResponse(200))
+            assert listener.buffered_bytes == 400
+            writer.close()
+            while listener.buffered_bytes:
+                await asyncio.sleep(0.01)
+
+        handled = run(scenario, holds=True, limits=replace(LIMITS, buffered_bytes=900))
+        assert [call.request.target for call in handled.calls] == [b"/1", b"/2"]
+
+
+def listener_port(writer):
+    return writer.get_extra_info("peername")[1]
