Compute quantiles once in 16 responses, and a shard's hedge only when one may be due

Cause: each query asked 140 times for the median of its route and computed the time of a hedge, with the budget's window, for each of 20 shards at its start, though four in five have answered before the earliest hedge; each part went through the whole decision about waiting.

Change: the median is kept until the next 16 samples; the first look at hedges comes at the earliest time that any may be due; a part that plainly decides nothing returns at once.

--- a/foxtailseam/dispatch/__init__.py
+++ b/foxtailseam/dispatch/__init__.py
@@ -11,7 +11,7 @@
 from foxtailseam.dispatch._format import AnswerMarks, AnswerReader, RequestTemplate
 from foxtailseam.dispatch._gather import GatherQuery, GatherResult, Merged
 from foxtailseam.dispatch._health import Failure, SearcherHealth
-from foxtailseam.dispatch._hedging import HedgeInputs, hedge_delay
+from foxtailseam.dispatch._hedging import HedgeInputs, hedge_delay, least_hedge_delay
 from foxtailseam.dispatch._latency import Baseline, ResponseTimes
 from foxtailseam.dispatch._line import WaitingLine, expected_wait, retry_after
 from foxtailseam.dispatch._partial import PartialDecision, Progress, decide
@@ -66,6 +66,7 @@
     "decide",
     "expected_wait",
     "hedge_delay",
+    "least_hedge_delay",
     "place",
     "retry_after",
 ]
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -6,7 +6,7 @@
 from foxtailseam.dispatch._dispatcher import Dispatcher
 from foxtailseam.dispatch._format import RequestTemplate
 from foxtailseam.dispatch._health import Failure
-from foxtailseam.dispatch._hedging import HedgeInputs, hedge_delay
+from foxtailseam.dispatch._hedging import HedgeInputs, hedge_delay, least_hedge_delay
 from foxtailseam.dispatch._latency import ResponseTimes
 from foxtailseam.dispatch._line import Place
 from foxtailseam.dispatch._placement import Prospect
@@ -204,6 +204,10 @@
         left = budget.left(self.dispatcher.hosts)
         return sent_at + hedge_delay(HedgeInputs(goal_at - sent_at, self._times, left))
 
+    def least_hedge_delay(self) -> float:
+        """Return the seconds before which no second searcher is asked."""
+        return least_hedge_delay(self._times)
+
     def hedge(self, useful_until: float) -> bool:
         """Ask a second searcher while the first is silent; return whether it is done.
 
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -117,7 +117,7 @@
         self._first, self._rest = asked[0], asked[alone:]
         self._start_calls(asked[:alone])
         if not self._is_over:
-            self._hedge()
+            self._at(self._asked_at + self._calls[0].least_hedge_delay(), self._hedge)
 
     def cancel(self) -> None:
         """Give up: the caller has left."""
@@ -228,8 +228,16 @@
         if not self._is_over:
             self._settle()
 
+    def _waits_on(self) -> bool:
+        """Return whether there is plainly nothing to decide yet."""
+        return (
+            bool(self._parts and self._waiting)
+            and len(self._parts) + len(self._waiting) >= self.destination.least_shards
+            and self._now() < self.times.goal_at
+        )
+
     def _settle(self) -> None:
-        if self._is_over:
+        if self._is_over or self._waits_on():
             return
         lacking = self.destination.least_shards - len(self._parts) - self._pending()
         if lacking > 0 and self._deferred and self._is_harmless():
--- a/foxtailseam/dispatch/_hedging.py
+++ b/foxtailseam/dispatch/_hedging.py
@@ -55,5 +55,16 @@
     return max(patience, min(latest, MOST_TYPICAL_TIMES * inputs.times.median))
 
 
+def least_hedge_delay(times: ResponseTimes) -> float:
+    """Return the shortest delay that `hedge_delay` gives, in seconds.
+
+    Parameters
+    ----------
+    times : ResponseTimes
+        Recent response times of the route.
+    """
+    return PATIENCE_FACTOR * _usual(times, EARLY_QUANTILE)
+
+
 def _usual(times: ResponseTimes, share: float) -> float:
     return min(times.quantile(share), MOST_SPREAD * times.median)
--- a/foxtailseam/dispatch/_latency.py
+++ b/foxtailseam/dispatch/_latency.py
@@ -5,9 +5,8 @@
 from foxtailseam.clocks import Clock
 
 WINDOW_SAMPLES = 256
-# Quantiles are computed anew after this many further samples.
+# Quantiles are computed after this many samples, and anew after as many more.
 REFRESH_SAMPLES = 16
-LEAST_SAMPLES = 16
 # Shares of the latency goal that are assumed until there are samples.
 ASSUMED_MEDIAN = 0.25
 ASSUMED_TAIL = 0.45
@@ -28,30 +27,32 @@
         self.goal = goal
         self._samples: deque[float] = deque(maxlen=WINDOW_SAMPLES)
         self._sorted: list[float] = []
+        self._median = goal * ASSUMED_MEDIAN
         self._since_refresh = 0
 
     @property
     def is_known(self) -> bool:
         """Return whether there are enough samples to compare others with."""
-        return len(self._samples) >= LEAST_SAMPLES
+        return bool(self._sorted)
 
     @property
     def median(self) -> float:
         """Return the typical response time."""
-        return self.quantile(0.5)
+        return self._median
 
     def record(self, seconds: float) -> None:
         """Add a response time."""
         self._samples.append(seconds)
         self._since_refresh += 1
+        if self._since_refresh >= REFRESH_SAMPLES:
+            self._sorted = sorted(self._samples)
+            self._median = self.quantile(0.5)
+            self._since_refresh = 0
 
     def quantile(self, share: float) -> float:
         """Return the time within which `share` (0 to 1) of responses came."""
-        if not self.is_known:
+        if not self._sorted:
             return self.goal * (ASSUMED_MEDIAN if share <= 0.5 else ASSUMED_TAIL)
-        if self._since_refresh >= REFRESH_SAMPLES or not self._sorted:
-            self._sorted = sorted(self._samples)
-            self._since_refresh = 0
         last = len(self._sorted) - 1
         return self._sorted[min(last, int(share * len(self._sorted)))]
 
--- a/foxtailseam/dispatch/tests/test_decisions.py
+++ b/foxtailseam/dispatch/tests/test_decisions.py
@@ -26,6 +26,7 @@
     decide,
     expected_wait,
     hedge_delay,
+    least_hedge_delay,
     place,
     retry_after,
 )
@@ -260,6 +261,12 @@
         for budget_left in (1.0, 0.5, 0.0):
             assert hedge_delay(HedgeInputs(0.08, times, budget_left)) < 0.04
 
+    @given(st.floats(0.0, 0.2), st.floats(0.0, 1.0))
+    def test_no_delay_is_below_the_least_one(self, until_goal, budget_left):
+        times = self.times()
+        delay = hedge_delay(HedgeInputs(until_goal, times, budget_left))
+        assert delay >= least_hedge_delay(times) - 1e-12
+
     def test_the_goal_guides_until_there_are_samples(self):
         delay = hedge_delay(HedgeInputs(0.09, ResponseTimes(0.1), 1.0))
         assert 0.02 < delay < 0.09
