Carry the own interface's HTTP on the engine of the users' platform

Cause: two HTTP engines stood side by side. The own interface used cheroot's and urllib3's blocking calls in worker threads for callers, operators, searchers and the configuration service; `_node` and `_operators` imported each other.

Change: callers and operators are served by `http.Listener`; searchers and the configuration service are asked through `http.ConnectionPool`, with one method for a request and its timeout (`ask`, which the platform's store uses, too). Worker threads, cheroot and the settings entry.threads and gather.threads are gone; the operators' server gets its pages and knows nothing of the node. Answers to an over-long header stay 413 on this interface.

--- a/foxtailseam/daemons/_callers.py
+++ b/foxtailseam/daemons/_callers.py
@@ -2,27 +2,27 @@
 
 import asyncio
 import re
-import threading
-from concurrent.futures import CancelledError, Future
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
 
 import msgspec
-from cheroot import wsgi
 from result import Err, Ok, Result
 
 from foxtailseam.daemons._node import Node
-from foxtailseam.daemons._render import HttpReply, render_outcome
+from foxtailseam.daemons._render import json_response, render_outcome
 from foxtailseam.filters import CallerRequest, Search, Submit
+from foxtailseam.http import Call, HttpRequest, HttpResponse, Listener, ListenerLimits
+from foxtailseam.logs import EventCode
 from foxtailseam.outcomes import Outcome, Unknown
 from foxtailseam.tickets import Ticket
 from foxtailseam.utils import ValidationProblem, check_range, new_identifier
 
 HEADER_LIMIT = 16_384
+LONG_HEADER_STATUS = 413
 KEPT_CONNECTIONS = 4_096
-BACKLOG = 1_024
-STOP_SECONDS = 1
+# Lets the last answers leave, in seconds.
+FLUSH_SECONDS = 0.02
 HIGHEST_DEADLINE_MS = 60_000
 TEXT_LIMIT = 32_768
 _PATH = re.compile(r"/v1/families/([a-z][a-z0-9-]{0,62})/(search|submit|tickets)")
@@ -58,7 +58,7 @@
 
 
 class CallerServer:
-    """Reads requests with cheroot and runs them in the process's event loop.
+    """Reads callers' requests and runs them in the process's event loop.
 
     Parameters
     ----------
@@ -66,107 +66,104 @@
         The process.
     runner : RequestRunner
         Runs the requests.
-    loop : asyncio.AbstractEventLoop
-        The process's event loop.
     """
 
-    def __init__(
-        self, node: Node, runner: RequestRunner, loop: asyncio.AbstractEventLoop
-    ):
+    def __init__(self, node: Node, runner: RequestRunner):
         self.node = node
         self.runner = runner
-        self.loop = loop
         settings = node.settings.entry
-        host, _, port = settings.callers.rpartition(":")
-        self._server = wsgi.Server(
-            (host, int(port)),
-            self._application,
-            numthreads=settings.threads,
-            timeout=settings.read_timeout.total_seconds(),
-            request_queue_size=BACKLOG,
-            shutdown_timeout=STOP_SECONDS,
+        self._listener = Listener(self._begin, node.clock, self._on_unreadable)
+        self._listener.limits = ListenerLimits(
+            header_bytes=HEADER_LIMIT,
+            body_bytes=settings.body_limit,
+            header_timeout=settings.read_timeout,
+            body_timeout=settings.read_timeout,
+            idle_timeout=settings.read_timeout,
+            connections=KEPT_CONNECTIONS,
+            long_header_status=LONG_HEADER_STATUS,
         )
-        self._server.max_request_body_size = settings.body_limit
-        self._server.max_request_header_size = HEADER_LIMIT
-        self._server.keep_alive_conn_limit = KEPT_CONNECTIONS
-        self._lock = threading.Lock()
-        self._in_flight = 0
-        self._running: set[Future] = set()
+        self._running: set[asyncio.Task] = set()
+        self._actions = {
+            "search": self._search,
+            "submit": self._submit,
+            "tickets": self._mint,
+        }
 
     @property
     def in_flight(self) -> int:
-        """Return how many requests are being read, run or answered."""
-        return self._in_flight
+        """Return how many requests were read and not yet answered."""
+        return self._listener.in_flight
 
-    def start(self) -> None:
-        """Listen, and serve from a thread of its own."""
-        self._server.prepare()
-        threading.Thread(target=self._server.serve, daemon=True).start()
+    async def start(self) -> None:
+        """Listen."""
+        await self._listener.start(self.node.settings.entry.callers)
 
-    def stop(self) -> None:
+    def drain(self) -> None:
+        """End each connection with its next answer."""
+        self._listener.drain()
+
+    async def stop(self) -> None:
         """Give up what still runs, stop listening, and close connections."""
-        for future in list(self._running):
-            future.cancel()
-        self._server.stop()
-
-    def _application(self, environ, start_response) -> list[bytes]:
-        with self._lock:
-            self._in_flight += 1
-        try:
-            reply = self._answer(environ)
-            headers = [*reply.headers, ("Content-Length", str(len(reply.body)))]
-            if self.node.is_draining:
-                headers.append(("Connection", "close"))
-            start_response(reply.status, headers)
-            return [reply.body]
-        finally:
-            with self._lock:
-                self._in_flight -= 1
-
-    def _answer(self, environ) -> HttpReply:
-        path = environ["PATH_INFO"]
-        if path == "/ready":
-            status = "200 OK" if self.node.is_ready else "503 Service Unavailable"
-            return HttpReply(status)
-        match = _PATH.fullmatch(path)
+        for task in self._running:
+            task.cancel()
+        await asyncio.gather(*self._running, return_exceptions=True)
+        self._listener.stop()
+        await asyncio.sleep(FLUSH_SECONDS)
+
+    def _begin(self, call: Call) -> None:
+        # A caller that leaves ends nothing: its ticket may have begun to run.
+        task = asyncio.create_task(self._serve(call))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+
+    async def _serve(self, call: Call) -> None:
+        call.answer(await self._answer(call.request))
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        if request.path == "/ready":
+            return HttpResponse(200 if self.node.is_ready else 503)
+        match = _PATH.fullmatch(request.path)
         if match is None:
-            problem = ValidationProblem("path", repr(path), _PATH.pattern)
-            return _problem_reply("404 Not Found", problem)
-        if environ["REQUEST_METHOD"] != "POST":
-            method = environ["REQUEST_METHOD"]
-            problem = ValidationProblem("method", method, "POST")
-            return _problem_reply("405 Method Not Allowed", problem)
+            problem = ValidationProblem("path", repr(request.path), _PATH.pattern)
+            return json_response(404, problem)
+        if request.method != b"POST":
+            method = request.method.decode("latin-1")
+            return json_response(405, ValidationProblem("method", method, "POST"))
         family, action = match.groups()
-        if action == "tickets":
-            return self._mint(family)
-        body = environ["wsgi.input"].read()
-        read = _read_search if action == "search" else _read_submit
-        match read(family, body):
-            case Ok(request):
-                return self._run(request)
-            case Err(problem):
-                return _problem_reply("400 Bad Request", problem)
+        return await self._actions[action](family, request.body)
 
-    def _mint(self, family: str) -> HttpReply:
+    async def _mint(self, family: str, body: bytes) -> HttpResponse:
         ticket = self.runner.mint(family)
         if ticket is None:
             expected = "a family whose rules say: repeatable no"
-            problem = ValidationProblem("family", family, expected)
-            return _problem_reply("409 Conflict", problem)
+            return json_response(409, ValidationProblem("family", family, expected))
         life = self.node.settings.entry.ticket_life // timedelta(milliseconds=1)
-        body = msgspec.json.encode(_TicketPage(str(ticket), life))
-        return HttpReply("201 Created", body)
+        return json_response(201, _TicketPage(str(ticket), life))
+
+    async def _search(self, family: str, body: bytes) -> HttpResponse:
+        return await self._run(_read_search(family, body))
+
+    async def _submit(self, family: str, body: bytes) -> HttpResponse:
+        return await self._run(_read_submit(family, body))
 
-    def _run(self, request: CallerRequest) -> HttpReply:
-        future = asyncio.run_coroutine_threadsafe(self.runner.serve(request), self.loop)
-        self._running.add(future)
-        try:
-            outcome = future.result()
-        except CancelledError:
-            outcome = Unknown(request.request_id, "the process ended its drain")
-        finally:
-            self._running.discard(future)
-        return render_outcome(outcome)
+    async def _run(
+        self, read: Result[CallerRequest, ValidationProblem]
+    ) -> HttpResponse:
+        match read:
+            case Err(problem):
+                return json_response(400, problem)
+            case Ok(request):
+                try:
+                    outcome = await self.runner.serve(request)
+                except asyncio.CancelledError:
+                    # Only `stop` cancels; the caller still gets its answer.
+                    detail = "the process ended its drain"
+                    outcome = Unknown(request.request_id, detail)
+                return render_outcome(outcome)
+
+    def _on_unreadable(self, status: int) -> None:
+        self.node.metrics.add(f"answers_{status}")
+        self.node.recorder.record(EventCode.REQUEST_UNREADABLE, status=status)
 
 
 def _read_search(family: str, body: bytes) -> Result[CallerRequest, ValidationProblem]:
@@ -196,7 +193,3 @@
         return Err(problems[0])
     request_id = new_identifier()
     return Ok(Submit(request_id, family, fields.ticket, fields.key, fields.content))
-
-
-def _problem_reply(status: str, problem: ValidationProblem) -> HttpReply:
-    return HttpReply(status, msgspec.json.encode(problem))
--- a/foxtailseam/daemons/_entry.py
+++ b/foxtailseam/daemons/_entry.py
@@ -1,6 +1,5 @@
 """The entry process: serves callers."""
 
-import asyncio
 from dataclasses import replace
 from datetime import timedelta
 
@@ -63,13 +62,12 @@
             (readiness, PolicyFilter(), quarantine, admission), self._dispatch
         )
         self._work = WorkCounter()
-        self._callers: CallerServer | None = None
+        self._callers = CallerServer(node, self)
 
     @property
     def in_flight(self) -> int:
         """Return how many callers' requests are being served."""
-        callers = self._callers.in_flight if self._callers else 0
-        return max(self._work.count, callers)
+        return max(self._work.count, self._callers.in_flight)
 
     @property
     def services(self) -> list:
@@ -78,13 +76,15 @@
 
     async def start(self) -> None:
         """Begin to serve callers."""
-        loop = asyncio.get_running_loop()
-        self._callers = CallerServer(self.node, self, loop)
-        self._callers.start()
+        await self._callers.start()
+
+    def drain(self) -> None:
+        """End each caller's connection with its next answer."""
+        self._callers.drain()
 
     async def stop(self) -> None:
         """Stop serving callers."""
-        await asyncio.to_thread(self._callers.stop)
+        await self._callers.stop()
 
     def mint(self, family: str) -> Ticket | None:
         """Return a new ticket, or None if the family takes none."""
--- a/foxtailseam/daemons/_gather.py
+++ b/foxtailseam/daemons/_gather.py
@@ -53,7 +53,6 @@
         )
         self._dispatcher = Dispatcher(
             self._searchers,
-            node.settings.gather.threads,
             node.clock,
             node.metrics,
         )
@@ -76,6 +75,9 @@
         self._published(PublicationName.HOSTS)
         self._tasks.append(asyncio.create_task(self._keep_up()))
 
+    def drain(self) -> None:
+        """Serve on: entries that know of the drain ask other gathers."""
+
     async def stop(self) -> None:
         """End the upkeep and close connections."""
         for task in self._tasks:
--- a/foxtailseam/daemons/_node.py
+++ b/foxtailseam/daemons/_node.py
@@ -1,14 +1,22 @@
 """What every process of the system is made of."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 
+import msgspec
 from grpclib.server import Server
 
 from foxtailseam._version import __version__
 from foxtailseam.clocks import HybridClock, PauseDetector, SystemClock
 from foxtailseam.codecs import MessagePackCodec
-from foxtailseam.daemons._operators import OperatorServer, ProcessStatus
+from foxtailseam.daemons._operators import (
+    JSON,
+    TEXT,
+    OperatorServer,
+    Page,
+    ProcessStatus,
+)
 from foxtailseam.logs import EventCode
 from foxtailseam.metrics import Metrics
 from foxtailseam.peers import (
@@ -84,7 +92,9 @@
         self.fresh = asyncio.Event()
         self._draining = False
         self._server: Server | None = None
-        self._operators = OperatorServer(process.operators, self)
+        self._operators = OperatorServer(
+            process.operators, self.clock, self._pages(), lambda: self.is_ready
+        )
         self._tasks: list[asyncio.Task] = []
         self._pauses = PauseDetector(self.clock, settings.peers.pause)
 
@@ -120,7 +130,7 @@
 
     async def start(self, services: list) -> None:
         """Serve peers and operators, then learn the state before serving work."""
-        self._operators.start()
+        await self._operators.start()
         handlers = [PeerService(self.peers), *services]
         self._server = Server(handlers, codec=MessagePackCodec())
         host, _, port = self.settings.process.peers.rpartition(":")
@@ -174,6 +184,18 @@
         self.peers.stop()
         self._operators.stop()
 
+    def _pages(self) -> dict[str, Callable[[], Page]]:
+        return {
+            "/status": lambda: Page(JSON, msgspec.json.encode(self.status())),
+            "/events": lambda: Page(JSON, msgspec.json.encode(self.recorder.events)),
+            "/rules": lambda: Page(TEXT, self._rules_text().encode()),
+            "/metrics": lambda: Page(TEXT, self.metrics.render().encode()),
+        }
+
+    def _rules_text(self) -> str:
+        lines = self.published.rules.rules.lines
+        return "".join(f"{line}\n" for line in lines)
+
     async def _learn_state(self) -> None:
         # Peers are asked as well, since a stale service could name an older
         # revision than the one that the fleet has accepted.
--- a/foxtailseam/daemons/_operators.py
+++ b/foxtailseam/daemons/_operators.py
@@ -1,19 +1,13 @@
 """The operators' address: status, metrics and events, over HTTP."""
 
-import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-import msgspec
-from cheroot import wsgi
+from foxtailseam.clocks import Clock
+from foxtailseam.http import Call, HttpResponse, Listener
 
-if TYPE_CHECKING:
-    from foxtailseam.daemons._node import Node
-
-THREADS = 2
-JSON = "application/json"
-TEXT = "text/plain; version=0.0.4; charset=utf-8"
+JSON = b"application/json"
+TEXT = b"text/plain; version=0.0.4; charset=utf-8"
 
 
 @dataclass(frozen=True)
@@ -36,66 +30,65 @@
 
 
 @dataclass(frozen=True)
-class _Page:
-    content_type: str
+class Page:
+    """What is served under one path.
+
+    Parameters
+    ----------
+    content_type : bytes
+        Of the body.
+    body : bytes
+        Whole body.
+    """
+
+    content_type: bytes
     body: bytes
 
 
 class OperatorServer:
-    """Serves ``/status``, ``/metrics``, ``/events``, ``/rules`` and ``/ready``.
+    """Serves pages by their path, and ``/ready``.
 
     Parameters
     ----------
     address : str
         ``IP:PORT``.
-    node : Node
-        The process that is shown.
+    clock : Clock
+        Source of monotonic time.
+    pages : mapping of str to callable
+        Makes the page of each path when it is asked for.
+    is_ready : callable
+        Returns whether the process welcomes new work.
     """
 
-    def __init__(self, address: str, node: "Node"):
+    def __init__(
+        self,
+        address: str,
+        clock: Clock,
+        pages: Mapping[str, Callable[[], Page]],
+        is_ready: Callable[[], bool],
+    ):
         self.address = address
-        self.node = node
-        host, _, port = address.rpartition(":")
-        bind = (host, int(port))
-        self._server = wsgi.Server(bind, self._answer, numthreads=THREADS)
-        self._pages: dict[str, Callable[[], _Page]] = {
-            "/status": lambda: _json(self.node.status()),
-            "/events": lambda: _json(self.node.recorder.events),
-            "/rules": self._rules,
-            "/metrics": lambda: _Page(TEXT, self.node.metrics.render().encode()),
-        }
-
-    def start(self) -> None:
-        """Listen, and serve from a thread of its own."""
-        self._server.prepare()
-        threading.Thread(target=self._server.serve, daemon=True).start()
+        self.clock = clock
+        self.pages = pages
+        self.is_ready = is_ready
+        self._listener = Listener(self._answer, clock)
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._listener.start(self.address)
 
     def stop(self) -> None:
         """Stop listening."""
-        self._server.stop()
+        self._listener.stop()
 
-    def _answer(self, environ, start_response) -> list[bytes]:
-        path = environ["PATH_INFO"]
+    def _answer(self, call: Call) -> None:
+        path = call.request.path
+        make = self.pages.get(path)
         if path == "/ready":
-            status = "200 OK" if self.node.is_ready else "503 Service Unavailable"
-            start_response(status, [("Content-Length", "0")])
-            return [b""]
-        make = self._pages.get(path)
-        if make is None:
-            start_response("404 Not Found", [("Content-Length", "0")])
-            return [b""]
-        page = make()
-        headers = [
-            ("Content-Type", page.content_type),
-            ("Content-Length", str(len(page.body))),
-        ]
-        start_response("200 OK", headers)
-        return [page.body]
-
-    def _rules(self) -> _Page:
-        lines = self.node.published.rules.rules.lines
-        return _Page(TEXT, "".join(f"{line}\n" for line in lines).encode())
-
-
-def _json(value: object) -> _Page:
-    return _Page(JSON, msgspec.json.encode(value))
+            call.answer(HttpResponse(200 if self.is_ready() else 503))
+        elif make is None:
+            call.answer(HttpResponse(404))
+        else:
+            page = make()
+            headers = ((b"Content-Type", page.content_type),)
+            call.answer(HttpResponse(200, headers, page.body))
--- a/foxtailseam/daemons/_render.py
+++ b/foxtailseam/daemons/_render.py
@@ -1,4 +1,4 @@
-"""Turns outcomes into HTTP replies."""
+"""Turns outcomes into HTTP responses."""
 
 import math
 from dataclasses import dataclass
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from foxtailseam.http import HttpResponse
 from foxtailseam.outcomes import (
     Accepted,
     Complete,
@@ -18,26 +19,24 @@
     Unknown,
 )
 
-JSON_HEADERS = (("Content-Type", "application/json"),)
+JSON_HEADERS = ((b"Content-Type", b"application/json"),)
 
+OK = 200
+GATEWAY_TIMEOUT = 504
 _REFUSED_STATUS = {
-    RefusalReason.UNKNOWN_FAMILY: "404 Not Found",
-    RefusalReason.NOT_REPEATABLE: "409 Conflict",
-    RefusalReason.REPEATABLE: "409 Conflict",
-    RefusalReason.TICKET_EXPIRED: "409 Conflict",
-    RefusalReason.QUARANTINED: "403 Forbidden",
-    RefusalReason.OVERLOADED: "429 Too Many Requests",
+    RefusalReason.UNKNOWN_FAMILY: 404,
+    RefusalReason.NOT_REPEATABLE: 409,
+    RefusalReason.REPEATABLE: 409,
+    RefusalReason.TICKET_EXPIRED: 409,
+    RefusalReason.QUARANTINED: 403,
+    RefusalReason.OVERLOADED: 429,
 }
-_UNAVAILABLE = "503 Service Unavailable"
+_UNAVAILABLE = 503
 
 
-@dataclass(frozen=True)
-class HttpReply:
-    """Status line, body and headers of a reply."""
-
-    status: str
-    body: bytes = b""
-    headers: tuple[tuple[str, str], ...] = JSON_HEADERS
+def json_response(status: int, page: object) -> HttpResponse:
+    """Return a response with a page as JSON."""
+    return HttpResponse(status, JSON_HEADERS, msgspec.json.encode(page))
 
 
 @dataclass(frozen=True)
@@ -72,37 +71,36 @@
     detail: str
 
 
-def render_outcome(outcome: Outcome) -> HttpReply:
-    """Return the HTTP reply for an outcome."""
+def render_outcome(outcome: Outcome) -> HttpResponse:
+    """Return the response for an outcome."""
     match outcome:
         case Complete(request_id, version, coverage, hits):
             page = _SearchPage("complete", request_id, version, True, coverage, hits)
-            return HttpReply("200 OK", msgspec.json.encode(page))
+            return json_response(OK, page)
         case Partial(request_id, version, coverage, hits, sufficient):
             page = _SearchPage(
                 "partial", request_id, version, sufficient, coverage, hits
             )
-            status = "200 OK" if sufficient else "504 Gateway Timeout"
-            return HttpReply(status, msgspec.json.encode(page))
+            return json_response(OK if sufficient else GATEWAY_TIMEOUT, page)
         case Accepted(request_id, receipt):
             page = _AcceptedPage("accepted", request_id, receipt)
-            return HttpReply("200 OK", msgspec.json.encode(page))
+            return json_response(OK, page)
         case Unknown(request_id, detail):
             page = _UnknownPage("unknown", request_id, detail)
-            return HttpReply("504 Gateway Timeout", msgspec.json.encode(page))
+            return json_response(GATEWAY_TIMEOUT, page)
         case Refused(request_id, reason, retry_after):
             return _render_refusal(request_id, reason, retry_after)
 
 
 def _render_refusal(
     request_id: str, reason: RefusalReason, retry_after: timedelta | None
-) -> HttpReply:
+) -> HttpResponse:
     status = _REFUSED_STATUS.get(reason, _UNAVAILABLE)
     headers = JSON_HEADERS
     milliseconds = None
     if retry_after is not None:
         milliseconds = retry_after // timedelta(milliseconds=1)
         seconds = math.ceil(retry_after.total_seconds())
-        headers = (*headers, ("Retry-After", str(seconds)))
+        headers = (*headers, (b"Retry-After", b"%d" % seconds))
     page = _RefusedPage("refused", request_id, reason, milliseconds)
-    return HttpReply(status, msgspec.json.encode(page), headers)
+    return HttpResponse(status, headers, msgspec.json.encode(page))
--- a/foxtailseam/daemons/_run.py
+++ b/foxtailseam/daemons/_run.py
@@ -28,6 +28,7 @@
         start.result()
         await stop
         node.drain()
+        role.drain()
     else:
         start.cancel()
     finished = await wait_until_idle(
--- /dev/null
+++ b/foxtailseam/daemons/tests/test_operators.py
@@ -0,0 +1,47 @@
+"""Contract of the operators' address, over loopback."""
+
+import asyncio
+
+import pytest
+
+from foxtailseam.clocks import SystemClock
+from foxtailseam.daemons._operators import TEXT, OperatorServer, Page
+from foxtailseam_bench._processes import free_ports
+
+
+def ask(path, is_ready=True):
+    """Return status line, headers and body of the answer to a GET."""
+
+    async def main():
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        pages = {"/rules": lambda: Page(TEXT, b"* deadline 1s\n")}
+        server = OperatorServer(address, SystemClock(), pages, lambda: is_ready)
+        await server.start()
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        request = f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        writer.write(request.encode())
+        async with asyncio.timeout(3.0):
+            answer = await reader.read(-1)
+        server.stop()
+        writer.close()
+        return answer
+
+    head, _, body = asyncio.run(main()).partition(b"\r\n\r\n")
+    status, *headers = head.split(b"\r\n")
+    return status, headers, body
+
+
+class TestOperatorServer:
+    def test_a_page_comes_with_its_type(self):
+        status, headers, body = ask("/rules")
+        assert status == b"HTTP/1.1 200 OK"
+        assert b"Content-Type: " + TEXT in headers
+        assert body == b"* deadline 1s\n"
+
+    @pytest.mark.parametrize(("is_ready", "code"), [(True, b"200"), (False, b"503")])
+    def test_readiness(self, is_ready, code):
+        assert ask("/ready", is_ready)[0].split()[1] == code
+
+    def test_a_path_that_is_not_served(self):
+        assert ask("/else")[0] == b"HTTP/1.1 404 Not Found"
--- a/foxtailseam/daemons/tests/test_render.py
+++ b/foxtailseam/daemons/tests/test_render.py
@@ -38,13 +38,13 @@
     )
     def test_status_and_outcome(self, outcome, status, name):
         reply = render_outcome(outcome)
-        assert reply.status.startswith(str(status))
+        assert reply.status == status
         assert msgspec.json.decode(reply.body)["outcome"] == name
 
     def test_a_refusal_says_when_to_come_back_in_whole_seconds(self):
         refused = Refused("r", RefusalReason.SHED, timedelta(milliseconds=200))
         reply = render_outcome(refused)
-        assert ("Retry-After", "1") in reply.headers
+        assert (b"Retry-After", b"1") in reply.headers
         assert msgspec.json.decode(reply.body)["retry_after_ms"] == 200
 
     def test_every_lacking_shard_has_its_reason(self):
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -42,6 +42,7 @@
 _FAILURES = {
     LossKind.REFUSED: Failure.UNREACHABLE,
     LossKind.CONNECT_TIMEOUT: Failure.UNREACHABLE,
+    LossKind.TIMEOUT: Failure.SILENT,
     LossKind.RESET: Failure.LOST,
     LossKind.CLOSED: Failure.LOST,
     LossKind.MALFORMED: Failure.ERROR,
--- a/foxtailseam/http/_caller.py
+++ b/foxtailseam/http/_caller.py
@@ -20,7 +20,7 @@
 BAD_REQUEST = HttpResponse(400)
 REQUEST_TIMEOUT = HttpResponse(408)
 CONTENT_TOO_LARGE = HttpResponse(413)
-HEADER_TOO_LARGE = HttpResponse(431)
+HEADER_TOO_LARGE = 431
 # Long enough for the requests whose bodies fill the memory to be answered.
 NO_MEMORY = HttpResponse(503, ((b"Retry-After", b"1"),))
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -55,6 +55,8 @@
     buffered_bytes : int
         Bodies of all requests that are read or served; beyond it a request with
         a body is turned away.
+    long_header_status : int
+        Status of the answer to a header over its limit.
     """
 
     header_bytes: int = 16_384
@@ -64,6 +66,7 @@
     idle_timeout: timedelta = timedelta(seconds=15)
     connections: int = 1_000
     buffered_bytes: int = 64 * 1024 * 1024
+    long_header_status: int = HEADER_TOO_LARGE
 
 
 class _Phase(Enum):
@@ -320,7 +323,7 @@
         read_so_far = self._header_bytes + len(self._target)
         in_header = self._phase is _Phase.HEADER
         if read_so_far > limit or (in_header and self._header_size > limit):
-            self._fail(HEADER_TOO_LARGE)
+            self._fail(HttpResponse(self.listener.limits.long_header_status))
         elif self._too_large:
             self._fail(CONTENT_TOO_LARGE)
         elif self._is_bad:
--- a/foxtailseam/http/_exchange.py
+++ b/foxtailseam/http/_exchange.py
@@ -11,6 +11,7 @@
 
     REFUSED = "refused"
     CONNECT_TIMEOUT = "connect-timeout"
+    TIMEOUT = "timeout"
     RESET = "reset"
     CLOSED = "closed"
     MALFORMED = "malformed"
--- a/foxtailseam/http/_pool.py
+++ b/foxtailseam/http/_pool.py
@@ -165,6 +165,32 @@
         task.add_done_callback(self._opening.discard)
         return exchange
 
+    async def ask(self, payload: bytes, timeout: timedelta) -> ExchangeResult:
+        """Send a request and wait for what comes of it.
+
+        Parameters
+        ----------
+        payload : bytes
+            The whole request.
+        timeout : timedelta
+            Bound on the wait, the opening of a connection included.
+        """
+        result: asyncio.Future[ExchangeResult] = asyncio.Future()
+
+        def finish(found: ExchangeResult) -> None:
+            if not result.done():
+                result.set_result(found)
+
+        exchange = self.send(lambda: payload, b"", False, finish)
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                return await result
+        except TimeoutError:
+            return Lost(LossKind.TIMEOUT, exchange.is_sent)
+        finally:
+            if exchange.is_pending:
+                exchange.cancel()
+
     def probe(self, done: Callable[[bool], None]) -> None:
         """Find out whether the searcher lives, by its connections or a new one."""
         task = asyncio.get_running_loop().create_task(self._probe(done))
--- a/foxtailseam/peers/_platform.py
+++ b/foxtailseam/peers/_platform.py
@@ -13,7 +13,6 @@
 from foxtailseam.publications import PlatformClient, PublicationName
 from foxtailseam.settings import PlatformSettings
 from foxtailseam.timeline import Recorder
-from foxtailseam.utils import WorkerThreads
 
 WATCH_PAUSE = timedelta(milliseconds=50)
 ERROR_PAUSE = timedelta(milliseconds=500)
@@ -54,8 +53,7 @@
         self.published = published
         self.recorder = recorder
         self.clock = clock
-        self._client = PlatformClient(settings.address, settings.timeout)
-        self._workers = WorkerThreads(2 * len(PublicationName), "platform-read")
+        self._client = PlatformClient(settings.address, clock, settings.timeout)
         self._failing: set[PublicationName] = set()
         self._tasks: list[asyncio.Task] = []
 
@@ -84,6 +82,7 @@
         """End reading."""
         for task in self._tasks:
             task.cancel()
+        self._client.close()
 
     async def read_all(self) -> bool:
         """Read each value once; tell whether the service answered each time."""
@@ -102,7 +101,7 @@
 
     async def _read(self, name: PublicationName, wait: timedelta) -> bool:
         known = self.published.known_number(name)
-        outcome = await self._workers.run(self._client.read, name, known, wait)
+        outcome = await self._client.read(name, known, wait)
         match outcome:
             case Err(error):
                 self._failed(name, error.detail)
--- a/foxtailseam/platform/_store.py
+++ b/foxtailseam/platform/_store.py
@@ -1,6 +1,5 @@
 """Reads of the platform's metadata store, the configuration service."""
 
-import asyncio
 import binascii
 from base64 import b64decode
 from dataclasses import dataclass
@@ -139,22 +138,7 @@
         target = f"{path}?{urlencode(query, safe='/')}".encode()
         headers = ((b"Host", self.address.encode()),)
         payload = render_request_head(b"GET", target, headers, b"") + b"\r\n"
-        future = asyncio.get_running_loop().create_future()
-
-        def finish(result: Received | Lost) -> None:
-            if not future.done():
-                future.set_result(result)
-
-        exchange = self._pool.send(lambda: payload, b"", False, finish)
-        try:
-            async with asyncio.timeout(timeout.total_seconds()):
-                result = await future
-        except TimeoutError:
-            return StoreFailure("timeout")
-        finally:
-            if exchange.is_pending:
-                exchange.cancel()
-        match result:
+        match await self._pool.ask(payload, timeout):
             case Received(response=response):
                 return response
             case Lost(kind=kind):
--- a/foxtailseam/publications/_client.py
+++ b/foxtailseam/publications/_client.py
@@ -4,12 +4,26 @@
 from datetime import timedelta
 from enum import StrEnum
 
-import urllib3
 from result import Err, Ok, Result
 
-REVISION_HEADER = "X-Revision"
+from foxtailseam.clocks import Clock
+from foxtailseam.http import (
+    ConnectionPool,
+    HttpResponse,
+    Lost,
+    PoolSettings,
+    Received,
+    find_header,
+    render_request_head,
+)
+
+REVISION_HEADER = b"x-revision"
 NOT_CHANGED = 304
 OK = 200
+# A watch and a read of each value.
+CONNECTIONS = 6
+# Sent data that stays unacknowledged for so long ends its connection.
+SILENCE_TIMEOUT = timedelta(seconds=2)
 
 
 class PublicationName(StrEnum):
@@ -48,23 +62,33 @@
 
 
 class PlatformClient:
-    """Reads published values over HTTP; thread-safe.
+    """Reads published values over HTTP; used from one event loop.
 
     Parameters
     ----------
     address : str
         ``IP:PORT`` of the configuration service.
+    clock : Clock
+        Source of monotonic time.
     timeout : timedelta
         Bound on one read; a watch waits that much longer than asked.
     """
 
-    def __init__(self, address: str, timeout: timedelta = timedelta(seconds=1)):
+    def __init__(
+        self, address: str, clock: Clock, timeout: timedelta = timedelta(seconds=1)
+    ):
         self.address = address
+        self.clock = clock
         self.timeout = timeout
-        host, _, port = address.rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=4)
+        settings = PoolSettings(address, CONNECTIONS, timeout, SILENCE_TIMEOUT)
+        self._pool = ConnectionPool(settings, clock)
 
-    def read(
+    @property
+    def opened_connections(self) -> int:
+        """Return how many connections were opened so far."""
+        return self._pool.opened
+
+    async def read(
         self, name: PublicationName, after: int = 0, wait: timedelta = timedelta()
     ) -> Result[Publication | None, PlatformError]:
         """Read a value, or watch for a newer one.
@@ -83,19 +107,26 @@
         Result[Publication or None, PlatformError]
             None if there is nothing newer.
         """
-        url = f"/values/{name}?after={after}&wait={wait.total_seconds():g}"
-        timeout = urllib3.Timeout(
-            connect=self.timeout.total_seconds(),
-            read=(self.timeout + wait).total_seconds(),
-        )
-        try:
-            reply = self._pool.urlopen("GET", url, retries=False, timeout=timeout)
-        except urllib3.exceptions.HTTPError as error:
-            return Err(PlatformError(name, type(error).__name__))
-        if reply.status == NOT_CHANGED:
-            return Ok(None)
-        number = reply.headers.get(REVISION_HEADER, "")
-        if reply.status != OK or not number.isdigit():
-            return Err(PlatformError(name, f"status {reply.status}"))
-        text = reply.data.decode("utf-8", "replace")
-        return Ok(Publication(name, int(number), text))
+        target = f"/values/{name}?after={after}&wait={wait.total_seconds():g}"
+        headers = ((b"Host", self.address.encode()),)
+        head = render_request_head(b"GET", target.encode(), headers, b"")
+        match await self._pool.ask(head + b"\r\n", self.timeout + wait):
+            case Received(response=response):
+                return _read_reply(name, response)
+            case Lost(kind=kind):
+                return Err(PlatformError(name, kind))
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.abort()
+
+
+def _read_reply(
+    name: PublicationName, reply: HttpResponse
+) -> Result[Publication | None, PlatformError]:
+    if reply.status == NOT_CHANGED:
+        return Ok(None)
+    number = find_header(reply.headers, REVISION_HEADER) or b""
+    if reply.status != OK or not number.isdigit():
+        return Err(PlatformError(name, f"status {reply.status}"))
+    return Ok(Publication(name, int(number), reply.body.decode("utf-8", "replace")))
--- a/foxtailseam/publications/tests/test_client.py
+++ b/foxtailseam/publications/tests/test_client.py
@@ -9,6 +9,7 @@
 import pytest
 import urllib3
 
+from foxtailseam.clocks import SystemClock
 from foxtailseam.publications import PlatformClient, Publication, PublicationName
 from foxtailseam_bench._processes import free_ports
 from foxtailseam_bench.platform_service import PlatformFault, serve_platform
@@ -49,17 +50,28 @@
     running.stop()
 
 
+def read(address, *arguments, timeout=timedelta(seconds=1)):
+    """Read a value once; return the outcome."""
+
+    async def main():
+        client = PlatformClient(address, SystemClock(), timeout)
+        try:
+            return await client.read(*arguments)
+        finally:
+            client.close()
+
+    return asyncio.run(main())
+
+
 class TestPlatformClient:
     def test_a_value_comes_with_its_revision(self, platform):
-        client = PlatformClient(platform.address)
-        assert client.read(RULES).unwrap() == Publication(RULES, 1, "one")
-        assert client.read(RULES, after=1).unwrap() is None
+        assert read(platform.address, RULES).unwrap() == Publication(RULES, 1, "one")
+        assert read(platform.address, RULES, 1).unwrap() is None
 
     def test_a_watch_ends_with_the_next_hand_over(self, platform):
-        client = PlatformClient(platform.address)
         threading.Timer(0.2, platform.hand_over, ["two"]).start()
         started = time.monotonic()
-        published = client.read(RULES, 1, timedelta(seconds=5)).unwrap()
+        published = read(platform.address, RULES, 1, timedelta(seconds=5)).unwrap()
         assert published == Publication(RULES, 2, "two")
         assert time.monotonic() - started < 2.0
 
@@ -67,22 +79,32 @@
         ("fault", "detail"),
         [
             ({"down": True}, "status 503"),
-            ({"delay_ms": 900}, "ReadTimeoutError"),
+            ({"delay_ms": 900}, "timeout"),
         ],
     )
     def test_a_failed_read_says_how(self, platform, fault, detail):
         platform.fault(**fault)
-        client = PlatformClient(platform.address, timedelta(milliseconds=300))
-        assert client.read(RULES).unwrap_err().detail == detail
+        found = read(platform.address, RULES, timeout=timedelta(milliseconds=300))
+        assert found.unwrap_err().detail == detail
 
     def test_a_stale_service_shows_its_older_revision(self, platform):
         platform.hand_over("two")
         platform.fault(stale_by=1)
-        published = PlatformClient(platform.address).read(RULES, after=2).unwrap()
-        assert published.number == 1
+        assert read(platform.address, RULES, 2).unwrap().number == 1
 
     def test_an_unknown_value_and_nobody_there_are_errors(self, platform):
-        client = PlatformClient(platform.address)
-        assert client.read(PublicationName.HOSTS).unwrap_err().detail == "status 404"
-        gone = PlatformClient(f"127.0.0.1:{free_ports(1)[0]}")
-        assert gone.read(RULES).unwrap_err().detail == "NewConnectionError"
+        unknown = read(platform.address, PublicationName.HOSTS)
+        assert unknown.unwrap_err().detail == "status 404"
+        gone = read(f"127.0.0.1:{free_ports(1)[0]}", RULES)
+        assert gone.unwrap_err().detail == "refused"
+
+    def test_a_client_serves_many_reads_on_one_connection(self, platform):
+        async def main():
+            client = PlatformClient(platform.address, SystemClock())
+            for _ in range(5):
+                await client.read(RULES)
+            opened = client.opened_connections
+            client.close()
+            return opened
+
+        assert asyncio.run(main()) == 1
--- a/foxtailseam/searchers/_client.py
+++ b/foxtailseam/searchers/_client.py
@@ -1,19 +1,23 @@
-"""HTTP calls to one searcher, over urllib3. Blocking; for worker threads."""
+"""HTTP calls to one searcher, on the event loop."""
 
-import socket
-import time
+import asyncio
 from dataclasses import dataclass
 from datetime import timedelta
 
 import msgspec
-import urllib3
-from urllib3.exceptions import (
-    ConnectTimeoutError,
-    HTTPError,
-    NewConnectionError,
-    ReadTimeoutError,
-)
 
+from foxtailseam.clocks import Clock
+from foxtailseam.http import (
+    ConnectionPool,
+    ExchangeResult,
+    HttpResponse,
+    LossKind,
+    Lost,
+    PoolSettings,
+    Received,
+    find_header,
+    render_request_head,
+)
 from foxtailseam.outcomes import Hit
 from foxtailseam.searchers._attempts import (
     Answered,
@@ -29,9 +33,10 @@
 OK = 200
 VERSION_GONE = 409
 UNAVAILABLE = 503
-PROBE_DELAY_SECONDS = 0.02
-PROBE_SECONDS = 0.05
-CONNECT_SECONDS = 0.25
+CONNECT_TIMEOUT = timedelta(milliseconds=250)
+# Sent data that stays unacknowledged for so long ends its connection.
+SILENCE_TIMEOUT = timedelta(seconds=2)
+DEFAULT_RETRY_AFTER = timedelta(seconds=1)
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +73,7 @@
 
 
 class SearcherClient:
-    """Owns the connections to one searcher; thread-safe.
+    """Owns the connections to one searcher; used from one event loop.
 
     Parameters
     ----------
@@ -76,17 +81,22 @@
         ``IP:PORT`` of the searcher.
     connections : int
         Most connections kept.
+    clock : Clock
+        Source of monotonic time.
     """
 
-    def __init__(self, address: str, connections: int):
+    def __init__(self, address: str, connections: int, clock: Clock):
         self.address = address
         self.connections = connections
-        host, _, port = address.rpartition(":")
-        self._host = host
-        self._port = int(port)
+        self.clock = clock
         self._pool = self._new_pool()
 
-    def send(self, request: SubRequest, timeout: timedelta) -> Attempt:
+    @property
+    def open_connections(self) -> int:
+        """Return how many connections are open or being opened."""
+        return self._pool.size
+
+    async def send(self, request: SubRequest, timeout: timedelta) -> Attempt:
         """Send a request once and wait for what comes of it.
 
         Parameters
@@ -101,104 +111,116 @@
         Attempt
             The outcome; never raises for a fault of the network or searcher.
         """
-        seconds = timeout.total_seconds()
-        headers = {
-            "X-Request-Id": request.request_id,
-            "X-Index-Version": str(request.index_version),
-            "X-Deadline-Ms": str(int(seconds * 1000)),
-        }
-        limits = urllib3.Timeout(connect=min(seconds, CONNECT_SECONDS), read=seconds)
-        try:
-            reply = self._pool.urlopen(
-                "POST",
-                request.path,
-                body=request.body,
-                headers=headers,
-                retries=False,
-                redirect=False,
-                timeout=limits,
-            )
-        except (NewConnectionError, ConnectTimeoutError):
-            return NotSent()
-        except ReadTimeoutError:
-            return TimedOut()
-        except HTTPError:
-            return Broken(lost=not self._accepts_connections())
-        attempt = _read_reply(request, reply)
+        headers = (
+            (b"X-Request-Id", request.request_id.encode()),
+            (b"X-Index-Version", b"%d" % request.index_version),
+            (b"X-Deadline-Ms", b"%d" % (timeout / timedelta(milliseconds=1))),
+        )
+        pool = self._pool
+        match await self._exchange(
+            b"POST", request.path, headers, request.body, timeout
+        ):
+            case Lost(sent=False):
+                return NotSent()
+            case Lost(kind=LossKind.TIMEOUT):
+                return TimedOut()
+            case Lost():
+                return Broken(lost=not await self._is_alive(pool))
+            case Received(response=response):
+                attempt = _read_reply(request, response)
         if isinstance(attempt, Mismatched):
             self.drop_connections()
         return attempt
 
     def cancel(self, request_id: str) -> None:
         """Tell the searcher that nobody waits for the answer any more."""
-        try:
-            self._pool.urlopen(
-                "POST",
-                f"/cancel/{request_id}",
-                retries=False,
-                timeout=urllib3.Timeout(total=CONNECT_SECONDS),
-            )
-        except HTTPError:
-            # The request is given up already; there is nobody to tell.
-            return
-
-    def is_ready(self) -> bool:
+        payload = self._payload(b"POST", f"/cancel/{request_id}", (), b"")
+        exchange = self._pool.send(lambda: payload, b"", False, _ignore)
+        loop = asyncio.get_running_loop()
+        loop.call_later(CONNECT_TIMEOUT.total_seconds(), exchange.cancel)
+
+    async def is_ready(self) -> bool:
         """Return whether the health endpoint says that new work is welcome."""
-        limit = urllib3.Timeout(total=CONNECT_SECONDS)
-        try:
-            reply = self._pool.urlopen("GET", "/health", retries=False, timeout=limit)
-        except HTTPError:
-            return False
-        return reply.status == OK and reply.headers.get("X-Draining") != "1"
+        match await self._exchange(b"GET", "/health", (), b"", CONNECT_TIMEOUT):
+            case Received(response=HttpResponse(status=status, headers=headers)):
+                return status == OK and find_header(headers, b"x-draining") != b"1"
+            case _:
+                return False
 
     def drop_connections(self) -> None:
         """Use new connections from now on; those in use close when they return."""
         old = self._pool
         self._pool = self._new_pool()
-        old.close()
+        old.retire()
 
     def close(self) -> None:
         """Close idle connections."""
-        self._pool.close()
-
-    def _accepts_connections(self) -> bool:
-        # A process that crashed may still listen while it is taken down.
-        time.sleep(PROBE_DELAY_SECONDS)
-        try:
-            address = (self._host, self._port)
-            with socket.create_connection(address, PROBE_SECONDS):
-                return True
-        except OSError:
-            return False
-
-    def _new_pool(self) -> urllib3.HTTPConnectionPool:
-        return urllib3.HTTPConnectionPool(
-            self._host, self._port, maxsize=self.connections, block=False
+        self._pool.retire()
+
+    async def _exchange(
+        self,
+        method: bytes,
+        path: str,
+        headers: tuple[tuple[bytes, bytes], ...],
+        body: bytes,
+        timeout: timedelta,
+    ) -> ExchangeResult:
+        payload = self._payload(method, path, headers, body)
+        return await self._pool.ask(payload, timeout)
+
+    async def _is_alive(self, pool: ConnectionPool) -> bool:
+        accepts: asyncio.Future[bool] = asyncio.Future()
+        pool.probe(accepts.set_result)
+        return await accepts
+
+    def _payload(
+        self,
+        method: bytes,
+        path: str,
+        headers: tuple[tuple[bytes, bytes], ...],
+        body: bytes,
+    ) -> bytes:
+        host = (b"Host", self.address.encode())
+        head = render_request_head(method, path.encode(), (host, *headers), body)
+        return head + b"\r\n" + body
+
+    def _new_pool(self) -> ConnectionPool:
+        settings = PoolSettings(
+            self.address, self.connections, CONNECT_TIMEOUT, SILENCE_TIMEOUT
         )
+        return ConnectionPool(settings, self.clock)
+
+
+def _ignore(result: ExchangeResult) -> None:
+    """Take no note: the request was given up already, and nobody waits."""
 
 
-def _read_reply(request: SubRequest, reply: urllib3.BaseHTTPResponse) -> Attempt:
-    draining = reply.headers.get("X-Draining") == "1"
-    if reply.headers.get("X-Request-Id") != request.request_id:
+def _read_reply(request: SubRequest, reply: HttpResponse) -> Attempt:
+    draining = find_header(reply.headers, b"x-draining") == b"1"
+    if find_header(reply.headers, b"x-request-id") != request.request_id.encode():
         return Mismatched()
     if reply.status == VERSION_GONE:
         return VersionGone()
-    if reply.status == UNAVAILABLE and reply.headers.get("X-Not-Run") == "1":
-        after = reply.headers.get("Retry-After", "1")
-        seconds = int(after) if after.isdigit() else 1
-        return Shed(timedelta(seconds=seconds), draining)
+    not_run = find_header(reply.headers, b"x-not-run") == b"1"
+    if reply.status == UNAVAILABLE and not_run:
+        after = find_header(reply.headers, b"retry-after") or b""
+        retry_after = DEFAULT_RETRY_AFTER
+        if after.isdigit():
+            retry_after = timedelta(seconds=int(after))
+        return Shed(retry_after, draining)
     if reply.status != OK:
         return Broken(lost=False)
     try:
-        body = _ANSWER_DECODER.decode(reply.data)
+        body = _ANSWER_DECODER.decode(reply.body)
     except msgspec.MsgspecError:
         return Broken(lost=False)
     if body.request_id != request.request_id:
         return Mismatched()
+    incarnation = find_header(reply.headers, b"x-incarnation") or b""
     return Answered(
         index_version=body.index_version,
         hits=body.hits,
         receipt=body.receipt,
         draining=draining,
-        incarnation=reply.headers.get("X-Incarnation", ""),
+        incarnation=incarnation.decode("latin-1"),
     )
--- a/foxtailseam/searchers/_dispatcher.py
+++ b/foxtailseam/searchers/_dispatcher.py
@@ -26,7 +26,7 @@
 from foxtailseam.searchers._searcher import Searcher
 from foxtailseam.searchers._sender import AttemptSender
 from foxtailseam.searchers._slots import SlotQueue
-from foxtailseam.utils import WorkerThreads, new_identifier
+from foxtailseam.utils import new_identifier
 
 DEFAULT_HEDGE_DELAY = timedelta(milliseconds=50)
 LEAST_HEDGE_DELAY = timedelta(milliseconds=5)
@@ -52,8 +52,6 @@
     ----------
     searchers : SearcherController
         The searchers and their states.
-    threads : int
-        Worker threads for blocking calls.
     clock : Clock
         Source of monotonic time.
     metrics : Metrics
@@ -63,19 +61,14 @@
     def __init__(
         self,
         searchers: SearcherController,
-        threads: int,
         clock: Clock,
         metrics: Metrics,
     ):
         self.searchers = searchers
-        self.threads = threads
         self.clock = clock
         self.metrics = metrics
-        self._workers = WorkerThreads(threads, "searcher-call")
         self._slots = SlotQueue(clock)
-        self._sender = AttemptSender(
-            searchers, self._slots, self._workers, clock, metrics
-        )
+        self._sender = AttemptSender(searchers, self._slots, clock, metrics)
         self._hedges: defaultdict[str, RatioBudget] = defaultdict(RatioBudget)
         self._retries: defaultdict[str, RatioBudget] = defaultdict(RatioBudget)
 
@@ -135,7 +128,7 @@
         """Ask leaving searchers whose hold is over whether they came back."""
         due = [item for item in self.searchers.searchers if item.wants_health_check]
         for searcher in due:
-            is_ready = await self._workers.run(searcher.client.is_ready)
+            is_ready = await searcher.client.is_ready()
             self.searchers.health_checked(searcher, is_ready)
 
     def close(self) -> None:
@@ -319,7 +312,7 @@
 
     def _abandon(self, progress: _Progress) -> None:
         for task, searcher in progress.running.items():
-            self._workers.run(searcher.client.cancel, progress.ids[task])
+            searcher.client.cancel(progress.ids[task])
 
     def _lacking(self, request: ShardRequest, progress: _Progress) -> SubAnswer:
         self.metrics.add(f"shards_lacking_{progress.lack.replace('-', '_')}")
--- a/foxtailseam/searchers/_searcher.py
+++ b/foxtailseam/searchers/_searcher.py
@@ -41,7 +41,7 @@
         self.slots = slots
         self.connections = connections
         self.clock = clock
-        self._client = SearcherClient(address, connections)
+        self._client = SearcherClient(address, connections, clock)
         self._machine = SearcherStateMachine(clock)
         self._latency = LatencyWindow(clock)
         self._drops = RateBudget(DROPS_A_SECOND, 2.0, clock)
--- a/foxtailseam/searchers/_sender.py
+++ b/foxtailseam/searchers/_sender.py
@@ -22,14 +22,13 @@
 from foxtailseam.searchers._searcher import Searcher
 from foxtailseam.searchers._slots import SlotQueue
 from foxtailseam.searchers._state import SearcherEvent
-from foxtailseam.utils import WorkerThreads
 
 SILENCE_FACTOR = 4
 LEAST_SILENCE = timedelta(milliseconds=50)
 
 
 class AttemptSender:
-    """Runs attempts in worker threads; used from one event loop.
+    """Runs attempts; used from one event loop.
 
     Parameters
     ----------
@@ -37,8 +36,6 @@
         The searchers and their states.
     slots : SlotQueue
         Where a slot is given back.
-    workers : WorkerThreads
-        Threads for the blocking calls.
     clock : Clock
         Source of monotonic time.
     metrics : Metrics
@@ -49,20 +46,18 @@
         self,
         searchers: SearcherController,
         slots: SlotQueue,
-        workers: WorkerThreads,
         clock: Clock,
         metrics: Metrics,
     ):
         self.searchers = searchers
         self.slots = slots
-        self.workers = workers
         self.clock = clock
         self.metrics = metrics
 
     async def send(
         self, searcher: Searcher, request: ShardRequest, sub_request: SubRequest
     ) -> Attempt:
-        """Run one attempt in a worker thread, in a slot taken before.
+        """Run one attempt, in a slot taken before.
 
         Parameters
         ----------
@@ -81,22 +76,28 @@
         silence = self._silence(searcher) if sub_request.path == "/search" else None
         started = self.clock.monotonic()
 
-        def call() -> Attempt:
-            # A pause may have passed since the slot was taken.
-            remaining = timedelta(seconds=request.deadline - self.clock.monotonic())
-            if remaining <= timedelta():
-                return NotSent()
-            timeout = min(remaining, silence) if silence else remaining
-            return searcher.client.send(sub_request, timeout)
-
         try:
-            attempt = await self.workers.run(call)
+            attempt = await self._attempt(searcher, request, sub_request, silence)
         finally:
             self.slots.release(searcher)
         duration = timedelta(seconds=self.clock.monotonic() - started)
         self._learn(searcher, request, attempt, duration)
         return attempt
 
+    async def _attempt(
+        self,
+        searcher: Searcher,
+        request: ShardRequest,
+        sub_request: SubRequest,
+        silence: timedelta | None,
+    ) -> Attempt:
+        # A pause may have passed since the slot was taken.
+        remaining = timedelta(seconds=request.deadline - self.clock.monotonic())
+        if remaining <= timedelta():
+            return NotSent()
+        timeout = min(remaining, silence) if silence else remaining
+        return await searcher.client.send(sub_request, timeout)
+
     def _silence(self, searcher: Searcher) -> timedelta | None:
         quantile = searcher.latency.quantile(0.99)
         if quantile is None:
--- a/foxtailseam/settings/_checks.py
+++ b/foxtailseam/settings/_checks.py
@@ -80,10 +80,8 @@
         ("platform.read_rate", settings.platform.read_rate, 1, 2000),
         ("peers.round_peers", settings.peers.round_peers, 1, 64),
         ("peers.fanout", settings.peers.fanout, 1, 64),
-        ("entry.threads", settings.entry.threads, 1, 1024),
         ("entry.body_limit", settings.entry.body_limit, 1024, 1 << 24),
         ("entry.queue_share", settings.entry.queue_share, 0.01, 1),
-        ("gather.threads", settings.gather.threads, 1, 1024),
         ("gather.slot_share", settings.gather.slot_share, 0.01, 1),
         ("gather.in_transit", settings.gather.in_transit, 0, 8),
     )
--- a/foxtailseam/settings/_model.py
+++ b/foxtailseam/settings/_model.py
@@ -111,8 +111,6 @@
     ----------
     callers : str
         ``IP:PORT`` where it serves callers.
-    threads : int
-        Requests read or answered at a time.
     body_limit : int
         Largest request body, in bytes.
     read_timeout : timedelta
@@ -128,7 +126,6 @@
     """
 
     callers: str = "127.0.0.1:8000"
-    threads: int = 64
     body_limit: int = 65_536
     read_timeout: timedelta = timedelta(seconds=5)
     ticket_life: timedelta = timedelta(seconds=60)
@@ -142,8 +139,6 @@
 
     Parameters
     ----------
-    threads : int
-        Calls to searchers at a time.
     slot_share : float
         Share of a searcher's slots that this process takes, 0 to 1.
     in_transit : int
@@ -151,7 +146,6 @@
         answers and requests are on their way, in which a slot would be idle.
     """
 
-    threads: int = 64
     slot_share: float = 1.0
     in_transit: int = 2
 
--- a/foxtailseam/settings/tests/test_settings.py
+++ b/foxtailseam/settings/tests/test_settings.py
@@ -34,7 +34,7 @@
             (VALID + "peers: {interval: 3}", "duration"),
             (VALID + "peers: {interval: 1ms}", "peers.interval"),
             (VALID + "peers: {fanout: 0}", "peers.fanout"),
-            (VALID + "entry: {threads: many}", "entry.threads"),
+            (VALID + "entry: {body_limit: many}", "entry.body_limit"),
             (VALID + "log: {level: loud}", "log.level"),
         ],
     )
@@ -43,5 +43,5 @@
         assert any(named in str(problem) for problem in problems)
 
     def test_all_problems_are_listed_at_once(self):
-        text = VALID + "peers: {fanout: 0, interval: 1ms}\nentry: {threads: 0}"
+        text = VALID + "peers: {fanout: 0, interval: 1ms}\nentry: {body_limit: 0}"
         assert len(parse_settings(text).unwrap_err()) == 3
--- a/foxtailseam/utils/__init__.py
+++ b/foxtailseam/utils/__init__.py
@@ -3,11 +3,9 @@
 from foxtailseam.utils._durations import parse_duration
 from foxtailseam.utils._identifiers import new_identifier
 from foxtailseam.utils._validation import ValidationProblem, check_range, check_unique
-from foxtailseam.utils._workers import WorkerThreads
 
 __all__ = [
     "ValidationProblem",
-    "WorkerThreads",
     "check_range",
     "check_unique",
     "new_identifier",
