Count queries that come to nothing as overload, and let searchers go at once

Change: a query that comes to nothing for want of room or time counts as shed; where more than a tenth of a window's queries do, the limit falls, however short the others waited. A failed query closes what is still out at once.

--- a/foxtailseam/admission/_controller.py
+++ b/foxtailseam/admission/_controller.py
@@ -19,6 +19,8 @@
     window_ends: float
     in_flight: int = 0
     least_delay: timedelta = timedelta.max
+    ended: int = 0
+    sheds: int = 0
 
 
 class AdmissionController:
@@ -35,6 +37,9 @@
         Share of the deadline that a sub-request may wait for a slot, 0 to 1.
     least_limit : float
         Requests in flight that are admitted in any case.
+    most_sheds : float
+        Share of a window's requests that may be turned away, 0 to 1; with more
+        the limit falls, however short the others waited.
 
     References
     ----------
@@ -43,11 +48,16 @@
     """
 
     def __init__(
-        self, clock: Clock, queue_share: float, least_limit: float = LEAST_LIMIT
+        self,
+        clock: Clock,
+        queue_share: float,
+        least_limit: float = LEAST_LIMIT,
+        most_sheds: float = 1.0,
     ):
         self.clock = clock
         self.queue_share = queue_share
         self.least_limit = least_limit
+        self.most_sheds = most_sheds
         self._families: defaultdict[str, _Family] = defaultdict(self._new_family)
 
     def admit(self, family: str, limit: int, share: float = 1.0) -> bool:
@@ -95,6 +105,8 @@
         """
         state = self._families[family]
         state.in_flight -= 1
+        state.ended += 1
+        state.sheds += shed
         delay = deadline if shed else queue_delay
         state.least_delay = min(state.least_delay, delay)
         target = self.queue_share * deadline
@@ -104,11 +116,13 @@
             self._end_window(state, target)
 
     def _end_window(self, state: _Family, target: timedelta) -> None:
-        if state.least_delay > target:
+        is_shedding = state.sheds > self.most_sheds * state.ended
+        if state.least_delay > target or is_shedding:
             # The limit falls from what is in use, not from an unused ceiling.
             in_use = min(state.limit, state.in_flight + 1)
             state.limit = max(self.least_limit, in_use * DECREASE)
         state.least_delay = timedelta.max
+        state.ended = state.sheds = 0
         state.window_ends = self.clock.monotonic() + WINDOW.total_seconds()
 
     def _new_family(self) -> _Family:
--- a/foxtailseam/admission/tests/test_controller.py
+++ b/foxtailseam/admission/tests/test_controller.py
@@ -67,3 +67,18 @@
         controller = AdmissionController(ManualClock(), 0.1)
         controller.admit("f", 1)
         assert controller.admit("g", 1)
+
+    @pytest.mark.parametrize(("sheds", "is_admitted"), [(1, True), (5, False)])
+    def test_a_share_of_sheds_lowers_the_limit_though_others_do_not_wait(
+        self, sheds, is_admitted
+    ):
+        clock = ManualClock()
+        controller = AdmissionController(clock, 0.1, most_sheds=0.2)
+        for _ in range(20):
+            controller.admit("f", 100)
+        clock.advance(timedelta(milliseconds=50))
+        for number in range(9):
+            end(controller, shed=number < sheds)
+        clock.advance(timedelta(milliseconds=60))
+        end(controller, shed=False)
+        assert controller.admit("f", 100) is is_admitted
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -290,6 +290,8 @@
         if self._now() >= self.times.deadline_at:
             reason = FailureReason.DEADLINE
         self._conclude(NotAnswered(reason, self.may_have_run))
+        # What is still out would only keep searchers from other queries.
+        self._end_calls()
 
     def _conclude(self, result: GatherResult) -> None:
         self._end()
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -37,6 +37,9 @@
 # A caller whose route is unknown while the configuration may be out of date.
 RETRY_UNTIL_LEVEL = timedelta(seconds=1)
 
+# Why a query comes to nothing when searchers have more work than they can do.
+_NO_ROOM = frozenset({FailureReason.SHED, FailureReason.BUDGET, FailureReason.DEADLINE})
+
 
 @dataclass(frozen=True, slots=True)
 class _Plan:
@@ -270,7 +273,7 @@
         if running is None:
             return
         running[1].cancel()
-        self._count_out(plan, running[1])
+        self._count_out(plan, running[1], False)
         self.metrics.add("requests_abandoned")
         self.log.write(
             EventCode.REQUEST_ABANDONED,
@@ -288,13 +291,15 @@
         query: GatherQuery | SingleQuery,
     ) -> None:
         self._running.pop(number, None)
-        self._count_out(plan, query)
+        self._count_out(plan, query, _lacked_room(result))
         self._conclude(plan, response, result, query)
 
-    def _count_out(self, plan: _Plan, query: GatherQuery | SingleQuery) -> None:
+    def _count_out(
+        self, plan: _Plan, query: GatherQuery | SingleQuery, shed: bool
+    ) -> None:
         if isinstance(query, GatherQuery):
             elapsed = self.clock.monotonic() - plan.times.started_at
-            self.guard.ended(plan.route, query.enough_time, elapsed)
+            self.guard.ended(plan.route, query.enough_time, elapsed, shed)
 
     def _conclude(
         self,
@@ -354,3 +359,11 @@
 
     def _elapsed_ms(self, plan: _Plan) -> float:
         return round((self.clock.monotonic() - plan.times.started_at) * 1000, 1)
+
+
+def _lacked_room(result: GatherResult | SingleResult) -> bool:
+    match result:
+        case NotAnswered(reason=reason):
+            return reason in _NO_ROOM
+        case _:
+            return False
--- a/foxtailseam/front/_overload.py
+++ b/foxtailseam/front/_overload.py
@@ -11,6 +11,8 @@
 # Part of the latency goal that enough shards may take beyond their least time
 # before fewer queries are admitted.
 QUEUE_SHARE = 0.5
+# Share of the queries that may come to nothing before fewer are admitted.
+MOST_SHEDS = 0.1
 # Queries in flight on one host that searchers carry in any case.
 LEAST_IN_FLIGHT = 3
 # Queries in flight on one host; far above what searchers carry.
@@ -36,7 +38,9 @@
     def __init__(self, clock: Clock, generator: random.Random):
         self.clock = clock
         self.generator = generator
-        self._admission = AdmissionController(clock, QUEUE_SHARE, LEAST_IN_FLIGHT)
+        self._admission = AdmissionController(
+            clock, QUEUE_SHARE, LEAST_IN_FLIGHT, MOST_SHEDS
+        )
         self._baselines: dict[str, Baseline] = {}
         self._typical: dict[str, float] = {}
         self._ranks: dict[str, int] = {}
@@ -61,7 +65,9 @@
         typical = self._typical.get(route.name, goal / 2)
         return timedelta(seconds=typical * self.generator.uniform(*RETRY_SPREAD))
 
-    def ended(self, route: Route, enough_time: float, duration: float) -> None:
+    def ended(
+        self, route: Route, enough_time: float, duration: float, shed: bool
+    ) -> None:
         """Count a query out.
 
         Parameters
@@ -72,13 +78,15 @@
             Seconds within which enough shards for a success answered.
         duration : float
             Seconds that the whole query took.
+        shed : bool
+            Whether it came to nothing since searchers had no room or time for it.
         """
         baseline = self._baselines.setdefault(route.name, Baseline(self.clock))
         excess = timedelta(seconds=max(0.0, baseline.excess(enough_time)))
         self._typical[route.name] = duration
         family = _family(route)
         goal = route.latency_goal
-        self._admission.ended(family, MOST_IN_FLIGHT, excess, goal, shed=False)
+        self._admission.ended(family, MOST_IN_FLIGHT, excess, goal, shed)
 
 
 def _family(route: Route) -> str:
--- a/foxtailseam/front/tests/test_load.py
+++ b/foxtailseam/front/tests/test_load.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from foxtailseam_bench.simulation import simulated_shards
+from foxtailseam_bench.simulation import simulated_hosts, simulated_shards
 
 GOAL = 0.092
 # Round trip of a caller in the simulation.
@@ -263,6 +263,35 @@
             assert in_goal(after) > 0.98
 
 
+class TestOverloadOfManyHosts:
+    """Six hosts share searchers that run 4 slots / 30 ms = 133 queries a second."""
+
+    GOAL = 0.183
+
+    def answers(self, rate):
+        """Return what hosts answered from 4 to 8 s, under a load from 3 s on."""
+        with simulated_hosts(6, service_seconds=0.03, goal_ms=183) as tiers:
+            for number, tier in enumerate(tiers):
+                tier.load("/urgent/q", 15, 0.01 * number, 3)
+                tier.load("/urgent/q", rate / 6, 3 + 0.003 * number, 8)
+            tiers[0].time.run_until(12)
+            calls = [call for tier in tiers for call in tier.answered()]
+            return [call for call in calls if 4 < call.sent_at < 8]
+
+    @pytest.mark.parametrize("rate", [200, 270, 400])
+    def test_goodput_holds_and_nothing_runs_in_vain(self, rate):
+        answers = self.answers(rate)
+        served = [
+            call
+            for call in answers
+            if call.response.status == 200 and call.seconds + TRANSIT <= self.GOAL
+        ]
+        assert len(served) / 4 > 0.7 * 133
+        # Queries that searchers began to run and that then came to nothing.
+        in_vain = [call for call in answers if call.response.status in (502, 504)]
+        assert len(in_vain) <= 0.02 * len(answers)
+
+
 class TestLeaving:
     @pytest.mark.parametrize("state", ["draining", "gone"])
     def test_a_draining_searcher_gets_no_new_work(self, state):
--- a/foxtailseam_bench/simulation/__init__.py
+++ b/foxtailseam_bench/simulation/__init__.py
@@ -4,6 +4,7 @@
 from foxtailseam_bench.simulation._tier import (
     SimulatedCall,
     SimulatedTier,
+    simulated_hosts,
     simulated_shards,
 )
 from foxtailseam_bench.simulation._time import VirtualTime
@@ -13,5 +14,6 @@
     "SimulatedSearcher",
     "SimulatedTier",
     "VirtualTime",
+    "simulated_hosts",
     "simulated_shards",
 ]
--- a/foxtailseam_bench/simulation/_tier.py
+++ b/foxtailseam_bench/simulation/_tier.py
@@ -2,7 +2,7 @@
 
 import json
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from datetime import timedelta
@@ -26,6 +26,8 @@
 from foxtailseam_bench.simulation._time import VirtualTime
 
 TICK_SECONDS = 0.25
+# Requests of one tier, so that their identifiers differ from those of another.
+REQUESTS_A_TIER = 1_000_000
 
 
 @dataclass(eq=False)
@@ -87,6 +89,8 @@
         Hosts that share the budgets.
     configured_at : float or None
         When the host learns its configuration, in seconds; None for at once.
+    number : int
+        Tells the requests of several tiers apart.
     """
 
     def __init__(
@@ -97,12 +101,13 @@
         seed: int = 1,
         hosts: int = 1,
         configured_at: float | None = None,
+        number: int = 0,
     ):
         self.time = time
         self.searchers = searchers
         self.metrics = Metrics()
         self.calls: list[SimulatedCall] = []
-        self._numbers = count()
+        self._numbers = count(number * REQUESTS_A_TIER)
         generator = random.Random(seed)
         self._links: dict[str, SimulatedSearcher] = {}
         self.dispatcher = Dispatcher(
@@ -212,33 +217,60 @@
         self.time.call_later(TICK_SECONDS, self._tick)
 
 
-@contextmanager
-def simulated_shards(
-    shards: int = 20, service_seconds: float = 0.011, seed: int = 1, **options
-):
-    """Give a tier with shards of two searchers and a query over all of them."""
-    time = VirtualTime()
+def _searchers(
+    time: VirtualTime, shards: int, service_seconds: float, seed: int
+) -> dict[str, list[SimulatedSearcher]]:
     generator = random.Random(seed)
-    searchers = {
+    return {
         f"shard{number}": [
             SimulatedSearcher(time, 2, service_seconds, generator) for _ in range(2)
         ]
         for number in range(shards)
     }
-    routes = [
+
+
+def _routes(shards: Iterable[str], goal_ms: int) -> list[dict]:
+    return [
         {
             "name": name,
             "host": "a.example",
             "path_prefix": f"/{name}/",
             "type": "idempotent",
             "timeout_ms": 1_200,
-            "latency_goal_ms": 92,
+            "latency_goal_ms": goal_ms,
             "max_attempts": 2,
             "priority": priority,
-            "gather": list(searchers),
+            "gather": list(shards),
             "top_k": 5,
             "min_version": 0.89,
         }
         for name, priority in (("urgent", 1), ("other", 2))
     ]
-    yield SimulatedTier(routes, searchers, time, seed, **options)
+
+
+@contextmanager
+def simulated_shards(
+    shards: int = 20, service_seconds: float = 0.011, seed: int = 1, **options
+):
+    """Give a tier with shards of two searchers and a query over all of them."""
+    time = VirtualTime()
+    searchers = _searchers(time, shards, service_seconds, seed)
+    yield SimulatedTier(_routes(searchers, 92), searchers, time, seed, **options)
+
+
+@contextmanager
+def simulated_hosts(
+    hosts: int,
+    service_seconds: float,
+    goal_ms: int,
+    shards: int = 20,
+    seed: int = 1,
+):
+    """Give several tiers that share searchers and know nothing of each other."""
+    time = VirtualTime()
+    searchers = _searchers(time, shards, service_seconds, seed)
+    routes = _routes(searchers, goal_ms)
+    yield [
+        SimulatedTier(routes, searchers, time, seed + number, hosts, number=number)
+        for number in range(hosts)
+    ]
