--- a/foxtailseam/front/tests/test_load.py
+++ b/foxtailseam/front/tests/test_load.py
@@ -31,6 +31,14 @@
     return worst
 
 
+def pause_each(tier, shards, turns):
+    """Let each searcher of some shards pause 0.1 s every 2.4 s, at its own time."""
+    for number in shards:
+        for which, searcher in enumerate(tier.searchers[f"shard{number}"]):
+            for turn in range(turns):
+                searcher.pause(turn * 2.4 + number * 0.11 + which * 1.2, 0.1)
+
+
 class TestCalm:
     def test_every_query_is_complete_within_its_goal(self):
         with simulated_shards() as tier:
@@ -80,11 +88,7 @@
 class TestPauses:
     def test_a_pause_of_each_searcher_is_hedged_within_the_budget(self):
         with simulated_shards() as tier:
-            for number, pair in enumerate(tier.searchers.values()):
-                for which, searcher in enumerate(pair):
-                    for turn in range(8):
-                        at = turn * 2.4 + number * 0.11 + which * 1.2
-                        searcher.pause(at, 0.1)
+            pause_each(tier, range(20), turns=8)
             tier.load("/urgent/q", 20, 0, 18)
             tier.time.run_until(20)
             lacking = sum(call.missing > 0 for call in tier.answered())
@@ -161,11 +165,7 @@
             for number in range(2):
                 for searcher in tier.searchers[f"shard{number}"]:
                     searcher.slowness = 8.0
-            for number in range(2, 20):
-                for which, searcher in enumerate(tier.searchers[f"shard{number}"]):
-                    for turn in range(5):
-                        at = turn * 2.4 + number * 0.11 + which * 1.2
-                        searcher.pause(at, 0.1)
+            pause_each(tier, range(2, 20), turns=5)
             tier.load("/urgent/q", 10, 0, 10)
             tier.time.run_until(12)
             after = [call for call in tier.answered() if call.sent_at > 2]
