--- a/foxtailseam/dispatch/__init__.py
+++ b/foxtailseam/dispatch/__init__.py
@@ -8,7 +8,12 @@
 from foxtailseam.dispatch._call import CallPlan, ServiceCall
 from foxtailseam.dispatch._decision import QueryDecision, QueryProgress, decide_query
 from foxtailseam.dispatch._dispatcher import Dispatcher, TimerHandle, Timers
-from foxtailseam.dispatch._gather import GatherQuery, GatherResult, MergedAnswer
+from foxtailseam.dispatch._gather import (
+    GatherQuery,
+    GatherResult,
+    MergedAnswer,
+    SendingStatistics,
+)
 from foxtailseam.dispatch._health import AttemptFailure, SearcherHealth
 from foxtailseam.dispatch._hedging import HedgeInputs, hedge_delay, min_hedge_delay
 from foxtailseam.dispatch._latency import LatencyBaseline, ResponseTimes
@@ -56,6 +61,7 @@
     "Searcher",
     "SearcherHealth",
     "SearcherPool",
+    "SendingStatistics",
     "ServiceAnswer",
     "ServiceCall",
     "ServiceFailure",
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from foxtailseam.dispatch._dispatcher import Dispatcher
 from foxtailseam.dispatch._health import AttemptFailure
@@ -95,6 +96,10 @@
         Time of sending, in seconds of the dispatcher's clock.
     exchange : PendingExchange or None
         Exchange in progress; None until it is started.
+    opens_connection : bool
+        Whether no idle connection was available, so that one had to be opened.
+    written_at : float or None
+        Time of writing the request to its connection; None if it was not written.
     outcome : str
         Response status or kind of failure; empty while the attempt is in progress.
     """
@@ -103,6 +108,8 @@
     number: int
     sent_at: float
     exchange: PendingExchange | None = None
+    opens_connection: bool = False
+    written_at: float | None = None
     outcome: str = ""
 
 
@@ -327,10 +334,19 @@
         self._running[id(attempt)] = attempt
         self.record.attempts.append(attempt)
         attempt.exchange = searcher.pool.send(
-            lambda: plan.template.render(self._remaining_time(), identifier),
+            partial(self._render, attempt),
             plan.identifier,
             plan.request.method == b"HEAD",
-            lambda result: self._on_exchange(attempt, result),
+            partial(self._on_exchange, attempt),
+        )
+        if not attempt.exchange.is_sent:
+            attempt.opens_connection = True
+            dispatcher.metrics.add("connections_opened")
+
+    def _render(self, attempt: Attempt) -> bytes:
+        attempt.written_at = self.dispatcher.clock.monotonic()
+        return self.plan.template.render(
+            self._remaining_time(), attempt.searcher.entry.identifier
         )
 
     def _on_exchange(self, attempt: Attempt, result: ExchangeResult) -> None:
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -1,5 +1,6 @@
 """A query that is sent to all shards of an index version."""
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -45,6 +46,29 @@
 GatherResult = MergedAnswer | NotAnswered
 
 
+@dataclass(frozen=True, slots=True)
+class SendingStatistics:
+    """How long a query's first attempts took to be written, for the request log.
+
+    Parameters
+    ----------
+    started : float
+        Seconds from the arrival of the request until the first call was started.
+    written : float
+        Seconds from the arrival until the last first attempt was written.
+    unwritten : int
+        Number of first attempts that were not written, such as those whose
+        connection was not open in time.
+    connections : int
+        Number of connections that the first attempts had to open.
+    """
+
+    started: float
+    written: float
+    unwritten: int
+    connections: int
+
+
 class GatherQuery(Query):
     """Query to all shards, with hedges, that answers by the latency goal.
 
@@ -87,7 +111,7 @@
         self._hedged: set[ServiceCall] = set()
         self._parts: dict[str, ServiceAnswer] = {}
         self._part_times: list[float] = []
-        self._started_at = 0.0
+        self._started_at = times.started_at
         self._failures: list[ServiceFailure] = []
         self._missed_goal = False
         self._is_over = False
@@ -151,6 +175,36 @@
         """Return whether a searcher may have started to run the request."""
         return any(call.may_have_run for call in self._calls)
 
+    @property
+    def sending(self) -> SendingStatistics | None:
+        """Return how long the first attempts took to be written; None without any."""
+        firsts = [
+            call.record.attempts[0] for call in self._calls if call.record.attempts
+        ]
+        if not firsts:
+            return None
+        written = [item.written_at for item in firsts if item.written_at is not None]
+        arrived_at = self.times.started_at
+        return SendingStatistics(
+            started=self._started_at - arrived_at,
+            written=max(written, default=arrived_at) - arrived_at,
+            unwritten=len(firsts) - len(written),
+            connections=sum(item.opens_connection for item in firsts),
+        )
+
+    @property
+    def missing_causes(self) -> Counter[str]:
+        """Return the number of shards without a part by cause.
+
+        The cause is the reason of the failure, ``deferred`` if the shard was not
+        asked, or else ``pending``.
+        """
+        causes = Counter(failure.reason.value for failure in self._failures)
+        causes["deferred"] = len(self._deferred)
+        missing = len(self.plans) - len(self._parts)
+        causes["pending"] = missing - causes.total()
+        return +causes
+
     def describe(self) -> str:
         """Return the attempts at each shard without a part, for the request log."""
         return " ".join(
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -15,6 +15,7 @@
     MergedAnswer,
     NotAnswered,
     QueryTimes,
+    SendingStatistics,
     ServiceAnswer,
     SingleQuery,
     SingleResult,
@@ -367,6 +368,9 @@
             fields["tried"] = query.describe()
             if query.late_shards:
                 fields["late_shards"] = query.late_shards
+            if isinstance(query, GatherQuery) and query.sending is not None:
+                fields |= self._sending_fields(query.sending)
+                self._count_missing(query)
         match result:
             case MergedAnswer(stamps=stamps, missing=missing):
                 fields["parts"] = len(stamps)
@@ -385,6 +389,19 @@
         self.metrics.add(f"answers_{response.status}")
         self.log.write(code, routed.request_id, **fields)
 
+    def _count_missing(self, query: GatherQuery) -> None:
+        for cause, count in query.missing_causes.items():
+            self.metrics.add(f"missing_{cause.replace('-', '_')}", count)
+
+    def _sending_fields(self, sending: SendingStatistics) -> dict[str, object]:
+        self.metrics.observe("query_written", timedelta(seconds=sending.written))
+        return {
+            "started_ms": round(sending.started * 1000, 1),
+            "written_ms": round(sending.written * 1000, 1),
+            "unwritten": sending.unwritten,
+            "connections": sending.connections,
+        }
+
     def _reject(
         self, call: Call, metadata: RequestMetadata, reason: str, response: HttpResponse
     ) -> None:
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import sys
+import time
 from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
@@ -179,6 +180,7 @@
         self._is_ready = False
         self._is_stopping = False
         self._maintenance_timer: asyncio.TimerHandle | None = None
+        self._maintenance_due_at = self.clock.monotonic()
 
     @property
     def is_ready(self) -> bool:
@@ -256,6 +258,10 @@
         self.configuration_manager.catalogue.remove_expired()
         self._log_readiness_change()
         self.log.flush()
+        now = self.clock.monotonic()
+        delay = timedelta(seconds=max(0.0, now - self._maintenance_due_at))
+        self.metrics.observe("loop_delay", delay)
+        self._maintenance_due_at = now + MAINTENANCE_SECONDS
         loop = asyncio.get_running_loop()
         self._maintenance_timer = loop.call_later(
             MAINTENANCE_SECONDS, self._run_maintenance
@@ -347,6 +353,7 @@
         metrics.set("reads_service", self._fleet.is_reading)
         metrics.set("service_calls", self._store.calls)
         metrics.set("requests_in_flight", self.front.in_flight)
+        metrics.set("processor_seconds", time.process_time())
         metrics.set("buffered_body_bytes", self._caller_listener.buffered_bytes)
         searchers = self.dispatcher.searchers
         metrics.set("searchers", len(searchers))
--- a/foxtailseam/front/tests/test_load.py
+++ b/foxtailseam/front/tests/test_load.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from foxtailseam.logs import EventCode
 from foxtailseam_bench.simulation import simulated_hosts, simulated_shards
 
 # Latency goal of the simulated routes, in seconds.
@@ -52,6 +53,30 @@
             assert all(call.missing_shards == 0 for call in tier.answered())
 
 
+class TestRequestLog:
+    def test_line_separates_own_delay_from_searchers_that_do_not_answer(self):
+        with simulated_shards() as tier:
+            for searcher in tier.searchers["shard3"]:
+                searcher.is_unresponsive = True
+            tier.send("/urgent/q")
+            tier.time.run_until(1)
+        served = [f for code, f in tier.log.events if code is EventCode.REQUEST_SERVED]
+        assert [fields["missing"] for fields in served] == [1]
+        assert served[0]["written_ms"] == served[0]["started_ms"] == 0.0
+        assert served[0]["unwritten"] == served[0]["connections"] == 0
+        assert tier.metrics.count("missing_pending") == 1
+
+    def test_refused_query_has_no_sending_statistics(self):
+        with simulated_shards() as tier:
+            for number in range(20):
+                tier.withdraw(f"shard{number}", 0)
+                tier.withdraw(f"shard{number}", 1)
+            tier.time.run_until(5)
+            tier.send("/urgent/q")
+        assert "written_ms" not in tier.log.events[-1][1]
+        assert tier.log.events[-1][0] is EventCode.REQUEST_REFUSED
+
+
 class TestStartup:
     @pytest.mark.parametrize(
         ("configured_at", "deadline_ms", "status", "max_seconds"),
--- a/foxtailseam_bench/simulation/_tier.py
+++ b/foxtailseam_bench/simulation/_tier.py
@@ -18,6 +18,7 @@
     TimingSettings,
 )
 from foxtailseam.http import HttpRequest, HttpResponse
+from foxtailseam.logs import EventCode
 from foxtailseam.metrics import Metrics
 from foxtailseam.quarantine import QuarantineController
 from foxtailseam.routing import Configuration
@@ -64,9 +65,18 @@
         return int(headers.get(b"foxtailseam-missing-parts", b"0"))
 
 
-class _NullLog:
-    def write(self, *_args, **_fields) -> None:
-        """Discard the event."""
+class RecordingLog:
+    """Keeps the fields of each event instead of writing lines.
+
+    `events` holds the code and the fields of each event.
+    """
+
+    def __init__(self):
+        self.events: list[tuple[EventCode, dict[str, object]]] = []
+
+    def write(self, code: EventCode, request_id: str = "", **fields: object) -> None:
+        """Keep the event."""
+        self.events.append((code, {"request": request_id, **fields}))
 
 
 def read_simulated_answer(status: int, headers) -> AnswerMetadata:
@@ -109,6 +119,7 @@
         self.time = time
         self.searchers = searchers
         self.metrics = Metrics()
+        self.log = RecordingLog()
         self.calls: list[SimulatedCall] = []
         self._request_numbers = count(number * IDENTIFIERS_PER_TIER)
         generator = random.Random(seed)
@@ -125,7 +136,7 @@
         )
         self.dispatcher.hosts = hosts
         self._overload_guard = OverloadGuard(time, generator)
-        log = _NullLog()
+        log = self.log
         quarantine = QuarantineController(time, HybridClock(time))
         quarantine_guard = QuarantineGuard(quarantine, log)
         self.dispatcher.on_crash = quarantine_guard.record_crash
