Open connections to searchers without a task and a transport each

Change: ClientSocket, a non-blocking socket on the event loop with one connect timer; one parser for each connection.

--- a/foxtailseam/http/__init__.py
+++ b/foxtailseam/http/__init__.py
@@ -17,7 +17,8 @@
     render_response,
     strip_hop_by_hop,
 )
-from foxtailseam.http._pool import ConnectionPool, PoolSettings
+from foxtailseam.http._pool import ConnectionPool
+from foxtailseam.http._pool_settings import PoolSettings
 from foxtailseam.http._results import (
     ExchangeFailure,
     ExchangeResult,
--- a/foxtailseam/http/_pool.py
+++ b/foxtailseam/http/_pool.py
@@ -4,12 +4,12 @@
 """
 
 import asyncio
-import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 
 from foxtailseam.clocks import Clock
+from foxtailseam.http._pool_settings import PoolSettings
 from foxtailseam.http._results import ExchangeFailure, ExchangeResult, FailureKind
 from foxtailseam.http._upstream_connection import (
     ConnectionState,
@@ -22,35 +22,8 @@
 PROBE_DELAY = timedelta(milliseconds=20)
 PROBE_TIMEOUT = timedelta(milliseconds=300)
 
-
-@dataclass(frozen=True, slots=True)
-class PoolSettings:
-    """Address, limits and timeouts of the connections to one server.
-
-    Parameters
-    ----------
-    address : str
-        ``IP:PORT`` of the server.
-    limit : int
-        Maximum number of connections, including those being opened.
-    connect_timeout : timedelta
-        Maximum time to open a connection.
-    unacknowledged_timeout : timedelta
-        Maximum time that sent data may stay unacknowledged (TCP_USER_TIMEOUT).
-    identifier_header : bytes
-        Lowercase name of the response header that echoes the identifier of the
-        request; empty if responses have no such header.
-    probe_interval : timedelta or None
-        Interval of TCP keep-alive probes, in whole seconds, at least one; a
-        connection that leaves one unanswered is closed. None disables probes.
-    """
-
-    address: str
-    limit: int
-    connect_timeout: timedelta
-    unacknowledged_timeout: timedelta
-    identifier_header: bytes = b""
-    probe_interval: timedelta | None = None
+# Called with a connection and None once it is open, or the kind of failure.
+OpenCallback = Callable[[UpstreamConnection, FailureKind | None], None]
 
 
 class Exchange:
@@ -129,10 +102,13 @@
         self.clock = clock
         self.opened_connections = 0
         self._limit = settings.limit
+        # All connections, those being opened included.
         self._connections: set[UpstreamConnection] = set()
         self._idle_connections: list[UpstreamConnection] = []
-        self._opening_tasks: set[asyncio.Task] = set()
-        self._probe_tasks: set[asyncio.Task] = set()
+        # What to do with each connection that is being opened, once it is open
+        # (None) or has failed.
+        self._openings: dict[UpstreamConnection, OpenCallback] = {}
+        self._probe_timers: set[asyncio.TimerHandle] = set()
 
     @property
     def limit(self) -> int:
@@ -146,7 +122,7 @@
     @property
     def size(self) -> int:
         """Return the number of connections that are open or being opened."""
-        return len(self._connections) + len(self._opening_tasks)
+        return len(self._connections)
 
     @property
     def has_idle(self) -> bool:
@@ -154,13 +130,14 @@
 
         Closes idle connections that have expired.
         """
-        self._discard_expired()
+        if self._idle_connections:
+            self._discard_expired()
         return bool(self._idle_connections)
 
     @property
     def has_capacity(self) -> bool:
         """Return whether a connection is idle or may still be opened."""
-        return self.has_idle or self.size < self._limit
+        return len(self._connections) < self._limit or self.has_idle
 
     def send(
         self,
@@ -190,13 +167,11 @@
             Handle of the request, to cancel it.
         """
         exchange = Exchange(payload, identifier, is_head, done)
-        self._discard_expired()
-        if self._idle_connections:
+        if self.has_idle:
             exchange.start(self._idle_connections.pop())
-            return exchange
-        task = asyncio.get_running_loop().create_task(self._open_and_send(exchange))
-        self._opening_tasks.add(task)
-        task.add_done_callback(self._opening_tasks.discard)
+        else:
+            self.opened_connections += 1
+            self._open(partial(self._start, exchange), self.settings.connect_timeout)
         return exchange
 
     async def request(self, payload: bytes, timeout: timedelta) -> ExchangeResult:
@@ -241,9 +216,14 @@
         done : callable
             Called with True if the server is alive, else with False.
         """
-        task = asyncio.get_running_loop().create_task(self._probe(done))
-        self._probe_tasks.add(task)
-        task.add_done_callback(self._probe_tasks.discard)
+
+        def start() -> None:
+            self._probe_timers.discard(timer)
+            self._probe(done)
+
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(PROBE_DELAY.total_seconds(), start)
+        self._probe_timers.add(timer)
 
     def close_idle(self) -> None:
         """Close all connections that have no request in flight."""
@@ -257,79 +237,65 @@
 
     def abort(self) -> None:
         """Close all connections immediately; cancel probes and pending opens."""
-        for task in (*self._opening_tasks, *self._probe_tasks):
-            task.cancel()
+        for timer in self._probe_timers:
+            timer.cancel()
+        self._openings.clear()
         for connection in list(self._connections):
             connection.abort()
 
-    async def _probe(self, done: Callable[[bool], None]) -> None:
-        await asyncio.sleep(PROBE_DELAY.total_seconds())
-        if self._connections:
+    def _probe(self, done: Callable[[bool], None]) -> None:
+        if len(self._connections) > len(self._openings):
             # A crashed process has no open connections.
             done(True)
             return
-        try:
-            seconds = PROBE_TIMEOUT.total_seconds()
-            async with asyncio.timeout(seconds):
-                connection = await self._connect()
-        except (TimeoutError, OSError):
-            done(False)
-            return
-        self._connections.add(connection)
-        self._idle_connections.append(connection)
-        done(True)
 
-    async def _open_and_send(self, exchange: Exchange) -> None:
-        self.opened_connections += 1
-        try:
-            seconds = self.settings.connect_timeout.total_seconds()
-            async with asyncio.timeout(seconds):
-                connection = await self._connect()
-        except TimeoutError:
-            exchange.finish(ExchangeFailure(FailureKind.CONNECT_TIMEOUT, sent=False))
-            return
-        except OSError:
-            exchange.finish(ExchangeFailure(FailureKind.REFUSED, sent=False))
-            return
+        def on_opened(
+            connection: UpstreamConnection, failure: FailureKind | None
+        ) -> None:
+            if failure is None:
+                self._keep(connection)
+            done(failure is None)
+
+        self._open(on_opened, PROBE_TIMEOUT)
+
+    def _open(self, on_opened: OpenCallback, timeout: timedelta) -> None:
+        connection = UpstreamConnection(
+            self.settings,
+            self.clock,
+            self._on_connection_state,
+            self._on_opened,
+            timeout,
+        )
         self._connections.add(connection)
-        if exchange.is_pending:
+        self._openings[connection] = on_opened
+
+    def _on_opened(
+        self, connection: UpstreamConnection, failure: FailureKind | None
+    ) -> None:
+        if failure is not None:
+            self._connections.discard(connection)
+        on_opened = self._openings.pop(connection, None)
+        if on_opened is not None:
+            on_opened(connection, failure)
+
+    def _start(
+        self,
+        exchange: Exchange,
+        connection: UpstreamConnection,
+        failure: FailureKind | None,
+    ) -> None:
+        if failure is not None:
+            exchange.finish(ExchangeFailure(failure, sent=False))
+        elif exchange.is_pending:
             exchange.start(connection)
         else:
-            self._idle_connections.append(connection)
+            self._keep(connection)
 
-    async def _connect(self) -> UpstreamConnection:
-        loop = asyncio.get_running_loop()
-        host, _, port = self.settings.address.rpartition(":")
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            sock.setblocking(False)
-            self._set_options(sock)
-            await loop.sock_connect(sock, (host, int(port)))
-            _, connection = await loop.create_connection(
-                lambda: UpstreamConnection(
-                    self.clock,
-                    self.settings.identifier_header,
-                    self._on_connection_state,
-                ),
-                sock=sock,
-            )
-        except BaseException:
-            sock.close()
-            raise
-        return connection
-
-    def _set_options(self, sock: socket.socket) -> None:
-        unacknowledged_ms = int(
-            self.settings.unacknowledged_timeout.total_seconds() * 1000
-        )
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
-        if self.settings.probe_interval is None:
-            return
-        seconds = max(1, int(self.settings.probe_interval.total_seconds()))
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, seconds)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, seconds)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
+    def _keep(self, connection: UpstreamConnection) -> None:
+        if connection.is_retired:
+            connection.close_if_idle()
+        else:
+            self._idle_connections.append(connection)
 
     def _on_connection_state(self, connection: UpstreamConnection) -> None:
         if connection.state is ConnectionState.IDLE:
@@ -342,5 +308,6 @@
     def _discard_expired(self) -> None:
         # Connections are reused in LIFO order, so that surplus ones stay idle and
         # expire.
-        while self._idle_connections and not self._idle_connections[-1].is_usable:
+        now = self.clock.monotonic()
+        while self._idle_connections and not self._idle_connections[-1].is_usable(now):
             self._idle_connections.pop().close_if_idle()
--- a/foxtailseam/http/_upstream_connection.py
+++ b/foxtailseam/http/_upstream_connection.py
@@ -1,13 +1,15 @@
 """HTTP/1.1 client connection to an upstream server, without pipelining."""
 
-import asyncio
 from collections.abc import Callable
+from datetime import timedelta
 from enum import Enum, auto
 
 import httptools
 
 from foxtailseam.clocks import Clock
+from foxtailseam.http._client_socket import ClientSocket
 from foxtailseam.http._messages import HttpResponse
+from foxtailseam.http._pool_settings import PoolSettings
 from foxtailseam.http._results import (
     ExchangeFailure,
     ExchangeResult,
@@ -32,12 +34,13 @@
 class ConnectionState(Enum):
     """State of a connection to an upstream server."""
 
+    CONNECTING = auto()
     IDLE = auto()
     BUSY = auto()
     CLOSED = auto()
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection:
     """HTTP/1.1 connection to an upstream server with at most one request in flight.
 
     The connection closes itself instead of being reused after bytes that belong
@@ -46,35 +49,73 @@
 
     Parameters
     ----------
+    settings : PoolSettings
+        Address, timeouts and the header that echoes the identifier of a request.
     clock : Clock
         Clock that provides monotonic time in seconds.
-    identifier_header : bytes
-        Lowercase name of the response header that echoes the identifier of the
-        request; empty if responses have no such header.
     on_change : callable
         Called with this connection when it becomes idle or closes.
+    on_opened : callable
+        Called once with this connection and None when it is open, or the kind of
+        failure if it cannot be opened.
+    connect_timeout : timedelta
+        Maximum time to open the connection.
     """
 
+    __slots__ = (
+        "_body",
+        "_body_size",
+        "_done",
+        "_ends_at_close",
+        "_headers",
+        "_idle_seconds",
+        "_idle_since",
+        "_is_complete",
+        "_is_discarded",
+        "_is_head",
+        "_is_retired",
+        "_is_too_large",
+        "_must_close",
+        "_parser",
+        "_request_identifier",
+        "_response_identifier",
+        "_socket",
+        "_state",
+        "_status",
+        "clock",
+        "identifier_header",
+        "on_change",
+        "on_opened",
+    )
+
     def __init__(
         self,
+        settings: PoolSettings,
         clock: Clock,
-        identifier_header: bytes,
         on_change: Callable[["UpstreamConnection"], None],
+        on_opened: Callable[["UpstreamConnection", FailureKind | None], None],
+        connect_timeout: timedelta,
     ):
         self.clock = clock
-        self.identifier_header = identifier_header
+        self.identifier_header = settings.identifier_header
         self.on_change = on_change
-        self.used = False
-        self._state = ConnectionState.CLOSED
-        self._transport: asyncio.Transport | None = None
+        self.on_opened = on_opened
+        self._state = ConnectionState.CONNECTING
         self._parser: httptools.HttpResponseParser | None = None
         self._idle_seconds = DEFAULT_IDLE_SECONDS
         self._idle_since = 0.0
         self._must_close = False
+        self._is_retired = False
         self._done: ResultCallback | None = None
         self._request_identifier = b""
         self._is_head = False
         self._reset_response()
+        self._socket = ClientSocket(
+            self,
+            settings.address,
+            settings.socket_options,
+            connect_timeout.total_seconds(),
+        )
 
     @property
     def state(self) -> ConnectionState:
@@ -82,12 +123,22 @@
         return self._state
 
     @property
-    def is_usable(self) -> bool:
-        """Return whether the connection is idle and safe to reuse."""
-        if self._state is not ConnectionState.IDLE:
-            return False
-        idle = self.clock.monotonic() - self._idle_since
-        return idle < self._idle_seconds - IDLE_MARGIN_SECONDS
+    def is_retired(self) -> bool:
+        """Return whether the connection closes after its current exchange."""
+        return self._is_retired
+
+    def is_usable(self, now: float) -> bool:
+        """Return whether the connection is idle and safe to reuse.
+
+        Parameters
+        ----------
+        now : float
+            Current monotonic time in seconds.
+        """
+        return (
+            self._state is ConnectionState.IDLE
+            and now - self._idle_since < self._idle_seconds - IDLE_MARGIN_SECONDS
+        )
 
     def send(
         self, payload: bytes, identifier: bytes, is_head: bool, done: ResultCallback
@@ -106,13 +157,13 @@
             Called exactly once with the result of the exchange.
         """
         self._state = ConnectionState.BUSY
-        self.used = True
         self._request_identifier = identifier
         self._is_head = is_head
         self._done = done
-        self._parser = httptools.HttpResponseParser(self)
+        if self._parser is None:
+            self._parser = httptools.HttpResponseParser(self)
         self._reset_response()
-        self._transport.write(payload)
+        self._socket.write(payload)
 
     def abort(self) -> None:
         """Close immediately; a request in flight fails as cancelled."""
@@ -126,18 +177,25 @@
 
     def retire(self) -> None:
         """Close now if idle, else after the current exchange."""
-        self._must_close = True
+        self._is_retired = True
         self.close_if_idle()
 
-    # asyncio.Protocol callbacks
+    # ClientSocket callbacks
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport and become idle."""
-        self._transport = transport
+    def on_connected(self) -> None:
+        """Become idle."""
         self._state = ConnectionState.IDLE
         self._idle_since = self.clock.monotonic()
+        self.on_opened(self, None)
+
+    def on_connect_failed(self, error: OSError) -> None:
+        """Become closed and report the kind of failure."""
+        self._state = ConnectionState.CLOSED
+        timed_out = isinstance(error, TimeoutError)
+        kind = FailureKind.CONNECT_TIMEOUT if timed_out else FailureKind.REFUSED
+        self.on_opened(self, kind)
 
-    def data_received(self, data: bytes) -> None:
+    def on_data(self, data: bytes) -> None:
         """Parse received bytes; complete or fail the exchange if they end it."""
         if self._state is not ConnectionState.BUSY:
             # No request is in flight, so these bytes belong to none.
@@ -157,26 +215,19 @@
         elif self._is_complete:
             self._complete_exchange()
 
-    def eof_received(self) -> bool:
-        """Complete a response whose body extends to the end of the connection.
+    def on_end(self, error: OSError | None) -> None:
+        """Fail a request in flight and close.
 
-        Any other response in flight fails. The connection closes.
+        A response whose body extends to the end of the connection is complete if the
+        server closed the connection without an error.
         """
-        if self._state is ConnectionState.BUSY:
-            if self._ends_at_close and not self._is_discarded:
-                self._deliver(Received(self._build_response()))
-            else:
-                self._deliver(ExchangeFailure(FailureKind.CLOSED, sent=True))
+        if error is not None:
+            self._deliver(ExchangeFailure(FailureKind.RESET, sent=True))
+        elif self._ends_at_close and not self._is_discarded:
+            self._deliver(Received(self._build_response()))
+        else:
+            self._deliver(ExchangeFailure(FailureKind.CLOSED, sent=True))
         self._close()
-        return False
-
-    def connection_lost(self, error: Exception | None) -> None:
-        """Fail a request in flight and become closed."""
-        kind = FailureKind.CLOSED if error is None else FailureKind.RESET
-        self._deliver(ExchangeFailure(kind, sent=True))
-        if self._state is not ConnectionState.CLOSED:
-            self._state = ConnectionState.CLOSED
-            self.on_change(self)
 
     # httptools callbacks
 
@@ -266,12 +317,12 @@
 
     def _complete_exchange(self) -> None:
         response = self._build_response()
-        if self._transport.get_write_buffer_size():
+        if self._socket.unsent_bytes:
             # The server would parse the unsent rest of the request body as the
             # next request.
             self._must_close = True
         done, self._done = self._done, None
-        if self._must_close:
+        if self._must_close or self._is_retired:
             self._close()
         else:
             self._state = ConnectionState.IDLE
@@ -288,5 +339,5 @@
         if self._state is ConnectionState.CLOSED:
             return
         self._state = ConnectionState.CLOSED
-        self._transport.abort()
+        self._socket.close()
         self.on_change(self)
