--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -1,6 +1,6 @@
 """Request to one service, sent to one searcher after another until one answers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -81,6 +81,20 @@
     identifier: bytes
     deadline_at: float
 
+    def for_services(self, services: Iterable[str]) -> tuple["CallPlan", ...]:
+        """Return this plan for each of several services."""
+        return tuple(
+            CallPlan(
+                service,
+                self.route,
+                self.request,
+                self.template,
+                self.identifier,
+                self.deadline_at,
+            )
+            for service in services
+        )
+
 
 @dataclass(slots=True)
 class Attempt:
@@ -159,6 +173,26 @@
         another one. If not, the call is held until `resume` is called.
     """
 
+    __slots__ = (
+        "_failure_reason",
+        "_failure_response",
+        "_is_counted_in_budget",
+        "_is_held",
+        "_is_over",
+        "_rejections",
+        "_response_times",
+        "_run_count",
+        "_running",
+        "_tried",
+        "_wait_entry",
+        "dispatcher",
+        "may_repeat",
+        "on_held",
+        "on_result",
+        "plan",
+        "record",
+    )
+
     def __init__(
         self,
         dispatcher: Dispatcher,
@@ -326,11 +360,9 @@
             dispatcher.budget(plan.service).count_request()
         identifier = searcher.entry.identifier
         self._tried.add(identifier)
-        attempt = Attempt(
-            searcher,
-            searcher.begin_request(self._response_times.median),
-            dispatcher.clock.monotonic(),
-        )
+        now = dispatcher.clock.monotonic()
+        number = searcher.begin_request(self._response_times.median, now)
+        attempt = Attempt(searcher, number, now)
         self._running[id(attempt)] = attempt
         self.record.attempts.append(attempt)
         attempt.exchange = searcher.pool.send(
@@ -344,9 +376,10 @@
             dispatcher.metrics.add("connections_opened")
 
     def _render(self, attempt: Attempt) -> bytes:
-        attempt.written_at = self.dispatcher.clock.monotonic()
+        now = self.dispatcher.clock.monotonic()
+        attempt.written_at = now
         return self.plan.template.render(
-            self._remaining_time(), attempt.searcher.entry.identifier
+            self.plan.deadline_at - now, attempt.searcher.entry.identifier
         )
 
     def _on_exchange(self, attempt: Attempt, result: ExchangeResult) -> None:
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -93,6 +93,8 @@
         self._hosts = ASSUMED_HOSTS
         self._searchers: dict[str, Searcher] = {}
         self._by_service: dict[str, dict[str, Searcher]] = {}
+        # Searchers of each service that are not draining.
+        self._usable: dict[str, tuple[Searcher, ...]] = {}
         self._max_connections: dict[str, int] = {}
         self._budgets: dict[str, ExtraLoadBudget] = {}
         self._wait_queues: dict[str, WaitQueue] = {}
@@ -127,6 +129,7 @@
 
         An entry with another address, service or start time replaces the searcher.
         """
+        self._usable.pop(entry.service, None)
         existing = self._searchers.get(entry.identifier)
         if existing is not None and _is_same_run(existing.entry, entry):
             existing.update(entry)
@@ -154,13 +157,18 @@
         """Remove a searcher; its requests in flight may still complete."""
         searcher = self._searchers.pop(identifier, None)
         if searcher is not None:
+            self._usable.pop(searcher.entry.service, None)
             del self._by_service[searcher.entry.service][identifier]
             searcher.pool.retire()
 
-    def usable_searchers(self, service: str) -> list[Searcher]:
+    def usable_searchers(self, service: str) -> tuple[Searcher, ...]:
         """Return the searchers of a service that are not draining."""
-        searchers = self._by_service.get(service, {})
-        return [item for item in searchers.values() if not item.entry.is_draining]
+        usable = self._usable.get(service)
+        if usable is None:
+            searchers = self._by_service.get(service, {}).values()
+            usable = tuple(item for item in searchers if not item.entry.is_draining)
+            self._usable[service] = usable
+        return usable
 
     def choose_searcher(
         self, service: str, median_time: float, excluded: Iterable[str] = ()
@@ -201,8 +209,9 @@
     def _best_candidate(
         self, service: str, median_time: float, excluded: Iterable[str]
     ) -> Candidate | None:
+        now = self.clock.monotonic()
         candidates = [
-            searcher.candidate(self.failure_domain)
+            searcher.candidate(self.failure_domain, now)
             for searcher in self.usable_searchers(service)
             if searcher.entry.identifier not in excluded and searcher.has_capacity
         ]
@@ -249,14 +258,17 @@
         deadline_at : float
             Deadline of the request on the monotonic clock, in seconds.
         """
-        ahead = self.wait_queue(service).count_ahead(route.priority, deadline_at)
+        queue = self._wait_queues.get(service)
+        ahead = queue.count_ahead(route.priority, deadline_at) if queue else 0
+        if not ahead:
+            return 0.0
         slots = sum(searcher.entry.slots for searcher in self.usable_searchers(service))
         return expected_wait(ahead, slots, self.response_times(route).median)
 
     def admit_waiting(self, service: str) -> None:
         """Admit waiting requests of a service while a searcher has spare capacity."""
         queue = self._wait_queues.get(service)
-        if queue is None:
+        if not queue:
             return
         # Bounded because a request that has already tried every searcher with
         # spare capacity is queued again at once.
--- a/foxtailseam/dispatch/_health.py
+++ b/foxtailseam/dispatch/_health.py
@@ -81,36 +81,49 @@
 
         The value is at least 0.2 and decays towards 1 without new samples.
         """
-        elapsed = self.clock.monotonic() - self._updated_at
-        return 1.0 + (self._slowness - 1.0) * _decay(elapsed, SLOWNESS_HALF_LIFE)
+        return self.slowness_at(self.clock.monotonic())
 
     @property
     def failure_share(self) -> float:
         """Return the recent share of failures, 0 to 1; decays towards 0."""
-        elapsed = self.clock.monotonic() - self._updated_at
-        return self._failure_share * _decay(elapsed, FAILURE_HALF_LIFE)
+        return self.failure_share_at(self.clock.monotonic())
 
     @property
     def is_ejected(self) -> bool:
         """Return whether the searcher is avoided after failures."""
-        return self.clock.monotonic() < self._ejected_until
+        return self.is_ejected_at(self.clock.monotonic())
 
-    def is_stalled(self, oldest_sent_at: float | None, median_time: float) -> bool:
+    def slowness_at(self, now: float) -> float:
+        """Return `slowness` at a monotonic time in seconds."""
+        decay = _decay(now - self._updated_at, SLOWNESS_HALF_LIFE)
+        return 1.0 + (self._slowness - 1.0) * decay
+
+    def failure_share_at(self, now: float) -> float:
+        """Return `failure_share` at a monotonic time in seconds."""
+        if not self._failure_share:
+            return 0.0
+        return self._failure_share * _decay(now - self._updated_at, FAILURE_HALF_LIFE)
+
+    def is_ejected_at(self, now: float) -> bool:
+        """Return `is_ejected` at a monotonic time in seconds."""
+        return now < self._ejected_until
+
+    def is_stalled(self, oldest_sent_at: float, median_time: float, now: float) -> bool:
         """Return whether the oldest request is overdue without a response since.
 
         Parameters
         ----------
-        oldest_sent_at : float or None
-            Monotonic time in seconds at which the oldest request in flight was
-            sent; None if there is none.
+        oldest_sent_at : float
+            Monotonic time in seconds at which the oldest request in flight was sent.
         median_time : float
             Median response time of that request's route, in seconds.
+        now : float
+            Current monotonic time in seconds.
         """
-        if oldest_sent_at is None or self._last_response_at > oldest_sent_at:
+        if self._last_response_at > oldest_sent_at:
             return False
-        age = self.clock.monotonic() - oldest_sent_at
-        threshold = STALL_FACTOR * median_time * max(1.0, self.slowness)
-        return age > max(MIN_STALL_AGE, threshold)
+        threshold = STALL_FACTOR * median_time * max(1.0, self.slowness_at(now))
+        return now - oldest_sent_at > max(MIN_STALL_AGE, threshold)
 
     def record_response(self, seconds: float, median_time: float | None) -> None:
         """Record a response, which ends any ejection.
@@ -124,8 +137,9 @@
             if the route has too few samples, in which case the slowness is not
             updated.
         """
-        slowness = self.slowness
-        share = self.failure_share
+        now = self.clock.monotonic()
+        slowness = self.slowness_at(now)
+        share = self.failure_share_at(now)
         if median_time is not None:
             self._recent_ratios.append(
                 min(MAX_SLOWNESS, seconds / max(median_time, 1e-4))
@@ -134,7 +148,7 @@
             slowness = max(0.2, slowness + SLOWNESS_WEIGHT * (ratio - slowness))
         self._slowness = slowness
         self._failure_share = share * (1.0 - FAILURE_WEIGHT)
-        self._updated_at = self._last_response_at = self.clock.monotonic()
+        self._updated_at = self._last_response_at = now
         self._consecutive_failures = 0
         self._next_ejection_seconds = FIRST_EJECTION_SECONDS
         self._ejected_until = float("-inf")
@@ -142,8 +156,8 @@
     def record_failure(self, failure: AttemptFailure) -> bool:
         """Record a failure; return whether it starts an ejection."""
         now = self.clock.monotonic()
-        slowness = self.slowness
-        share = self.failure_share
+        slowness = self.slowness_at(now)
+        share = self.failure_share_at(now)
         self._slowness = slowness
         self._failure_share = share + FAILURE_WEIGHT * (1.0 - share)
         self._updated_at = now
@@ -154,7 +168,7 @@
             self._last_response_at = now
             return False
         self._consecutive_failures += 1
-        if self._consecutive_failures < EJECTION_THRESHOLD or self.is_ejected:
+        if self._consecutive_failures < EJECTION_THRESHOLD or self.is_ejected_at(now):
             return False
         self._ejected_until = now + self._next_ejection_seconds
         self._next_ejection_seconds = min(
--- a/foxtailseam/dispatch/_searcher.py
+++ b/foxtailseam/dispatch/_searcher.py
@@ -101,23 +101,25 @@
     def has_capacity(self) -> bool:
         """Return whether one more request can be sent."""
         max_in_flight = self.entry.slots + EXTRA_IN_TRANSIT
-        return self.in_flight < max_in_flight and self.pool.has_capacity
+        return len(self._in_flight) < max_in_flight and self.pool.has_capacity
 
     def update(self, entry: SearcherEntry) -> None:
         """Replace the entry by a newer one of the same process run."""
         self.entry = entry
         self._warmup_ends_at = self.clock.monotonic() + entry.warmup.total_seconds()
 
-    def begin_request(self, median_time: float) -> int:
+    def begin_request(self, median_time: float, now: float) -> int:
         """Count a request as sent and return its number.
 
         Parameters
         ----------
         median_time : float
             Median response time of the request's route, in seconds.
+        now : float
+            Current monotonic time in seconds.
         """
         self._last_number += 1
-        self._in_flight[self._last_number] = (self.clock.monotonic(), median_time)
+        self._in_flight[self._last_number] = (now, median_time)
         return self._last_number
 
     def end_request(self, number: int) -> float:
@@ -125,30 +127,41 @@
         sent_at, _ = self._in_flight.pop(number)
         return self.clock.monotonic() - sent_at
 
-    def is_stalled(self) -> bool:
-        """Return whether the oldest request is overdue without a response since."""
-        sent_at, median_time = next(iter(self._in_flight.values()), (None, 0.0))
-        return self.health.is_stalled(sent_at, median_time)
+    def is_stalled(self, now: float) -> bool:
+        """Return whether the oldest request is overdue without a response since.
 
-    def candidate(self, failure_domain: str) -> Candidate:
+        Parameters
+        ----------
+        now : float
+            Current monotonic time in seconds.
+        """
+        if not self._in_flight:
+            return False
+        sent_at, median_time = next(iter(self._in_flight.values()))
+        return self.health.is_stalled(sent_at, median_time, now)
+
+    def candidate(self, failure_domain: str, now: float) -> Candidate:
         """Return a snapshot of this searcher for the selection.
 
         Parameters
         ----------
         failure_domain : str
             Failure domain of this host.
+        now : float
+            Current monotonic time in seconds.
         """
         health = self.health
+        entry = self.entry
         return Candidate(
-            identifier=self.entry.identifier,
-            slowness=health.slowness,
-            failure_share=health.failure_share,
-            in_flight=self.in_flight,
-            slots=self.entry.slots,
-            is_same_domain=self.entry.failure_domain == failure_domain,
-            has_connection=self.pool.has_idle,
-            is_warming=self.clock.monotonic() < self._warmup_ends_at,
-            is_stalled=self.is_stalled(),
-            is_lapsed=self.is_lapsed,
-            is_ejected=health.is_ejected,
+            entry.identifier,
+            health.slowness_at(now),
+            health.failure_share_at(now),
+            len(self._in_flight),
+            entry.slots,
+            entry.failure_domain == failure_domain,
+            self.pool.has_idle,
+            now < self._warmup_ends_at,
+            self.is_stalled(now),
+            self.is_lapsed,
+            health.is_ejected_at(now),
         )
--- a/foxtailseam/dispatch/_searcher_selection.py
+++ b/foxtailseam/dispatch/_searcher_selection.py
@@ -1,7 +1,7 @@
 """Selection of the searcher for a request."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Sequence
+from typing import NamedTuple
 
 # Cost of traffic to another failure domain, in seconds of response time.
 CROSS_DOMAIN_PENALTY = 0.012
@@ -13,12 +13,15 @@
 LAPSED_PENALTY = 3.0
 # Factor by which a searcher is assumed to be slower while it warms up.
 WARMUP_FACTOR = 1.6
+# Searchers whose cost is within this factor of the lowest one count as equal.
+NEAR_BEST_FACTOR = 1.05
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
+class Candidate(NamedTuple):
     """Snapshot of a searcher for the selection.
 
+    A named tuple, since several are made for each shard of each query.
+
     Parameters
     ----------
     identifier : str
@@ -66,7 +69,8 @@
             Median response time of the request's route, in seconds.
         """
         queue = max(1.0, (self.in_flight + 1) / self.slots)
-        return median_time * self._slowdown * queue
+        slowdown = self.slowness * (WARMUP_FACTOR if self.is_warming else 1.0)
+        return median_time * slowdown * queue
 
     def cost(self, median_time: float) -> float:
         """Return the cost by which searchers are ranked, in seconds; lower is better.
@@ -77,9 +81,8 @@
             Median response time of the request's route, in seconds.
         """
         load = 1.0 + self.in_flight / self.slots
-        cost = median_time * (
-            self._slowdown * load + FAILURE_PENALTY * self.failure_share
-        )
+        slowdown = self.slowness * (WARMUP_FACTOR if self.is_warming else 1.0)
+        cost = median_time * (slowdown * load + FAILURE_PENALTY * self.failure_share)
         if not self.is_same_domain:
             cost += CROSS_DOMAIN_PENALTY
         if not self.has_connection:
@@ -89,12 +92,13 @@
         return cost
 
     @property
-    def _slowdown(self) -> float:
-        return self.slowness * (WARMUP_FACTOR if self.is_warming else 1.0)
+    def rank(self) -> tuple[bool, bool]:
+        """Return the class of the searcher; those of a lower one are preferred."""
+        return self.is_ejected, self.is_stalled
 
 
 def choose_searcher(
-    candidates: Iterable[Candidate], median_time: float, draw: float = 0.0
+    candidates: Sequence[Candidate], median_time: float, draw: float = 0.0
 ) -> Candidate | None:
     """Return the searcher with the lowest cost, or None if there are no candidates.
 
@@ -104,25 +108,19 @@
 
     Parameters
     ----------
-    candidates : iterable of Candidate
+    candidates : sequence of Candidate
         Searchers to choose from.
     median_time : float
         Median response time of the request's route, in seconds.
     draw : float
         Random number from 0 to 1.
     """
-    ranked = sorted(
-        candidates,
-        key=lambda item: (item.is_ejected, item.is_stalled, item.cost(median_time)),
-    )
-    if not ranked:
+    if not candidates:
         return None
-    best = ranked[0]
-    near_best = [
-        item
-        for item in ranked
-        if item.is_ejected == best.is_ejected
-        and item.is_stalled == best.is_stalled
-        and item.cost(median_time) <= best.cost(median_time) * 1.05
+    best_rank = min(item.rank for item in candidates)
+    costs = [
+        (item.cost(median_time), item) for item in candidates if item.rank == best_rank
     ]
+    max_cost = min(cost for cost, _ in costs) * NEAR_BEST_FACTOR
+    near_best = [item for cost, item in costs if cost <= max_cost]
     return near_best[min(len(near_best) - 1, int(draw * len(near_best)))]
--- a/foxtailseam/dispatch/_wait_queue.py
+++ b/foxtailseam/dispatch/_wait_queue.py
@@ -46,6 +46,10 @@
         self._heap: list[tuple[int, float, int, WaitEntry]] = []
         self._sequence = count()
 
+    def __bool__(self) -> bool:
+        """Return whether there are entries, withdrawn ones included."""
+        return bool(self._heap)
+
     def add(
         self, priority: int, deadline_at: float, on_admitted: Callable[[], None]
     ) -> WaitEntry:
--- a/foxtailseam/dispatch/tests/test_decisions.py
+++ b/foxtailseam/dispatch/tests/test_decisions.py
@@ -162,7 +162,7 @@
         clock.advance(timedelta(seconds=age))
         if has_responded:
             health.record_response(MEDIAN_TIME, MEDIAN_TIME)
-        assert health.is_stalled(sent_at, MEDIAN_TIME) is expected
+        assert health.is_stalled(sent_at, MEDIAN_TIME, clock.monotonic()) is expected
 
 
 class TestExtraLoadBudget:
