Let a host with few queries avoid a searcher after one slow answer

Its slowness followed the median of five answers, so a searcher slowed 12 times for 8 s was never seen as slow, and what was learned halved every 1.5 s, before the next query.

Change: the median is taken over the answers of the last 3 s, and the half-life follows the time between two answers, 1.5 to 6 s. Hosts that ask often decide as before.

Test: TestSparseLoad: 85 of 180 first sends went to the slow searchers before; passes now (fewer than a quarter).

--- a/foxtailseam/dispatch/_health.py
+++ b/foxtailseam/dispatch/_health.py
@@ -6,14 +6,19 @@
 
 from foxtailseam.clocks import Clock
 
-# Weight of a new slowness sample in the moving average. Each sample is the median
-# of the latest responses, so that a short pause does not make a searcher slow.
+# Weight of a new slowness sample in the moving average. Each sample is the lower median
+# of the latest responses, so that a short pause does not make a searcher slow. A host
+# that seldom asks a searcher has few recent ones and goes by these.
 SLOWNESS_WEIGHT = 0.4
 MEDIAN_SAMPLES = 5
+SAMPLE_SECONDS = 3.0
 # Upper bound on the ratio of a response time to the route's median.
 MAX_SLOWNESS = 20.0
-# Half-life in seconds of the excess slowness of a searcher without new samples.
-SLOWNESS_HALF_LIFE = 1.5
+# Half-life of the excess slowness of a searcher without new samples: the time between
+# its last two responses, within these bounds in seconds. A host that seldom asks a
+# searcher would otherwise forget between two queries that it was slow.
+MIN_SLOWNESS_HALF_LIFE = 1.5
+MAX_SLOWNESS_HALF_LIFE = 6.0
 # Weight of a new outcome in the failure share, and its half-life in seconds.
 FAILURE_WEIGHT = 0.2
 FAILURE_HALF_LIFE = 2.0
@@ -67,7 +72,9 @@
     def __init__(self, clock: Clock):
         self.clock = clock
         self._slowness = 1.0
-        self._recent_ratios = deque([1.0] * MEDIAN_SAMPLES, maxlen=MEDIAN_SAMPLES)
+        self._slowness_half_life = MIN_SLOWNESS_HALF_LIFE
+        # Time and ratio of the latest responses.
+        self._recent_ratios: deque[tuple[float, float]] = deque(maxlen=MEDIAN_SAMPLES)
         self._failure_share = 0.0
         self._updated_at = clock.monotonic()
         self._last_response_at = float("-inf")
@@ -95,7 +102,7 @@
 
     def slowness_at(self, now: float) -> float:
         """Return `slowness` at a monotonic time in seconds."""
-        decay = _decay(now - self._updated_at, SLOWNESS_HALF_LIFE)
+        decay = _decay(now - self._updated_at, self._slowness_half_life)
         return 1.0 + (self._slowness - 1.0) * decay
 
     def failure_share_at(self, now: float) -> float:
@@ -141,18 +148,29 @@
         slowness = self.slowness_at(now)
         share = self.failure_share_at(now)
         if median_time is not None:
-            self._recent_ratios.append(
-                min(MAX_SLOWNESS, seconds / max(median_time, 1e-4))
-            )
-            ratio = sorted(self._recent_ratios)[MEDIAN_SAMPLES // 2]
+            ratio = min(MAX_SLOWNESS, seconds / max(median_time, 1e-4))
+            self._recent_ratios.append((now, ratio))
+            ratio = self._median_ratio(now)
             slowness = max(0.2, slowness + SLOWNESS_WEIGHT * (ratio - slowness))
         self._slowness = slowness
+        if math.isfinite(self._last_response_at):
+            self._slowness_half_life = min(
+                MAX_SLOWNESS_HALF_LIFE,
+                max(MIN_SLOWNESS_HALF_LIFE, now - self._last_response_at),
+            )
         self._failure_share = share * (1.0 - FAILURE_WEIGHT)
         self._updated_at = self._last_response_at = now
         self._consecutive_failures = 0
         self._next_ejection_seconds = FIRST_EJECTION_SECONDS
         self._ejected_until = float("-inf")
 
+    def _median_ratio(self, now: float) -> float:
+        recent = self._recent_ratios
+        while recent[0][0] < now - SAMPLE_SECONDS:
+            recent.popleft()
+        ratios = sorted(ratio for _, ratio in recent)
+        return ratios[(len(ratios) - 1) // 2]
+
     def record_failure(self, failure: AttemptFailure) -> bool:
         """Record a failure; return whether it starts an ejection."""
         now = self.clock.monotonic()
--- a/foxtailseam/front/tests/test_load.py
+++ b/foxtailseam/front/tests/test_load.py
@@ -89,6 +89,20 @@
             assert share_in_goal(learned) >= 0.95
 
 
+class TestSparseLoad:
+    def test_host_with_few_queries_avoids_a_searcher_that_answered_slowly(self):
+        with simulated_shards() as tier:
+            slow = [tier.searchers[f"shard{number}"][0] for number in range(6)]
+            for searcher in slow:
+                searcher.slowness = 12.0
+            tier.load("/urgent/q", 0.5, 0, 60)
+            tier.time.run_until(61)
+        arrivals = sum(len(searcher.arrivals) for searcher in slow)
+        # Half of the queries of each shard would go there without avoidance.
+        assert arrivals < 0.25 * 6 * len(tier.calls)
+        assert share_in_goal(tier.calls) >= 0.9
+
+
 class TestStartup:
     @pytest.mark.parametrize(
         ("configured_at", "deadline_ms", "status", "max_seconds"),
