--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -191,6 +191,7 @@
         "on_result",
         "plan",
         "record",
+        "was_denied",
     )
 
     def __init__(
@@ -206,6 +207,8 @@
         self.may_repeat = may_repeat
         # Called when the call is held.
         self.on_held: Callable[[], None] = lambda: None
+        # Whether the budget denied a hedge or a retry.
+        self.was_denied = False
         self.record = CallRecord(dispatcher.clock.monotonic())
         self._response_times: ResponseTimes = dispatcher.response_times(plan.route)
         self._running: dict[int, Attempt] = {}
@@ -478,6 +481,7 @@
         if budget.take_extra(self.dispatcher.hosts):
             return True
         self.dispatcher.metrics.add("extras_denied")
+        self.was_denied = True
         return False
 
     def _has_untried_searcher(self) -> bool:
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -199,6 +199,11 @@
             connections=sum(item.opens_connection for item in firsts),
         )
 
+    @property
+    def denied(self) -> int:
+        """Return the number of shards to which the budget denied a hedge or retry."""
+        return sum(call.was_denied for call in self._calls)
+
     @property
     def missing_causes(self) -> Counter[str]:
         """Return the number of shards without a part by cause.
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -374,6 +374,7 @@
                 fields["late_shards"] = query.late_shards
             if isinstance(query, GatherQuery) and query.sending is not None:
                 fields |= self._sending_fields(query.sending)
+                fields["denied"] = query.denied
                 self._count_missing(query)
         match result:
             case MergedAnswer(stamps=stamps, missing=missing):
