Hedge earlier where the budget allows more hedges

A hedge waited for the 0.8 to 0.95 quantile of the response times; with new connections and slow searchers in it that is 55 ms and more, too late for a goal of 81 ms, while the share of the budget that a host with few queries has allows half of its calls to be hedged.

Change: the early quantile falls with the hedges that the budget allows for each request, from 0.8 (at a third or fewer, as before) to 0.65.

Test: test_large_budget_hedges_while_there_is_time_for_an_answer (before: one delay of over 50 ms in both cases).

--- a/foxtailseam/dispatch/_budget.py
+++ b/foxtailseam/dispatch/_budget.py
@@ -32,6 +32,22 @@
     window: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class BudgetState:
+    """How much a host may send again.
+
+    Parameters
+    ----------
+    remaining_share : float
+        Unused share of the allowance, 0 to 1.
+    allowed_share : float
+        Allowance for each request of the window.
+    """
+
+    remaining_share: float
+    allowed_share: float
+
+
 class ExtraLoadBudget:
     """Counts requests and extras of this host over a sliding window.
 
@@ -68,10 +84,17 @@
         """
         return self._extra_count() + 1 <= self._allowed_extras(hosts)
 
-    def remaining_share(self, hosts: int) -> float:
-        """Return the unused share of the allowance of this host, 0 to 1."""
+    def state(self, hosts: int) -> BudgetState:
+        """Return how much this host may send again.
+
+        Parameters
+        ----------
+        hosts : int
+            Number of hosts that share the slack.
+        """
         allowed = self._allowed_extras(hosts)
-        return max(0.0, 1.0 - self._extra_count() / allowed) if allowed else 0.0
+        remaining = max(0.0, 1.0 - self._extra_count() / allowed) if allowed else 0.0
+        return BudgetState(remaining, allowed / max(1, self._request_count()))
 
     def take_extra(self, hosts: int) -> bool:
         """Count an extra if it is allowed; return whether it was."""
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -264,9 +264,14 @@
         attempts = self.record.attempts
         sent_at = attempts[-1].sent_at if attempts else self.record.started_at
         budget = self.dispatcher.budget(self.plan.service)
-        budget_left = budget.remaining_share(self.dispatcher.hosts)
+        state = budget.state(self.dispatcher.hosts)
         return sent_at + hedge_delay(
-            HedgeInputs(goal_at - sent_at, self._response_times, budget_left)
+            HedgeInputs(
+                goal_at - sent_at,
+                self._response_times,
+                state.remaining_share,
+                state.allowed_share,
+            )
         )
 
     def min_hedge_delay(self) -> float:
--- a/foxtailseam/dispatch/tests/test_decisions.py
+++ b/foxtailseam/dispatch/tests/test_decisions.py
@@ -199,11 +199,11 @@
         budget = ExtraLoadBudget(self.SETTINGS, ManualClock())
         for _ in range(100):
             budget.count_request()
-        before = budget.remaining_share(8)
+        before = budget.state(8).remaining_share
         for _ in range(10):
             assert budget.take_extra(8)
         assert before == 1.0
-        assert 0.4 < budget.remaining_share(8) < 0.6
+        assert 0.4 < budget.state(8).remaining_share < 0.6
 
 
 class TestDecideQuery:
@@ -272,6 +272,17 @@
         assert with_budget < without_budget
         assert with_budget >= self.times().quantile(0.8)
 
+    def test_large_budget_hedges_while_there_is_time_for_an_answer(self):
+        # Few queries a host: its share of the slack allows half of them to be hedged.
+        times = ResponseTimes(0.094)
+        for number in range(256):
+            times.record(0.05 if number % 4 == 0 else 0.02)
+        small, large = (
+            hedge_delay(HedgeInputs(0.075, times, 1.0, share)) for share in (0.2, 0.55)
+        )
+        assert small > 0.05
+        assert large < 0.025
+
     def test_slow_searchers_do_not_delay_the_hedges_of_others(self):
         # As if both searchers of two shards in twenty were eight times slower.
         times = ResponseTimes(0.09)
