--- a/foxtailseam/front/_timing.py
+++ b/foxtailseam/front/_timing.py
@@ -67,19 +67,18 @@
     """
     if network_delay is None:
         network_delay = settings.assumed_network_delay.total_seconds()
-    overhead = network_delay + settings.processing_time.total_seconds()
+    goal = route.latency_goal.total_seconds()
+    delay = max(settings.processing_time.total_seconds(), answer_delay)
+    overhead = network_delay + min(delay, goal * MAX_DELAY_SHARE)
     timeout = route.timeout.total_seconds()
     if remaining is not None:
         timeout = min(timeout, remaining.total_seconds() - overhead)
-    goal = route.latency_goal.total_seconds()
-    delay = max(settings.processing_time.total_seconds(), answer_delay)
-    delay = min(delay, goal * MAX_DELAY_SHARE)
-    goal_remaining = min(timeout, goal * settings.goal_share - network_delay - delay)
+    goal_remaining = min(timeout, goal * settings.goal_share - overhead)
     late_remaining = min(timeout, goal * settings.late_factor)
     return QueryTimes(
         started_at=arrived_at,
         goal_at=arrived_at + goal_remaining,
-        goal_limit_at=arrived_at + min(timeout, goal - network_delay),
+        goal_limit_at=arrived_at + min(timeout, goal - overhead),
         late_answer_at=arrived_at + late_remaining,
         deadline_at=arrived_at + timeout,
     )
