Give up a watch whose answer was lost before a configuration is due

Cause: a watch waits up to 25 s. When its answer is lost, the connection stays open and returns nothing more, and TCP probes are answered.

Change: a watch waits 0.8 s and is given up 1.2 s later; an overdue watch ages the replica; a failure no longer makes it younger. Costs 2.5 calls a second for all hosts together, however many there are.

--- a/foxtailseam/platform/_store.py
+++ b/foxtailseam/platform/_store.py
@@ -31,6 +31,8 @@
 _GONE = 410
 # Longer than the slowest usual response; the store has no time limit of its own.
 _READ_TIMEOUT = timedelta(seconds=1.5)
+# Time after the end of a watch's wait until it counts as unanswered.
+_WATCH_MARGIN = timedelta(seconds=1.2)
 _CONNECT_TIMEOUT = timedelta(seconds=1)
 # A connection is closed when sent data stays unacknowledged for this long.
 _UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=2)
@@ -126,7 +128,7 @@
         """
         wait_ms = int(wait.total_seconds() * 1000)
         query = {"path_prefix": "", "after": after, "wait_ms": wait_ms}
-        response = await self._get("/-/kv-watch", query, wait + _READ_TIMEOUT)
+        response = await self._get("/-/kv-watch", query, wait + _WATCH_MARGIN)
         if isinstance(response, StoreFailure):
             return response
         if response.status == _GONE:
--- a/foxtailseam/store/_follower.py
+++ b/foxtailseam/store/_follower.py
@@ -16,6 +16,10 @@
 )
 from foxtailseam.store._replica import Listing, StoreReplica
 
+# A watch is overdue, so that the replica may be out of date, when it was not answered
+# this long after the service should have ended it.
+OVERDUE_SECONDS = 0.3
+
 
 @dataclass(frozen=True, slots=True)
 class FollowerSettings:
@@ -24,7 +28,8 @@
     Parameters
     ----------
     watch_wait : timedelta
-        How long the service may hold one watch open while there is no change.
+        How long the service may hold one watch open while there is no change. Short,
+        since a lost answer is not noticed until the watch times out.
     batch_delay : timedelta
         Pause after a watch that returned changes, so that the next one returns
         several changes at once.
@@ -33,7 +38,7 @@
         each further failure; jitter shortens it by up to 40 %.
     """
 
-    watch_wait: timedelta = timedelta(seconds=25)
+    watch_wait: timedelta = timedelta(milliseconds=800)
     batch_delay: timedelta = timedelta(milliseconds=200)
     initial_backoff: timedelta = timedelta(milliseconds=250)
     max_backoff: timedelta = timedelta(seconds=2)
@@ -103,12 +108,14 @@
     def age(self) -> float:
         """Return the seconds since the replica was last known to be in sync.
 
-        0 in state `FollowerState.IN_SYNC`, where a watch is open: its connection is
-        probed, and it would report a change. Infinite before the first success.
+        0 in state `FollowerState.IN_SYNC` while a watch is open and not overdue: it
+        would report a change. Infinite before the first success.
         """
-        if self._state is FollowerState.IN_SYNC:
+        elapsed = self.clock.monotonic() - self._in_sync_at
+        max_elapsed = self.settings.watch_wait.total_seconds() + OVERDUE_SECONDS
+        if self._state is FollowerState.IN_SYNC and elapsed <= max_elapsed:
             return 0.0
-        return self.clock.monotonic() - self._in_sync_at
+        return elapsed
 
     async def run(self) -> None:
         """List all keys once, then watch for changes, until cancelled.
@@ -124,7 +131,6 @@
                     while not await self._list():
                         pass
         finally:
-            self._update_in_sync_time()
             self._state = FollowerState.UNKNOWN
 
     async def _list(self) -> bool:
@@ -165,7 +171,6 @@
         self._set_state(FollowerState.IN_SYNC, "")
 
     async def _on_failure(self, reason: str) -> None:
-        self._update_in_sync_time()
         self._set_state(FollowerState.LOST, reason)
         initial = self.settings.initial_backoff.total_seconds()
         longest = self.settings.max_backoff.total_seconds()
@@ -173,10 +178,6 @@
         self._failures = min(self._failures + 1, 16)
         await self.sleep(backoff * self.generator.uniform(0.6, 1.0))
 
-    def _update_in_sync_time(self) -> None:
-        if self._state is FollowerState.IN_SYNC:
-            self._in_sync_at = self.clock.monotonic()
-
     def _set_state(self, state: FollowerState, reason: str) -> None:
         if state is not self._state:
             self._state = state
--- a/foxtailseam/store/tests/test_follower.py
+++ b/foxtailseam/store/tests/test_follower.py
@@ -82,6 +82,38 @@
     return state, age, replica, client.calls, states, pauses
 
 
+class TestUnansweredWatch:
+    def test_replica_ages_although_the_connection_stays_open(self):
+        async def run():
+            clock = ManualClock()
+            replica = StoreReplica(lambda change: None)
+            follower = StoreFollower(
+                ScriptedClient(LISTING),
+                replica,
+                clock,
+                FollowerSettings(),
+                lambda *_: None,
+                random.Random(1),
+            )
+            task = asyncio.create_task(follower.run())
+            for _ in range(20):
+                await asyncio.sleep(0)
+            ages = [follower.age]
+            for _ in range(5):
+                clock.advance(timedelta(seconds=1))
+                ages.append(follower.age)
+            task.cancel()
+            return ages
+
+        ages = asyncio.run(run())
+        assert ages[0] == 0.0
+        assert ages[2:] == [2.0, 3.0, 4.0, 5.0]
+
+    def test_failure_does_not_make_the_replica_younger(self):
+        _, age, _, _, _, pauses = run_follower(LISTING, StoreFailure("timeout"))
+        assert age == pytest.approx(sum(pauses), abs=1e-5)
+
+
 class TestStoreFollower:
     def test_a_change_is_applied_and_the_watch_continues_after_it(self):
         state, age, replica, calls, _, _ = run_follower(LISTING, CHANGE)
--- a/foxtailseam_bench/platform_stand_in.py
+++ b/foxtailseam_bench/platform_stand_in.py
@@ -47,6 +47,9 @@
         Whether each call gets 503, waiting watches at their next event or timeout.
     is_silent : bool
         Whether calls get no response at all.
+    loses_answers : bool
+        Whether the response that is due is not sent, and nothing more is sent on its
+        connection, which stays open.
     calls : int
         Number of calls received.
     """
@@ -54,6 +57,7 @@
     def __init__(self):
         self.is_unavailable = False
         self.is_silent = False
+        self.loses_answers = False
         self.calls = 0
         self._events: list[dict] = []
         self._revision = 1
@@ -101,7 +105,10 @@
                 self.calls += 1
                 if self.is_silent:
                     await asyncio.Event().wait()
-                writer.write(await self._respond(target))
+                response = await self._respond(target)
+                if self.loses_answers:
+                    await asyncio.Event().wait()
+                writer.write(response)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
         finally:
