Tell a connection that is not open in time from a refused one

Change: NotSent says whether the timeout passed; then the attempt counts as one failure, and only several without an answer in between eject, as for other failures.

Test: test_connection_that_is_not_open_in_time_is_not_a_refusal (before: the same result as a refused connection).

--- a/foxtailseam/searchers/_attempt_results.py
+++ b/foxtailseam/searchers/_attempt_results.py
@@ -54,7 +54,16 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """Nothing was sent, for instance because no connection could be made."""
+    """Nothing was sent, for instance because no connection could be made.
+
+    Parameters
+    ----------
+    timed_out : bool
+        True if the timeout passed before a connection was open, which can also be
+        the delay of this process; False if the searcher refused it.
+    """
+
+    timed_out: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailseam/searchers/_client.py
+++ b/foxtailseam/searchers/_client.py
@@ -125,8 +125,8 @@
         match await self._exchange(
             b"POST", request.path, headers, request.body, timeout
         ):
-            case ExchangeFailure(sent=False):
-                return NotSent()
+            case ExchangeFailure(kind=kind, sent=False):
+                return NotSent(timed_out=kind is FailureKind.TIMEOUT)
             case ExchangeFailure(kind=FailureKind.TIMEOUT):
                 return TimedOut()
             case ExchangeFailure():
--- a/foxtailseam/searchers/_sender.py
+++ b/foxtailseam/searchers/_sender.py
@@ -123,7 +123,7 @@
             Answered: lambda: self._handle_answer(searcher, request, result, duration),
             Shed: lambda: self._handle_shed(searcher, result),
             VersionGone: lambda: searcher.record_missing_version(request.index_version),
-            NotSent: lambda: self._handle_not_sent(searcher, request),
+            NotSent: lambda: self._handle_not_sent(searcher, request, result),
             Broken: lambda: self._handle_broken(searcher, request, result),
             TimedOut: lambda: self._handle_timeout(searcher, request, duration),
             Mismatched: lambda: self._handle_mismatch(searcher, request),
@@ -153,8 +153,14 @@
         if result.draining:
             self.searchers.record_drain_signal(searcher)
 
-    def _handle_not_sent(self, searcher: Searcher, request: ShardRequest) -> None:
-        if self.clock.monotonic() < request.deadline:
+    def _handle_not_sent(
+        self, searcher: Searcher, request: ShardRequest, result: NotSent
+    ) -> None:
+        if self.clock.monotonic() >= request.deadline:
+            return
+        if result.timed_out:
+            self.searchers.record_failure(searcher)
+        else:
             self.searchers.apply(searcher, SearcherEvent.UNREACHABLE)
 
     def _handle_broken(
--- a/foxtailseam/searchers/tests/test_client.py
+++ b/foxtailseam/searchers/tests/test_client.py
@@ -107,6 +107,19 @@
     def test_refused_connection_returns_not_sent(self):
         assert send(f"127.0.0.1:{free_ports(1)[0]}", SEARCH) == [NotSent()]
 
+    def test_connection_that_is_not_open_in_time_is_not_a_refusal(self):
+        async def main():
+            # A full queue of connections: further ones wait.
+            with socket.socket() as listener:
+                listener.bind(("127.0.0.1", 0))
+                listener.listen(0)
+                port = listener.getsockname()[1]
+                with socket.create_connection(("127.0.0.1", port)):
+                    client = SearcherClient(f"127.0.0.1:{port}", 4, SystemClock())
+                    return await client.send(SEARCH, timedelta(milliseconds=50))
+
+        assert asyncio.run(main()) == NotSent(timed_out=True)
+
     def test_an_answer_to_another_request_is_rejected(self, serve):
         other = AttemptRequest("b" * 24, "/search", 3, b'{"query": "none"}')
         results = send(serve(crossed=True), SEARCH, other)
