Send many changes of the configuration service compressed

When 405 searchers start, one batch is 95 KB, 1.6 MB for all followers, half a second of a link of 30 Mbit/s, before which requests wait.

Change: four changes or more are sent compressed to followers that accept it, 95 KB become 13 KB, encoded once (0.4 ms) for followers with the same revision. Older hosts get and send plain changes; each build decodes the other's messages (checked with both).

Tests: TestManyChangesAtOnce (before: no compressed changes).

--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from foxtailseam.catalogue import Catalogue
@@ -14,6 +14,7 @@
     FollowUpdate,
     MemberExchange,
     WireChange,
+    compress_changes,
 )
 from foxtailseam.fleet._tree import TreePosition, compute_position
 from foxtailseam.logs import EventCode, LogWriter
@@ -26,6 +27,8 @@
 TICK_SECONDS = 0.25
 # Number of hosts to which a new quarantine notice is sent at once.
 GOSSIP_FANOUT = 4
+# Fewer changes than this are sent as they are.
+MIN_COMPRESSED_CHANGES = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +141,9 @@
         self._gossip_tasks: set[asyncio.Task] = set()
         self._changed = asyncio.Event()
         self._stop_server = None
+        # The changes that were compressed last, and what they depend on.
+        self._compressed_key: tuple[int, int, bool] | None = None
+        self._compressed_changes = b""
 
     @property
     def age(self) -> float:
@@ -229,6 +235,8 @@
         is_first = True
         while True:
             update = self._build_update(sent_revision, is_first)
+            if request.accepts_compressed:
+                update = self._compressed(update, sent_revision)
             yield update
             if update.revision:
                 sent_revision = max(sent_revision, update.revision)
@@ -258,6 +266,16 @@
             int(self.catalogue.remaining_grace * 1000),
         )
 
+    def _compressed(self, update: FollowUpdate, sent_revision: int) -> FollowUpdate:
+        if len(update.changes) < MIN_COMPRESSED_CHANGES:
+            return update
+        # Most followers have the same revision and get the same changes.
+        key = (sent_revision, update.revision, update.is_listing)
+        if self._compressed_key != key:
+            self._compressed_key = key
+            self._compressed_changes = compress_changes(update.changes)
+        return replace(update, changes=(), compressed_changes=self._compressed_changes)
+
     # Membership.
 
     async def _exchange_loop(self) -> None:
@@ -347,7 +365,11 @@
             channel = self._rpc.FleetChannel(
                 address, self.settings.timeout.total_seconds()
             )
-            request = FollowRequest(self.membership.own_record, self.replica.revision)
+            request = FollowRequest(
+                self.membership.own_record,
+                self.replica.revision,
+                accepts_compressed=True,
+            )
             reason = "ended"
             try:
                 update_timeout = self.settings.update_timeout.total_seconds()
--- a/foxtailseam/fleet/_messages.py
+++ b/foxtailseam/fleet/_messages.py
@@ -1,7 +1,11 @@
 """Messages that hosts exchange, encoded as MessagePack maps."""
 
+import zlib
+from collections.abc import Sequence
 from dataclasses import dataclass
 
+import msgspec
+
 from foxtailseam.fleet._membership import HostRecord
 from foxtailseam.quarantine import SuspicionNotice
 from foxtailseam.store import Change, Item, Removal
@@ -57,6 +61,30 @@
         return Item(self.key, self.value, self.revision)
 
 
+_CHANGES_DECODER = msgspec.msgpack.Decoder(tuple[WireChange, ...])
+# Changes are compressed for speed: entries of searchers differ in few bytes.
+_COMPRESSION_LEVEL = 1
+
+
+def compress_changes(changes: Sequence[WireChange]) -> bytes:
+    """Return the changes as compressed MessagePack."""
+    return zlib.compress(msgspec.msgpack.encode(changes), _COMPRESSION_LEVEL)
+
+
+def decompress_changes(data: bytes) -> tuple[WireChange, ...]:
+    """Return the changes that `compress_changes` has encoded.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If `data` is malformed.
+    """
+    try:
+        return _CHANGES_DECODER.decode(zlib.decompress(data))
+    except zlib.error as error:
+        raise msgspec.DecodeError(str(error)) from error
+
+
 @dataclass(frozen=True, slots=True)
 class FollowRequest:
     """Request to stream changes to the sender.
@@ -67,10 +95,13 @@
         Record of the host that follows.
     revision : int
         Revision up to which the sender already has every change; 0 for none.
+    accepts_compressed : bool
+        Whether the sender understands compressed changes.
     """
 
     sender: HostRecord
     revision: int
+    accepts_compressed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +122,9 @@
     grace_ms : int
         Milliseconds until the end of the grace period in which lapsed searcher
         entries are kept; 0 if there is none.
+    compressed_changes : bytes
+        The changes, compressed, if `changes` is empty; empty if there are none or if
+        the follower does not accept them.
     """
 
     changes: tuple[WireChange, ...]
@@ -98,3 +132,4 @@
     is_listing: bool
     age_ms: int
     grace_ms: int
+    compressed_changes: bytes = b""
--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import replace
 from typing import Protocol
 
 import msgspec
@@ -11,7 +12,12 @@
 from grpclib.server import Server, Stream
 
 from foxtailseam.codecs import MessagePackCodec
-from foxtailseam.fleet._messages import FollowRequest, FollowUpdate, MemberExchange
+from foxtailseam.fleet._messages import (
+    FollowRequest,
+    FollowUpdate,
+    MemberExchange,
+    decompress_changes,
+)
 
 EXCHANGE_PATH = "/foxtailseam.Fleet/Exchange"
 FOLLOW_PATH = "/foxtailseam.Fleet/Follow"
@@ -25,6 +31,13 @@
 )
 
 
+def _decompressed(update: FollowUpdate) -> FollowUpdate:
+    if not update.compressed_changes:
+        return update
+    changes = decompress_changes(update.compressed_changes)
+    return replace(update, changes=changes, compressed_changes=b"")
+
+
 class FleetServicer(Protocol):
     """Server side of the calls between hosts."""
 
@@ -154,7 +167,7 @@
                     update = await stream.recv_message()
                 if update is None:
                     return
-                yield update
+                yield _decompressed(update)
 
     def close(self) -> None:
         """Close the connection."""
--- a/foxtailseam/fleet/tests/test_controller.py
+++ b/foxtailseam/fleet/tests/test_controller.py
@@ -9,11 +9,17 @@
 import socket
 from datetime import timedelta
 
+import msgspec
 import pytest
 
 from foxtailseam.catalogue import Catalogue
 from foxtailseam.clocks import HybridClock, SystemClock
 from foxtailseam.fleet import FleetController, FleetSettings, HostRecord
+from foxtailseam.fleet._messages import (
+    FollowRequest,
+    compress_changes,
+    decompress_changes,
+)
 from foxtailseam.quarantine import QuarantineController
 from foxtailseam.store import (
     FollowerSettings,
@@ -272,6 +278,56 @@
         run_scenario(scenario)
 
 
+class TestManyChangesAtOnce:
+    @staticmethod
+    def put_entries(service):
+        for number in range(405):
+            entry = (
+                b'{"service": "shard-%d", "address": "10.1.64.%d:8128", "zone": "d1",'
+                b' "max_concurrency": 2, "state": "ready", "warmup_left_ms": %d}'
+            )
+            value = entry % (number % 135, number % 250, 7 * number)
+            service.put(f"servers/i-{number * 7919:08x}", value)
+
+    def test_all_hosts_get_them(self):
+        async def scenario(service, hosts):
+            self.put_entries(service)
+            newest = len(service.changes)
+            await eventually(
+                lambda: all(len(host.replica.items) == 406 for host in hosts)
+            )
+            assert all(host.replica.revision == newest for host in hosts)
+
+        run_scenario(scenario)
+
+    def test_they_take_little_of_the_link_unless_the_follower_is_older(self):
+        async def scenario(service, hosts):
+            self.put_entries(service)
+            fleet = hosts[0].fleet
+            await eventually(lambda: len(hosts[0].replica.items) == 406)
+            record = HostRecord("127.0.0.1:8", "d1", 1)
+            sizes = []
+            for request in (
+                FollowRequest(record, 0),
+                FollowRequest(record, 0, accepts_compressed=True),
+            ):
+                update = await anext(fleet.follow(request))
+                sizes.append(len(msgspec.msgpack.encode(update)))
+                changes = update.changes or decompress_changes(
+                    update.compressed_changes
+                )
+                assert len(changes) == 406
+            plain, compressed = sizes
+            assert compressed < plain / 4
+
+        run_scenario(scenario)
+
+    @pytest.mark.parametrize("data", [b"x", compress_changes(())[:-1], b"\x00" * 40])
+    def test_malformed_changes_are_an_error_of_the_call(self, data):
+        with pytest.raises(msgspec.MsgspecError):
+            decompress_changes(data)
+
+
 class TestCancellation:
     @pytest.mark.parametrize("steps", range(12))
     def test_a_follower_stops_when_cancelled_at_any_step(self, steps):
