--- a/foxtailseam/dispatch/__init__.py
+++ b/foxtailseam/dispatch/__init__.py
@@ -4,8 +4,9 @@
 and on an injected clock; the caller supplies connections and timers.
 """
 
+from foxtailseam.dispatch._attempts import CallPlan
 from foxtailseam.dispatch._budget import BudgetSettings, ExtraLoadBudget
-from foxtailseam.dispatch._call import CallPlan, ServiceCall
+from foxtailseam.dispatch._call import ServiceCall
 from foxtailseam.dispatch._decision import QueryDecision, QueryProgress, decide_query
 from foxtailseam.dispatch._dispatcher import Dispatcher, TimerHandle, Timers
 from foxtailseam.dispatch._gather import (
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from foxtailseam.dispatch._call import CallPlan, ServiceCall
+from foxtailseam.dispatch._attempts import CallPlan
+from foxtailseam.dispatch._call import ServiceCall
 from foxtailseam.dispatch._decision import QueryDecision, QueryProgress, decide_query
 from foxtailseam.dispatch._dispatcher import Dispatcher
 from foxtailseam.dispatch._query import GRACE_SECONDS, NotAnswered, Query, QueryTimes
--- a/foxtailseam/dispatch/_query.py
+++ b/foxtailseam/dispatch/_query.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from foxtailseam.dispatch._call import CallPlan
+from foxtailseam.dispatch._attempts import CallPlan
 from foxtailseam.dispatch._dispatcher import Dispatcher, TimerHandle
 from foxtailseam.dispatch._results import FailureReason
 from foxtailseam.dispatch._wait_queue import clamp_retry_after
--- a/foxtailseam/dispatch/_single.py
+++ b/foxtailseam/dispatch/_single.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 
-from foxtailseam.dispatch._call import CallPlan, ServiceCall
+from foxtailseam.dispatch._attempts import CallPlan
+from foxtailseam.dispatch._call import ServiceCall
 from foxtailseam.dispatch._dispatcher import Dispatcher
 from foxtailseam.dispatch._query import GRACE_SECONDS, NotAnswered, Query, QueryTimes
 from foxtailseam.dispatch._results import ServiceAnswer, ServiceFailure, ServiceResult
