Report a connection that cannot be set up as a failure of its request

The failure is reported from the event loop now. Tests: no free descriptor (before: OSError out of send), and a connection that never opens.

--- a/foxtailseam/http/_client_socket.py
+++ b/foxtailseam/http/_client_socket.py
@@ -53,7 +53,6 @@
 
     __slots__ = (
         "_buffer",
-        "_is_connected",
         "_loop",
         "_owner",
         "_socket",
@@ -70,14 +69,14 @@
         self._owner = owner
         self._loop = asyncio.get_running_loop()
         self._buffer = bytearray()
-        self._is_connected = False
-        self._socket: socket.socket | None = socket.socket(
-            socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK
-        )
-        for option in options:
-            self._socket.setsockopt(*option)
+        self._socket: socket.socket | None = None
         self._timer = self._loop.call_later(connect_timeout, self._on_timeout)
-        self._connect(address)
+        try:
+            self._connect(address, options)
+        except OSError as error:
+            # For example, no file descriptor is left.
+            self.close()
+            self._loop.call_soon(owner.on_connect_failed, error)
 
     @property
     def is_open(self) -> bool:
@@ -107,24 +106,25 @@
 
     def close(self) -> None:
         """Close at once and drop unsent bytes; no event follows."""
+        self._timer.cancel()
         sock, self._socket = self._socket, None
         if sock is None:
             return
-        self._timer.cancel()
         self._loop.remove_reader(sock.fileno())
         self._loop.remove_writer(sock.fileno())
         sock.close()
 
-    def _connect(self, address: str) -> None:
+    def _connect(self, address: str, options: Iterable[SocketOption]) -> None:
         host, _, port = address.rpartition(":")
-        try:
-            code = self._socket.connect_ex((host, int(port)))
-        except OSError as error:
-            code = error.errno or errno.EINVAL
-        if code in (0, errno.EINPROGRESS):
-            self._loop.add_writer(self._socket.fileno(), self._on_connected)
-        else:
-            self._loop.call_soon(self._fail_connect, OSError(code, "connect failed"))
+        self._socket = socket.socket(
+            socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK
+        )
+        for option in options:
+            self._socket.setsockopt(*option)
+        code = self._socket.connect_ex((host, int(port)))
+        if code not in (0, errno.EINPROGRESS):
+            raise OSError(code, "connect failed")
+        self._loop.add_writer(self._socket.fileno(), self._on_connected)
 
     def _on_connected(self) -> None:
         code = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -132,7 +132,6 @@
             self._fail_connect(OSError(code, "connect failed"))
             return
         self._timer.cancel()
-        self._is_connected = True
         number = self._socket.fileno()
         self._loop.add_reader(number, self._on_readable)
         self._loop.remove_writer(number)
--- a/foxtailseam/http/tests/test_upstream.py
+++ b/foxtailseam/http/tests/test_upstream.py
@@ -1,6 +1,7 @@
 """Tests of connections to searchers, with scripted faulty responses."""
 
 import asyncio
+import errno
 import socket
 import struct
 from datetime import timedelta
@@ -193,6 +194,40 @@
 
         assert asyncio.run(main()) == ExchangeFailure(FailureKind.REFUSED, sent=False)
 
+    def test_no_free_descriptor_is_a_failure_of_an_unsent_request(self, monkeypatch):
+        async def main():
+            loop = asyncio.get_running_loop()
+            pool = ConnectionPool(settings(9), SystemClock())
+            done = loop.create_future()
+
+            def fail(*_):
+                raise OSError(errno.EMFILE, "too many open files")
+
+            with monkeypatch.context() as patch:
+                patch.setattr(socket, "socket", fail)
+                pool.send(lambda: REQUEST, IDENTIFIER, False, done.set_result)
+            return await asyncio.wait_for(done, 3), pool.size
+
+        result, size = asyncio.run(main())
+        assert result == ExchangeFailure(FailureKind.REFUSED, sent=False)
+        assert size == 0
+
+    def test_connection_that_never_opens_is_a_failure_of_an_unsent_request(self):
+        async def main():
+            with socket.socket() as listener:
+                listener.bind(("127.0.0.1", 0))
+                listener.listen(0)
+                port = listener.getsockname()[1]
+                with socket.create_connection(("127.0.0.1", port)):
+                    pool = ConnectionPool(settings(port), SystemClock())
+                    done = asyncio.get_running_loop().create_future()
+                    pool.send(lambda: REQUEST, IDENTIFIER, False, done.set_result)
+                    return await asyncio.wait_for(done, 3), pool.size
+
+        result, size = asyncio.run(main())
+        assert result == ExchangeFailure(FailureKind.CONNECT_TIMEOUT, sent=False)
+        assert size == 0
+
 
 class TestReuse:
     def test_clean_connection_is_reused(self):
