--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -16,7 +16,6 @@
     MergedAnswer,
     NotAnswered,
     QueryTimes,
-    SendingStatistics,
     ServiceAnswer,
     SingleQuery,
     SingleResult,
@@ -372,10 +371,8 @@
             fields["tried"] = query.describe()
             if query.late_shards:
                 fields["late_shards"] = query.late_shards
-            if isinstance(query, GatherQuery) and query.sending is not None:
-                fields |= self._sending_fields(query.sending)
-                fields["denied"] = query.denied
-                self._count_missing(query)
+            if isinstance(query, GatherQuery):
+                fields |= self._gather_fields(query)
         match result:
             case MergedAnswer(stamps=stamps, missing=missing):
                 fields["parts"] = len(stamps)
@@ -394,17 +391,20 @@
         self.metrics.add(f"answers_{response.status}")
         self.log.write(code, routed.request_id, **fields)
 
-    def _count_missing(self, query: GatherQuery) -> None:
+    def _gather_fields(self, query: GatherQuery) -> dict[str, object]:
+        """Count the missing shards; return the fields on how the query was sent."""
+        sending = query.sending
+        if sending is None:
+            return {}
         for cause, count in query.missing_causes.items():
             self.metrics.add(f"missing_{cause.replace('-', '_')}", count)
-
-    def _sending_fields(self, sending: SendingStatistics) -> dict[str, object]:
         self.metrics.observe("query_written", timedelta(seconds=sending.written))
         return {
             "started_ms": round(sending.started * 1000, 1),
             "written_ms": round(sending.written * 1000, 1),
             "unwritten": sending.unwritten,
             "connections": sending.connections,
+            "denied": query.denied,
         }
 
     def _reject(
