--- a/foxtailseam/http/tests/test_upstream.py
+++ b/foxtailseam/http/tests/test_upstream.py
@@ -16,6 +16,7 @@
     PoolSettings,
     Received,
 )
+from foxtailseam_bench._processes import unaccepting_address
 
 IDENTIFIER = b"0011"
 ECHO = b"Request-Id: 0011\r\n"
@@ -214,15 +215,12 @@
 
     def test_connection_that_never_opens_is_a_failure_of_an_unsent_request(self):
         async def main():
-            with socket.socket() as listener:
-                listener.bind(("127.0.0.1", 0))
-                listener.listen(0)
-                port = listener.getsockname()[1]
-                with socket.create_connection(("127.0.0.1", port)):
-                    pool = ConnectionPool(settings(port), SystemClock())
-                    done = asyncio.get_running_loop().create_future()
-                    pool.send(lambda: REQUEST, IDENTIFIER, False, done.set_result)
-                    return await asyncio.wait_for(done, 3), pool.size
+            with unaccepting_address() as address:
+                port = int(address.rpartition(":")[2])
+                pool = ConnectionPool(settings(port), SystemClock())
+                done = asyncio.get_running_loop().create_future()
+                pool.send(lambda: REQUEST, IDENTIFIER, False, done.set_result)
+                return await asyncio.wait_for(done, 3), pool.size
 
         result, size = asyncio.run(main())
         assert result == ExchangeFailure(FailureKind.CONNECT_TIMEOUT, sent=False)
--- a/foxtailseam/searchers/tests/test_client.py
+++ b/foxtailseam/searchers/tests/test_client.py
@@ -19,7 +19,7 @@
     TimedOut,
     VersionGone,
 )
-from foxtailseam_bench._processes import free_ports
+from foxtailseam_bench._processes import free_ports, unaccepting_address
 from foxtailseam_bench.searcher import (
     Record,
     SearcherBehaviour,
@@ -109,14 +109,9 @@
 
     def test_connection_that_is_not_open_in_time_is_not_a_refusal(self):
         async def main():
-            # A full queue of connections: further ones wait.
-            with socket.socket() as listener:
-                listener.bind(("127.0.0.1", 0))
-                listener.listen(0)
-                port = listener.getsockname()[1]
-                with socket.create_connection(("127.0.0.1", port)):
-                    client = SearcherClient(f"127.0.0.1:{port}", 4, SystemClock())
-                    return await client.send(SEARCH, timedelta(milliseconds=50))
+            with unaccepting_address() as address:
+                client = SearcherClient(address, 4, SystemClock())
+                return await client.send(SEARCH, timedelta(milliseconds=50))
 
         assert asyncio.run(main()) == NotSent(timed_out=True)
 
--- a/foxtailseam_bench/_processes.py
+++ b/foxtailseam_bench/_processes.py
@@ -11,7 +11,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -49,6 +49,20 @@
         return True
 
 
+@contextlib.contextmanager
+def unaccepting_address() -> Iterator[str]:
+    """Yield an ``IP:PORT`` on loopback at which no further connection opens.
+
+    The queue of its listening socket is full, so that opening packets are dropped.
+    """
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        port = listener.getsockname()[1]
+        with socket.create_connection(("127.0.0.1", port)):
+            yield f"127.0.0.1:{port}"
+
+
 def wait_until(
     condition: Callable[[], bool],
     timeout: float,
