Compare the changes themselves before a compressed message is used again

Cause: the compressed changes were kept by the revisions they belong to, but a listing can bring items newer than its revision, so the content can change while the revision stays; followers then got the older changes again until the revision moved on. Change: the message is used again only for equal changes. Test: test_a_change_is_sent_although_the_revision_stays, fails before (the late change is not sent).

--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -141,8 +141,8 @@
         self._gossip_tasks: set[asyncio.Task] = set()
         self._changed = asyncio.Event()
         self._stop_server = None
-        # The changes that were compressed last, and what they depend on.
-        self._compressed_key: tuple[int, int, bool] | None = None
+        # The changes that were compressed last, and the result.
+        self._uncompressed_changes: tuple[WireChange, ...] = ()
         self._compressed_changes = b""
 
     @property
@@ -236,7 +236,7 @@
         while True:
             update = self._build_update(sent_revision, is_first)
             if request.accepts_compressed:
-                update = self._compressed(update, sent_revision)
+                update = self._compressed(update)
             yield update
             if update.revision:
                 sent_revision = max(sent_revision, update.revision)
@@ -266,13 +266,12 @@
             int(self.catalogue.remaining_grace * 1000),
         )
 
-    def _compressed(self, update: FollowUpdate, sent_revision: int) -> FollowUpdate:
+    def _compressed(self, update: FollowUpdate) -> FollowUpdate:
         if len(update.changes) < MIN_COMPRESSED_CHANGES:
             return update
         # Most followers have the same revision and get the same changes.
-        key = (sent_revision, update.revision, update.is_listing)
-        if self._compressed_key != key:
-            self._compressed_key = key
+        if self._uncompressed_changes != update.changes:
+            self._uncompressed_changes = update.changes
             self._compressed_changes = compress_changes(update.changes)
         return replace(update, changes=(), compressed_changes=self._compressed_changes)
 
--- a/foxtailseam/fleet/tests/test_controller.py
+++ b/foxtailseam/fleet/tests/test_controller.py
@@ -322,6 +322,26 @@
 
         run_scenario(scenario)
 
+    def test_a_change_is_sent_although_the_revision_stays(self):
+        # A listing can hold items that are newer than its revision.
+        async def main():
+            host = Host(free_addresses(1)[0], (), FakeService())
+            newer = tuple(Item(f"k{n}", b"1", 11 + n) for n in range(5))
+            host.replica.apply_listing(Listing(newer, 10))
+            request = FollowRequest(HostRecord("127.0.0.1:8", "d1", 1), 10, True)
+            updates = host.fleet.follow(request)
+            first = await anext(updates)
+            host.replica.apply([Item("late", b"1", 16)], 10)
+            second = await anext(updates)
+            await updates.aclose()
+            return [
+                {change.key for change in decompress_changes(update.compressed_changes)}
+                for update in (first, second)
+            ]
+
+        first, second = asyncio.run(main())
+        assert second - first == {"late"}
+
     @pytest.mark.parametrize("data", [b"x", compress_changes(())[:-1], b"\x00" * 40])
     def test_malformed_changes_are_an_error_of_the_call(self, data):
         with pytest.raises(msgspec.MsgspecError):
