Check and hedge the calls of a query in the order of its shards

Cause of the difference between runs: a query kept its unfinished calls in a set of objects, which is iterated in the order of their memory addresses, and chose between equally frequent failure reasons in the order of a set of enum members, which depends on the seed of string hashes. In the log, late shards stood in random order.

Change: both keep the order of the shards.

The test lists 16 late shards; before, they came in the order of addresses.

--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -108,8 +108,8 @@
         self._calls: list[ServiceCall] = []
         # Calls that start only if the query cannot succeed without them.
         self._deferred: list[ServiceCall] = []
-        # Calls selected or started that have no result yet.
-        self._waiting: set[ServiceCall] = set()
+        # Calls selected or started that have no result yet, in the order of starting.
+        self._waiting: dict[ServiceCall, None] = {}
         self._hedged: set[ServiceCall] = set()
         self._parts: dict[str, ServiceAnswer] = {}
         self._top_records = TopRecords(destination.top_k)
@@ -244,13 +244,13 @@
                 searcher_by_call[call] = searcher
             else:
                 self._deferred.append(call)
-        self._waiting = set(searcher_by_call)
+        self._waiting = dict.fromkeys(searcher_by_call)
         return searcher_by_call
 
     def _start_deferred(self, max_calls: int) -> None:
         """Start up to `max_calls` of the deferred calls."""
         calls, self._deferred = self._deferred[:max_calls], self._deferred[max_calls:]
-        self._waiting.update(calls)
+        self._waiting.update(dict.fromkeys(calls))
         self._start_calls(calls)
 
     def _start_calls(self, calls: list[ServiceCall]) -> None:
@@ -285,7 +285,9 @@
             self.times.late_answer_at if self._missed_goal else self.times.goal_at
         )
         min_delay = self._calls[0].min_hedge_delay()
-        for call in self._waiting - self._hedged:
+        # A copy, since a hedge may end its call.
+        unhedged = [call for call in self._waiting if call not in self._hedged]
+        for call in unhedged:
             due_at = call.last_sent_at + min_delay
             if due_at > now:
                 next_at = min(next_at, max(due_at, now + HEDGE_RECHECK_INTERVAL))
@@ -309,7 +311,7 @@
             self.late_shards = " ".join(map(_describe, self._waiting))
 
     def _on_call_result(self, call: ServiceCall, result: ServiceResult) -> None:
-        self._waiting.discard(call)
+        self._waiting.pop(call, None)
         match result:
             case ServiceAnswer(stamp=stamp, response=response):
                 if response.status < _FIRST_FAILURE_STATUS and stamp:
@@ -388,7 +390,9 @@
 
     def _fail(self) -> None:
         reasons = [failure.reason for failure in self._failures]
-        reason = max(set(reasons), key=reasons.count, default=FailureReason.LOST)
+        reason = max(
+            dict.fromkeys(reasons), key=reasons.count, default=FailureReason.LOST
+        )
         if self._now() >= self.times.deadline_at:
             reason = FailureReason.DEADLINE
         self._finish(NotAnswered(reason, self.may_have_run))
--- a/foxtailseam/front/tests/test_load.py
+++ b/foxtailseam/front/tests/test_load.py
@@ -68,6 +68,18 @@
         assert served[0]["unwritten"] == served[0]["connections"] == 0
         assert tier.metrics.count("missing_pending") == 1
 
+    def test_late_shards_are_listed_in_order_and_not_by_memory_address(self):
+        with simulated_shards() as tier:
+            late = [f"shard{number}" for number in range(2, 18)]
+            for service in late:
+                for searcher in tier.searchers[service]:
+                    searcher.is_unresponsive = True
+            tier.send("/urgent/q")
+            tier.time.run_until(3)
+        fields = tier.log.events[-1][1]
+        listed = [item.split("[")[0] for item in fields["late_shards"].split()]
+        assert listed == late
+
     def test_refused_query_has_no_sending_statistics(self):
         with simulated_shards() as tier:
             for number in range(20):
