Lower the admission limit while a query still has time left at its goal

What callers saw: with six hosts at three times the capacity of the searchers, two fifths of the answers came 10 to 50 ms after the latency goal (66 to 85 queries a second in time, 120 answered, capacity 133).

Cause: the queueing delay that the overload guard tolerates was half of the latency goal, on top of the time that a query takes without any queue. With 45 ms of 183 for the latter, the limit rises until the median answer takes 45 + 91 ms and more, and the slower half misses the goal. Class: a fraction of the whole goal where only a part of it is left.

Change: the tolerated delay is a fraction, 0.3, of the time that an unqueued query has left at its goal, or at the route's timeout if it misses the goal anyway.

--- a/foxtailseam/dispatch/_latency.py
+++ b/foxtailseam/dispatch/_latency.py
@@ -122,6 +122,11 @@
         self._minimum: float | None = None
         self._updated_at = clock.monotonic()
 
+    @property
+    def seconds(self) -> float:
+        """Return the estimate in seconds; 0 before the first response time."""
+        return 0.0 if self._minimum is None else self._minimum
+
     def excess(self, seconds: float) -> float:
         """Record a response time and return its excess over the baseline, in seconds.
 
--- a/foxtailseam/front/_overload_guard.py
+++ b/foxtailseam/front/_overload_guard.py
@@ -8,9 +8,11 @@
 from foxtailseam.dispatch import LatencyBaseline
 from foxtailseam.routing import AllShards, Configuration, Route
 
-# Fraction of the latency goal by which the time to quorum may exceed its baseline
-# (queueing delay) before the admission limit is lowered.
-QUEUE_SHARE = 0.5
+# Queueing delay above which the admission limit is lowered, as a fraction of the time
+# that a query without queueing has left at its latency goal.
+QUEUE_SHARE = 0.3
+# Fraction of the latency goal below which no time counts as left.
+MIN_SPARE_SHARE = 0.2
 # Fraction of queries that may fail for lack of capacity before the admission limit
 # is lowered.
 MAX_SHED_SHARE = 0.1
@@ -111,8 +113,21 @@
         excess = timedelta(seconds=max(0.0, baseline.excess(time_to_quorum)))
         self._last_durations[route.name] = duration
         shard_group = _shard_group(route)
-        goal = route.latency_goal
-        self._admission.release(shard_group, MAX_IN_FLIGHT, excess, goal, shed)
+        self._admission.release(
+            shard_group, MAX_IN_FLIGHT, excess, _spare_time(route, baseline), shed
+        )
+
+
+def _spare_time(route: Route, baseline: LatencyBaseline) -> timedelta:
+    """Return the time that a query without queueing has left at its latency goal.
+
+    If it misses the goal anyway, this is the time left at the route's timeout.
+    """
+    unqueued = timedelta(seconds=baseline.seconds)
+    spare = route.latency_goal - unqueued
+    if spare < MIN_SPARE_SHARE * route.latency_goal:
+        spare = max(route.timeout - unqueued, route.latency_goal)
+    return spare
 
 
 def _shard_group(route: Route) -> str:
--- a/foxtailseam/front/tests/test_load.py
+++ b/foxtailseam/front/tests/test_load.py
@@ -392,9 +392,10 @@
 
     GOAL = 0.183
 
-    def answers(self, rate):
+    def answers(self, rate, seed):
         """Return the answered calls sent between 4 and 8 s; `rate` applies from 3 s."""
-        with simulated_hosts(6, service_seconds=0.03, goal_ms=183) as tiers:
+        options = {"service_seconds": 0.03, "goal_ms": 183, "seed": seed}
+        with simulated_hosts(6, **options) as tiers:
             for number, tier in enumerate(tiers):
                 tier.load("/urgent/q", 15, 0.01 * number, 3)
                 tier.load("/urgent/q", rate / 6, 3 + 0.003 * number, 8)
@@ -402,9 +403,13 @@
             calls = [call for tier in tiers for call in tier.answered()]
             return [call for call in calls if 4 < call.sent_at < 8]
 
-    @pytest.mark.parametrize("rate", [200, 270, 400])
-    def test_goodput_holds_and_few_queries_fail_after_running(self, rate):
-        answers = self.answers(rate)
+    @pytest.mark.parametrize(
+        ("rate", "seed"),
+        # With seeds 10 and 42 no query fails at once when the load rises.
+        [(200, 1), (270, 1), (400, 1), (400, 10), (400, 42)],
+    )
+    def test_goodput_holds_and_few_queries_fail_after_running(self, rate, seed):
+        answers = self.answers(rate, seed)
         served = [
             call
             for call in answers
