Learn the time of a query without queueing from queries that reached their quorum only

What callers saw: after one query that failed within a millisecond, such as one whose searchers all shed it, the host refused queries at loads that it can serve, and told refused callers to come back after half a millisecond to two.

Cause: the overload guard took the time until a query ended for its time to quorum where no quorum was reached. A failure after 1 ms made the estimate of an unqueued query 1 ms, which grows by 2 % a second, so that each normal query looked queued. The same time was the base of Retry-After.

Change: a query without quorum changes neither; its duration still counts against the estimate.

--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -163,16 +163,14 @@
             call.cancel()
 
     @property
-    def time_to_quorum(self) -> float:
+    def time_to_quorum(self) -> float | None:
         """Return the seconds until as many shards answered as a success needs.
 
-        If fewer have answered, this is the time since the query started. A few slow
-        or paused searchers do not affect the value, but queues at all shards do.
+        None if fewer have answered. A few slow or paused searchers do not affect the
+        value, but queues at all shards do.
         """
         last = self._min_shards - 1
-        if last < len(self._part_times):
-            return self._part_times[last]
-        return self._now() - self._started_at
+        return self._part_times[last] if last < len(self._part_times) else None
 
     @property
     def is_answered_at_goal(self) -> bool:
--- a/foxtailseam/dispatch/_latency.py
+++ b/foxtailseam/dispatch/_latency.py
@@ -127,14 +127,8 @@
         """Return the estimate in seconds; 0 before the first response time."""
         return 0.0 if self._minimum is None else self._minimum
 
-    def excess(self, seconds: float) -> float:
-        """Record a response time and return its excess over the baseline, in seconds.
-
-        Parameters
-        ----------
-        seconds : float
-            Response time in seconds.
-        """
+    def record(self, seconds: float) -> None:
+        """Add a response time in seconds."""
         now = self.clock.monotonic()
         if self._minimum is not None:
             growth = 1.0 + BASELINE_GROWTH * (now - self._updated_at)
@@ -142,4 +136,15 @@
         else:
             self._minimum = seconds
         self._updated_at = now
-        return seconds - self._minimum
+
+    def excess(self, seconds: float) -> float:
+        """Return by how many seconds a response time exceeds the estimate.
+
+        0 if it does not, and before the first response time is recorded.
+
+        Parameters
+        ----------
+        seconds : float
+            Response time in seconds, which is not recorded.
+        """
+        return 0.0 if self._minimum is None else max(0.0, seconds - self._minimum)
--- a/foxtailseam/dispatch/tests/test_decisions.py
+++ b/foxtailseam/dispatch/tests/test_decisions.py
@@ -305,20 +305,20 @@
 class TestLatencyBaseline:
     def test_excess_is_relative_to_the_minimum(self):
         baseline = LatencyBaseline(ManualClock())
-        assert [baseline.excess(x) for x in (0.05, 0.04, 0.1)] == [
-            0.0,
-            0.0,
-            pytest.approx(0.06),
-        ]
+        excesses = []
+        for seconds in (0.05, 0.04, 0.1):
+            baseline.record(seconds)
+            excesses.append(baseline.excess(seconds))
+        assert excesses == [0.0, 0.0, pytest.approx(0.06)]
 
     def test_baseline_rises_when_searchers_stay_slower(self):
         clock = ManualClock()
         baseline = LatencyBaseline(clock)
-        baseline.excess(0.04)
+        baseline.record(0.04)
         for _ in range(60):
             clock.advance(timedelta(seconds=1))
-            excess = baseline.excess(0.08)
-        assert excess == 0.0
+            baseline.record(0.08)
+        assert baseline.excess(0.08) == 0.0
 
 
 UNAVAILABLE = ShardEstimate(math.inf)
--- a/foxtailseam/front/_overload_guard.py
+++ b/foxtailseam/front/_overload_guard.py
@@ -94,7 +94,7 @@
         return timedelta(seconds=duration * self.generator.uniform(*RETRY_JITTER))
 
     def record_end(
-        self, route: Route, time_to_quorum: float, duration: float, shed: bool
+        self, route: Route, time_to_quorum: float | None, duration: float, shed: bool
     ) -> None:
         """Record the end of an admitted query and adapt the limit.
 
@@ -102,16 +102,20 @@
         ----------
         route : Route
             Route of the query.
-        time_to_quorum : float
-            Seconds until enough shards for a successful answer had responded.
+        time_to_quorum : float or None
+            Seconds until enough shards for a successful answer had responded; None if
+            too few had.
         duration : float
             Duration of the whole query in seconds.
         shed : bool
             Whether it failed because searchers lacked the capacity or time to run it.
         """
         baseline = self._baselines.setdefault(route.name, LatencyBaseline(self.clock))
-        excess = timedelta(seconds=max(0.0, baseline.excess(time_to_quorum)))
-        self._last_durations[route.name] = duration
+        if time_to_quorum is not None:
+            baseline.record(time_to_quorum)
+            self._last_durations[route.name] = duration
+        seconds = duration if time_to_quorum is None else time_to_quorum
+        excess = timedelta(seconds=baseline.excess(seconds))
         shard_group = _shard_group(route)
         self._admission.release(
             shard_group, MAX_IN_FLIGHT, excess, _spare_time(route, baseline), shed
