Move the loopback deployment of host processes from a test into the bench

The measurement of shard calls needs the same deployment: stand-ins of the platform and real host processes.

--- a/foxtailseam/front/tests/test_host.py
+++ b/foxtailseam/front/tests/test_host.py
@@ -2,26 +2,17 @@
 
 import asyncio
 import json
-import os
 import signal
-import sys
 import time
-from pathlib import Path
 
 import pytest
 
 from foxtailseam.store import FollowerSettings
-from foxtailseam_bench._processes import free_ports
-from foxtailseam_bench.platform_stand_in import StandInSearcher, StandInStore
+from foxtailseam_bench.platform_deployment import PlatformDeployment, eventually
 
-ROOT = Path(__file__).parents[3]
 SHARDS = ("shard-a", "shard-b", "shard-c")
-READY_SECONDS = 10.0
 CONFIGURATION_SECONDS = 3.0
 GRACE_SECONDS = 6.0
-START_ID = 0x1000
-# Hosts serve metrics on a fixed port: test runs that overlap need other addresses.
-LOOPBACK_NETWORK = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}"
 
 
 def gather_route(**changes):
@@ -54,20 +45,11 @@
     } | changes
 
 
-class Deployment:
-    """A configuration service, searchers and hosts; `stop` ends all of them."""
-
-    def __init__(self, directory):
-        self.directory = directory
-        self.store = StandInStore()
-        self.searchers = {}
-        self.processes = []
-        self.version = 0
-        self._servers = []
-        self._numbers = iter(range(START_ID, 2 * START_ID))
+class Deployment(PlatformDeployment):
+    """Three shards and a single service, with two searchers each."""
 
     async def start(self):
-        self.store_address = await self._serve(self.store)
+        await self.start_store()
         for number, service in enumerate((*SHARDS, "single")):
             for letter in "xy":
                 name = f"i-{service}-{letter}"
@@ -79,108 +61,8 @@
             single_route("book", "non_idempotent"),
         )
 
-    async def add_searcher(self, name, service, records=b""):
-        searcher = StandInSearcher(name, records)
-        searcher.address = await self._serve(searcher)
-        self.searchers[name] = searcher
-        self.store.put(f"servers/{name}", searcher.entry(service))
-
     def configure(self, *routes):
-        self.version += 3
-        services = [{"name": n, "max_conns": 26} for n in (*SHARDS, "single")]
-        document = {"version": self.version, "routes": routes, "services": services}
-        self.store.put("op/config", document)
-
-    async def start_host(self, number=1, seeds=()):
-        host = f"{LOOPBACK_NETWORK}.{number + 1}"
-        callers, readiness, peers = free_ports(3)
-        settings = {
-            "node_name": f"host-{number}",
-            "ip": host,
-            "zone": "d1",
-            "listen_addrs": {
-                "frontend": f"{host}:{callers}",
-                "readiness": f"{host}:{readiness}",
-                "control_plane": f"{host}:{peers}",
-            },
-            "seeds": list(seeds),
-            "platform": {"address": self.store_address},
-            "bounds": {"grace_s": GRACE_SECONDS, "retry_slack": 50},
-        }
-        path = self.directory / f"host-{number}.json"
-        path.write_text(json.dumps(settings))
-        log = (self.directory / f"host-{number}.log").open("wb")
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            *("-m", "foxtailseam.launch", f"{host}:{callers}"),
-            cwd=ROOT,
-            env=os.environ | {"FOXTAILSEAM_CONFIG": str(path)},
-            stdout=log,
-        )
-        self.processes.append(process)
-        return Host(process, settings["listen_addrs"], self)
-
-    async def stop(self):
-        for process in self.processes:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
-        for server in self._servers:
-            server.close()
-
-    def next_id(self):
-        return f"{next(self._numbers):016x}"
-
-    async def _serve(self, stand_in):
-        server = await asyncio.start_server(stand_in.handle_connection, "127.0.0.1", 0)
-        self._servers.append(server)
-        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-
-
-class Host:
-    def __init__(self, process, listen, deployment):
-        self.process = process
-        self.listen = listen
-        self.deployment = deployment
-
-    async def wait_until_ready(self):
-        async def is_ready():
-            try:
-                status, _, _ = await self.ask("readiness", "/-/ready")
-            except OSError:
-                return False
-            return status == 200
-
-        await eventually(is_ready, READY_SECONDS)
-
-    async def get(self, path, method="GET", body=b"", deadline_ms=3000):
-        return await self.ask("frontend", path, method, body, deadline_ms)
-
-    async def ask(self, where, path, method="GET", body=b"", deadline_ms=3000):
-        host, _, port = self.listen[where].rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        head = (
-            f"{method} {path} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
-            f"Foxtailseam-Request-Id: {self.deployment.next_id()}\r\n"
-            f"Foxtailseam-Deadline-Ms: {deadline_ms}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
-        )
-        writer.write(head.encode() + body)
-        answer = await asyncio.wait_for(reader.read(), 10)
-        writer.close()
-        head, _, content = answer.partition(b"\r\n\r\n")
-        first, *lines = head.decode("latin-1").split("\r\n")
-        headers = dict(line.lower().split(": ", 1) for line in lines)
-        return int(first.split()[1]), headers, content
-
-
-async def eventually(condition, seconds):
-    end = asyncio.get_running_loop().time() + seconds
-    while not await condition():
-        assert asyncio.get_running_loop().time() < end, (
-            "the condition was not met in time"
-        )
-        await asyncio.sleep(0.05)
+        self.publish((*SHARDS, "single"), routes)
 
 
 @pytest.fixture
@@ -189,7 +71,7 @@
 
     def run(scenario):
         async def main():
-            deployment = Deployment(tmp_path)
+            deployment = Deployment(tmp_path, GRACE_SECONDS)
             await deployment.start()
             try:
                 await asyncio.wait_for(scenario(deployment), 60)
--- /dev/null
+++ b/foxtailseam_bench/platform_deployment.py
@@ -0,0 +1,230 @@
+"""Host processes on loopback, with stand-ins for the platform they run on."""
+
+import asyncio
+import json
+import os
+import sys
+from collections.abc import Awaitable, Callable, Iterable
+from pathlib import Path
+
+from foxtailseam_bench._processes import free_ports
+from foxtailseam_bench.platform_stand_in import StandInSearcher, StandInStore
+
+ROOT = Path(__file__).parents[1]
+READY_SECONDS = 10.0
+RESPONSE_SECONDS = 10.0
+POLL_SECONDS = 0.05
+START_ID = 0x1000
+MAX_CONNECTIONS = 26
+RETRY_SLACK = 50
+METRICS_PORT = 9180
+METRIC_PREFIX = "foxtailseam_"
+# Hosts serve metrics on a fixed port: processes that overlap need other addresses.
+LOOPBACK_NETWORK = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}"
+
+
+async def eventually(condition: Callable[[], Awaitable[bool]], seconds: float) -> None:
+    """Wait until a condition holds; an assertion fails after `seconds`."""
+    end = asyncio.get_running_loop().time() + seconds
+    while not await condition():
+        assert asyncio.get_running_loop().time() < end, (
+            "the condition was not met in time"
+        )
+        await asyncio.sleep(POLL_SECONDS)
+
+
+class PlatformHost:
+    """The process of a host.
+
+    Parameters
+    ----------
+    process : asyncio.subprocess.Process
+        The running process.
+    address : str
+        IP address of the host.
+    listen : dict of str to str
+        ``IP:PORT`` addresses by the platform's name of what they serve.
+    next_id : callable
+        Returns a new request identifier.
+    """
+
+    def __init__(
+        self,
+        process: asyncio.subprocess.Process,
+        address: str,
+        listen: dict[str, str],
+        next_id: Callable[[], str],
+    ):
+        self.process = process
+        self.address = address
+        self.listen = listen
+        self.next_id = next_id
+
+    async def wait_until_ready(self) -> None:
+        """Wait until the host reports that it is ready."""
+
+        async def is_ready() -> bool:
+            try:
+                status, _, _ = await self.ask("readiness", "/-/ready")
+            except OSError:
+                return False
+            return status == 200
+
+        await eventually(is_ready, READY_SECONDS)
+
+    async def get(
+        self,
+        path: str,
+        method: str = "GET",
+        body: bytes = b"",
+        deadline_ms: int = 3000,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Send a caller's request; return status, headers and body of the answer."""
+        return await self.ask("frontend", path, method, body, deadline_ms)
+
+    async def ask(
+        self,
+        where: str,
+        path: str,
+        method: str = "GET",
+        body: bytes = b"",
+        deadline_ms: int = 3000,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Send a request to one of the addresses in `listen`, or to an ``IP:PORT``."""
+        host, _, port = self.listen.get(where, where).rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
+            f"Foxtailseam-Request-Id: {self.next_id()}\r\n"
+            f"Foxtailseam-Deadline-Ms: {deadline_ms}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        writer.write(head.encode() + body)
+        answer = await asyncio.wait_for(reader.read(), RESPONSE_SECONDS)
+        writer.close()
+        head, _, content = answer.partition(b"\r\n\r\n")
+        first, *lines = head.decode("latin-1").split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines)
+        return int(first.split()[1]), headers, content
+
+    async def metrics(self) -> dict[str, float]:
+        """Return the values of the host's counters and gauges by name."""
+        _, _, body = await self.ask(f"{self.address}:{METRICS_PORT}", "/metrics")
+        lines = [line.split(" ") for line in body.decode().splitlines()]
+        return {
+            name.removeprefix(METRIC_PREFIX): float(value)
+            for name, *_, value in lines
+            if name.startswith(METRIC_PREFIX)
+        }
+
+
+class PlatformDeployment:
+    """A configuration service, searchers and hosts; `stop` ends all of them.
+
+    Must be used inside one running event loop, which also runs the stand-ins.
+
+    Parameters
+    ----------
+    directory : Path
+        Directory for the settings and logs of the hosts.
+    grace_seconds : float
+        Time that a host has from SIGTERM until it must have ended.
+    """
+
+    def __init__(self, directory: Path, grace_seconds: float = 6.0):
+        self.directory = directory
+        self.grace_seconds = grace_seconds
+        self.store = StandInStore()
+        self.store_address = ""
+        self.searchers: dict[str, StandInSearcher] = {}
+        self.processes: list[asyncio.subprocess.Process] = []
+        self.version = 0
+        self._servers: list[asyncio.Server] = []
+        self._numbers = iter(range(START_ID, 2**63))
+
+    async def start_store(self) -> None:
+        """Start the configuration service."""
+        self.store_address = await self._serve(self.store)
+
+    async def add_searcher(self, name: str, service: str, records: bytes = b"") -> None:
+        """Start a searcher and publish its entry."""
+        searcher = StandInSearcher(name, records)
+        searcher.address = await self._serve(searcher)
+        self.searchers[name] = searcher
+        self.store.put(f"servers/{name}", searcher.entry(service))
+
+    def publish(self, services: Iterable[str], routes: Iterable[dict]) -> None:
+        """Publish the next version of the configuration."""
+        self.version += 3
+        document = {
+            "version": self.version,
+            "routes": list(routes),
+            "services": [
+                {"name": name, "max_conns": MAX_CONNECTIONS} for name in services
+            ],
+        }
+        self.store.put("op/config", document)
+
+    async def start_host(
+        self,
+        number: int = 1,
+        seeds: Iterable[str] = (),
+        interpreter_options: Iterable[str] = (),
+    ) -> PlatformHost:
+        """Start the process of a host; it need not be ready yet.
+
+        Parameters
+        ----------
+        number : int
+            Number of the host, from 0 to 253.
+        seeds : iterable of str
+            ``IP:PORT`` addresses of other hosts.
+        interpreter_options : iterable of str
+            Options of the Python interpreter before the module to run.
+        """
+        address = f"{LOOPBACK_NETWORK}.{number + 1}"
+        callers, readiness, peers = free_ports(3)
+        settings = {
+            "node_name": f"host-{number}",
+            "ip": address,
+            "zone": "d1",
+            "listen_addrs": {
+                "frontend": f"{address}:{callers}",
+                "readiness": f"{address}:{readiness}",
+                "control_plane": f"{address}:{peers}",
+            },
+            "seeds": list(seeds),
+            "platform": {"address": self.store_address},
+            "bounds": {"grace_s": self.grace_seconds, "retry_slack": RETRY_SLACK},
+        }
+        path = self.directory / f"host-{number}.json"
+        path.write_text(json.dumps(settings))
+        with (self.directory / f"host-{number}.log").open("wb") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *interpreter_options,
+                *("-m", "foxtailseam.launch", f"{address}:{callers}"),
+                cwd=ROOT,
+                env=os.environ | {"FOXTAILSEAM_CONFIG": str(path)},
+                stdout=log,
+            )
+        self.processes.append(process)
+        return PlatformHost(process, address, settings["listen_addrs"], self.next_id)
+
+    async def stop(self) -> None:
+        """End the hosts and close the listeners of the stand-ins."""
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        for server in self._servers:
+            server.close()
+
+    def next_id(self) -> str:
+        """Return a new request identifier."""
+        return f"{next(self._numbers):016x}"
+
+    async def _serve(self, stand_in: StandInStore | StandInSearcher) -> str:
+        server = await asyncio.start_server(stand_in.handle_connection, "127.0.0.1", 0)
+        self._servers.append(server)
+        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
