Add a benchmark of what a shard call costs a host's processor

foxtailseam-bench gather: a host's process on loopback against the stand-in's searchers, with 20, 90 and 225 shards, seeded; processor time of a start, of a first and of a warm query and of an idle second by number of hosts, and on request a profile by function.

--- a/foxtailseam_bench/cli.py
+++ b/foxtailseam_bench/cli.py
@@ -13,6 +13,13 @@
     write_plot,
     write_table,
 )
+from foxtailseam_bench.gather_cost import (
+    cost_table,
+    idle_table,
+    measure_gather,
+    measure_idle,
+    profile_gather,
+)
 
 
 class Bench:
@@ -32,6 +39,38 @@
         """
         write_page(Path(page))
 
+    def gather(
+        self,
+        shards: tuple[int, ...] = (20, 90, 225),
+        hosts: tuple[int, ...] = (1, 4, 8),
+        queries: int = 100,
+        starts: int = 5,
+        seed: int = 1,
+        profile: bool = False,
+    ) -> None:
+        """Measure the processor time of queries to all shards on one host.
+
+        Parameters
+        ----------
+        shards : tuple of int
+            Numbers of shards to measure.
+        hosts : tuple of int
+            Numbers of hosts among which an idle host is measured; empty for none.
+        queries : int
+            Number of queries after the first one, for each number of shards.
+        starts : int
+            Number of processes that are started for each number of shards.
+        seed : int
+            Seed of the searchers' service times.
+        profile : bool
+            Whether to print which functions take most time, too.
+        """
+        print(cost_table(measure_gather(n, queries, starts, seed) for n in shards))
+        if hosts:
+            print(idle_table((n, measure_idle(n)) for n in hosts))
+        if profile:
+            print(profile_gather(max(shards), queries, seed))
+
     def experiment(self, path: str, results: str = "results") -> None:
         """Run an experiment and write its results as a table and a plot.
 
--- a/foxtailseam_bench/platform_deployment.py
+++ b/foxtailseam_bench/platform_deployment.py
@@ -1,6 +1,7 @@
 """Host processes on loopback, with stand-ins for the platform they run on."""
 
 import asyncio
+import contextlib
 import json
 import os
 import sys
@@ -182,9 +183,35 @@
         interpreter_options : iterable of str
             Options of the Python interpreter before the module to run.
         """
+        settings = self.settings(number, seeds)
+        listen = settings["listen_addrs"]
+        path = self.directory / f"host-{number}.json"
+        path.write_text(json.dumps(settings))
+        with (self.directory / f"host-{number}.log").open("wb") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *interpreter_options,
+                *("-m", "foxtailseam.launch", listen["frontend"]),
+                cwd=ROOT,
+                env=os.environ | {"FOXTAILSEAM_CONFIG": str(path)},
+                stdout=log,
+            )
+        self.processes.append(process)
+        return PlatformHost(process, settings["ip"], listen, self.next_id)
+
+    def settings(self, number: int = 1, seeds: Iterable[str] = ()) -> dict:
+        """Return the platform's settings document of a host, with free ports.
+
+        Parameters
+        ----------
+        number : int
+            Number of the host, from 0 to 253.
+        seeds : iterable of str
+            ``IP:PORT`` addresses of other hosts.
+        """
         address = f"{LOOPBACK_NETWORK}.{number + 1}"
         callers, readiness, peers = free_ports(3)
-        settings = {
+        return {
             "node_name": f"host-{number}",
             "ip": address,
             "zone": "d1",
@@ -197,19 +224,6 @@
             "platform": {"address": self.store_address},
             "bounds": {"grace_s": self.grace_seconds, "retry_slack": RETRY_SLACK},
         }
-        path = self.directory / f"host-{number}.json"
-        path.write_text(json.dumps(settings))
-        with (self.directory / f"host-{number}.log").open("wb") as log:
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                *interpreter_options,
-                *("-m", "foxtailseam.launch", f"{address}:{callers}"),
-                cwd=ROOT,
-                env=os.environ | {"FOXTAILSEAM_CONFIG": str(path)},
-                stdout=log,
-            )
-        self.processes.append(process)
-        return PlatformHost(process, address, settings["listen_addrs"], self.next_id)
 
     async def stop(self) -> None:
         """End the hosts and close the listeners of the stand-ins."""
@@ -225,6 +239,12 @@
         return f"{next(self._numbers):016x}"
 
     async def _serve(self, stand_in: StandInStore | StandInSearcher) -> str:
-        server = await asyncio.start_server(stand_in.handle_connection, "127.0.0.1", 0)
+        async def handle_connection(reader, writer) -> None:
+            # asyncio logs an error for a handler that ends as cancelled, as those do
+            # that still wait when the event loop ends.
+            with contextlib.suppress(asyncio.CancelledError):
+                await stand_in.handle_connection(reader, writer)
+
+        server = await asyncio.start_server(handle_connection, "127.0.0.1", 0)
         self._servers.append(server)
         return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
