--- a/foxtailseam/dispatch/_budget.py
+++ b/foxtailseam/dispatch/_budget.py
@@ -114,13 +114,13 @@
 
     def _request_count(self) -> int:
         number = self._buckets[-1][0]
-        recent = sum(b[1] for b in self._buckets if b[0] > number - _BUCKETS)
-        before = sum(b[1] for b in self._buckets if b[0] <= number - _BUCKETS)
+        recent = sum([b[1] for b in self._buckets if b[0] > number - _BUCKETS])
+        before = sum([b[1] for b in self._buckets if b[0] <= number - _BUCKETS])
         return max(recent, before)
 
     def _extra_count(self) -> int:
         number = self._buckets[-1][0]
-        return sum(b[2] for b in self._buckets if b[0] > number - _BUCKETS)
+        return sum([b[2] for b in self._buckets if b[0] > number - _BUCKETS])
 
     def _current_bucket(self) -> list[int]:
         number = int(self.clock.monotonic() / self._bucket_seconds)
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -71,6 +71,8 @@
         Shared state of the host's requests.
     plan : CallPlan
         Request to send.
+    created_at : float
+        Current time, in seconds of the dispatcher's clock.
     on_result : callable
         Called once with the call and its `ServiceResult`, unless the call is
         cancelled first.
@@ -104,6 +106,7 @@
         self,
         dispatcher: Dispatcher,
         plan: CallPlan,
+        created_at: float,
         on_result: Callable[["ServiceCall", ServiceResult], None],
         may_repeat: Callable[[], bool] = _allow,
     ):
@@ -115,7 +118,7 @@
         self.on_held: Callable[[], None] = _ignore
         # Whether the budget denied a hedge or a retry.
         self.was_denied = False
-        self.record = CallRecord(dispatcher.clock.monotonic())
+        self.record = CallRecord(created_at)
         self._response_times: ResponseTimes = dispatcher.response_times(plan.route)
         self._running: dict[int, Attempt] = {}
         self._tried: set[str] = set()
@@ -147,9 +150,16 @@
         attempts = self.record.attempts
         return attempts[-1].sent_at if attempts else self.record.started_at
 
-    def estimate(self) -> tuple[ShardEstimate, Searcher | None]:
-        """Return the estimate for the service and its best searcher, if any."""
-        return self.dispatcher.estimate(self.plan.service, self._response_times.median)
+    def estimate(self, now: float) -> tuple[ShardEstimate, Searcher | None]:
+        """Return the estimate for the service and its best searcher, if any.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds of the dispatcher's clock.
+        """
+        median_time = self._response_times.median
+        return self.dispatcher.estimate(self.plan.service, median_time, now)
 
     def start(self, searcher: Searcher | None = None) -> None:
         """Send the request to the best searcher, or queue it until one has capacity.
@@ -271,7 +281,8 @@
     def _send(self, searcher: Searcher) -> None:
         plan = self.plan
         dispatcher = self.dispatcher
-        if self._remaining_time() < MIN_REMAINING_TIME:
+        now = dispatcher.clock.monotonic()
+        if plan.deadline_at - now < MIN_REMAINING_TIME:
             self._failure_reason = FailureReason.DEADLINE
             self._fail()
             return
@@ -280,7 +291,6 @@
             dispatcher.budget(plan.service).count_request()
         identifier = searcher.entry.identifier
         self._tried.add(identifier)
-        now = dispatcher.clock.monotonic()
         number = searcher.begin_request(self._response_times.median, now)
         attempt = Attempt(searcher, number, now)
         self._running[id(attempt)] = attempt
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -184,11 +184,12 @@
         excluded : iterable of str
             Identifiers of searchers to skip, such as those already tried.
         """
-        best = self._best_candidate(service, median_time, excluded)
+        now = self.clock.monotonic()
+        best = self._best_candidate(service, median_time, now, excluded)
         return self._searchers[best.identifier] if best else None
 
     def estimate(
-        self, service: str, median_time: float
+        self, service: str, median_time: float, now: float
     ) -> tuple[ShardEstimate, Searcher | None]:
         """Return the estimate for a service and its best searcher, if any.
 
@@ -198,8 +199,10 @@
             Service of the request.
         median_time : float
             Median response time of the request's route, in seconds.
+        now : float
+            Current monotonic time in seconds.
         """
-        best = self._best_candidate(service, median_time, ())
+        best = self._best_candidate(service, median_time, now, ())
         if best is None:
             return ShardEstimate(math.inf), None
         expected = math.inf if best.is_ejected else best.expected_time(median_time)
@@ -207,9 +210,8 @@
         return ShardEstimate(expected, searcher.in_flight), searcher
 
     def _best_candidate(
-        self, service: str, median_time: float, excluded: Iterable[str]
+        self, service: str, median_time: float, now: float, excluded: Iterable[str]
     ) -> Candidate | None:
-        now = self.clock.monotonic()
         candidates = [
             searcher.candidate(self.failure_domain, now)
             for searcher in self.usable_searchers(service)
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -132,9 +132,10 @@
             self._is_over = True
             self.on_result(refusal)
             return
+        now = self._now()
         self._calls = [
             ServiceCall(
-                self.dispatcher, plan, self._on_call_result, self._is_proven_safe
+                self.dispatcher, plan, now, self._on_call_result, self._is_proven_safe
             )
             for plan in self.plans
         ]
@@ -208,13 +209,13 @@
             started=self._started_at - arrived_at,
             written=max(written, default=arrived_at) - arrived_at,
             unwritten=len(firsts) - len(written),
-            connections=sum(item.opens_connection for item in firsts),
+            connections=sum([item.opens_connection for item in firsts]),
         )
 
     @property
     def denied(self) -> int:
         """Return the number of shards to which the budget denied a hedge or retry."""
-        return sum(call.was_denied for call in self._calls)
+        return sum([call.was_denied for call in self._calls])
 
     @property
     def missing_causes(self) -> Counter[str]:
@@ -239,10 +240,11 @@
 
     def _select_calls(self) -> dict[ServiceCall, Searcher | None]:
         """Return the calls to start now, each with its best searcher, if any."""
-        estimates = [call.estimate() for call in self._calls]
+        now = self._now()
+        estimates = [call.estimate(now) for call in self._calls]
         selection = select_shards(
             [estimate for estimate, _ in estimates],
-            self.times.goal_at - self._now(),
+            self.times.goal_at - now,
             len(self._calls) - self._min_shards,
             [self.dispatcher.generator.random() for _ in self._calls],
         )
@@ -321,6 +323,7 @@
             self.late_shards = " ".join(map(_describe, self._waiting))
 
     def _on_call_result(self, call: ServiceCall, result: ServiceResult) -> None:
+        now = self._now()
         self._waiting.pop(call, None)
         match result:
             case ServiceAnswer(stamp=stamp, response=response):
@@ -328,7 +331,6 @@
                     self._parts[call.plan.service] = result
                     if not self._is_over:
                         self._top_records.add(response.body)
-                    now = self._now()
                     self._part_times.append(now - self._started_at)
                     if len(self._parts) == 1 and not self._is_over:
                         self._on_first_part()
@@ -337,19 +339,19 @@
                     self._failures.append(failure)
             case ServiceFailure():
                 self._failures.append(result)
-        if not self._is_over:
+        if not self._is_over and not self._must_wait(now):
             self._evaluate()
 
-    def _must_wait(self) -> bool:
+    def _must_wait(self, now: float) -> bool:
         """Return whether the query certainly has to wait for more answers."""
         return (
             bool(self._parts and self._waiting)
             and len(self._parts) + len(self._waiting) >= self._min_shards
-            and self._now() < self.times.goal_at
+            and now < self.times.goal_at
         )
 
     def _evaluate(self) -> None:
-        if self._is_over or self._must_wait():
+        if self._is_over:
             return
         lacking = self._min_shards - len(self._parts) - self._pending_count()
         if lacking > 0 and self._deferred and self._may_start_more():
@@ -392,7 +394,7 @@
     def _answer(self) -> None:
         parts = list(self._parts.values())
         merged = MergedAnswer(
-            tuple(part.stamp for part in parts),
+            tuple([part.stamp for part in parts]),
             len(self.plans) - len(parts),
             self._top_records.join(),
         )
--- a/foxtailseam/dispatch/_health.py
+++ b/foxtailseam/dispatch/_health.py
@@ -1,8 +1,8 @@
 """Health of a searcher as seen by this host: slowness, failures and stalls."""
 
-import math
 from collections import deque
 from enum import Enum, auto
+from math import exp2, isfinite
 
 from foxtailseam.clocks import Clock
 
@@ -102,14 +102,14 @@
 
     def slowness_at(self, now: float) -> float:
         """Return `slowness` at a monotonic time in seconds."""
-        decay = _decay(now - self._updated_at, self._slowness_half_life)
-        return 1.0 + (self._slowness - 1.0) * decay
+        age = now - self._updated_at
+        return 1.0 + (self._slowness - 1.0) * exp2(-age / self._slowness_half_life)
 
     def failure_share_at(self, now: float) -> float:
         """Return `failure_share` at a monotonic time in seconds."""
         if not self._failure_share:
             return 0.0
-        return self._failure_share * _decay(now - self._updated_at, FAILURE_HALF_LIFE)
+        return self._failure_share * exp2((self._updated_at - now) / FAILURE_HALF_LIFE)
 
     def is_ejected_at(self, now: float) -> bool:
         """Return `is_ejected` at a monotonic time in seconds."""
@@ -153,7 +153,7 @@
             ratio = self._median_ratio(now)
             slowness = max(0.2, slowness + SLOWNESS_WEIGHT * (ratio - slowness))
         self._slowness = slowness
-        if math.isfinite(self._last_response_at):
+        if isfinite(self._last_response_at):
             self._slowness_half_life = min(
                 MAX_SLOWNESS_HALF_LIFE,
                 max(MIN_SLOWNESS_HALF_LIFE, now - self._last_response_at),
@@ -168,7 +168,7 @@
         recent = self._recent_ratios
         while recent[0][0] < now - SAMPLE_SECONDS:
             recent.popleft()
-        ratios = sorted(ratio for _, ratio in recent)
+        ratios = sorted([ratio for _, ratio in recent])
         return ratios[(len(ratios) - 1) // 2]
 
     def record_failure(self, failure: AttemptFailure) -> bool:
@@ -193,7 +193,3 @@
             MAX_EJECTION_SECONDS, 2 * self._next_ejection_seconds
         )
         return True
-
-
-def _decay(elapsed: float, half_life: float) -> float:
-    return math.exp2(-elapsed / half_life)
--- a/foxtailseam/dispatch/_searcher_selection.py
+++ b/foxtailseam/dispatch/_searcher_selection.py
@@ -91,11 +91,6 @@
             cost += LAPSED_PENALTY * median_time
         return cost
 
-    @property
-    def rank(self) -> tuple[bool, bool]:
-        """Return the class of the searcher; those of a lower one are preferred."""
-        return self.is_ejected, self.is_stalled
-
 
 def choose_searcher(
     candidates: Sequence[Candidate], median_time: float, draw: float = 0.0
@@ -117,10 +112,15 @@
     """
     if not candidates:
         return None
-    best_rank = min(item.rank for item in candidates)
-    costs = [
-        (item.cost(median_time), item) for item in candidates if item.rank == best_rank
-    ]
-    max_cost = min(cost for cost, _ in costs) * NEAR_BEST_FACTOR
+    best_rank = (True, True)
+    costs: list[tuple[float, Candidate]] = []
+    for item in candidates:
+        rank = (item.is_ejected, item.is_stalled)
+        if rank < best_rank:
+            best_rank = rank
+            costs.clear()
+        if rank == best_rank:
+            costs.append((item.cost(median_time), item))
+    max_cost = min([cost for cost, _ in costs]) * NEAR_BEST_FACTOR
     near_best = [item for cost, item in costs if cost <= max_cost]
     return near_best[min(len(near_best) - 1, int(draw * len(near_best)))]
--- a/foxtailseam/dispatch/_single.py
+++ b/foxtailseam/dispatch/_single.py
@@ -42,7 +42,11 @@
         self.on_result = on_result
         self.is_suspect = is_suspect
         self._call = ServiceCall(
-            dispatcher, plan, self._on_call_result, lambda: not is_suspect
+            dispatcher,
+            plan,
+            self._now(),
+            self._on_call_result,
+            lambda: not is_suspect,
         )
         self._call.on_held = self._call.give_up
 
