--- a/foxtailseam_bench/cli.py
+++ b/foxtailseam_bench/cli.py
@@ -41,8 +41,8 @@
 
     def gather(
         self,
-        shards: tuple[int, ...] = (20, 90, 225),
-        hosts: tuple[int, ...] = (1, 4, 8),
+        shards: int | tuple[int, ...] = (20, 90, 225),
+        hosts: int | tuple[int, ...] = (1, 4, 8),
         queries: int = 100,
         starts: int = 5,
         seed: int = 1,
@@ -52,9 +52,9 @@
 
         Parameters
         ----------
-        shards : tuple of int
+        shards : int or tuple of int
             Numbers of shards to measure.
-        hosts : tuple of int
+        hosts : int or tuple of int
             Numbers of hosts among which an idle host is measured; empty for none.
         queries : int
             Number of queries after the first one, for each number of shards.
@@ -65,11 +65,14 @@
         profile : bool
             Whether to print which functions take most time, too.
         """
-        print(cost_table(measure_gather(n, queries, starts, seed) for n in shards))
-        if hosts:
-            print(idle_table((n, measure_idle(n)) for n in hosts))
+        shard_counts = _as_tuple(shards)
+        host_counts = _as_tuple(hosts)
+        costs = [measure_gather(n, queries, starts, seed) for n in shard_counts]
+        print(cost_table(costs))
+        if host_counts:
+            print(idle_table((n, measure_idle(n)) for n in host_counts))
         if profile:
-            print(profile_gather(max(shards), queries, seed))
+            print(profile_gather(max(shard_counts), queries, seed))
 
     def experiment(self, path: str, results: str = "results") -> None:
         """Run an experiment and write its results as a table and a plot.
@@ -89,6 +92,10 @@
         write_plot(rows, directory / f"{experiment.name}.png")
 
 
+def _as_tuple(numbers: int | tuple[int, ...]) -> tuple[int, ...]:
+    return (numbers,) if isinstance(numbers, int) else tuple(numbers)
+
+
 def main() -> None:
     """Run the command line."""
     fire.Fire(Bench, name="foxtailseam-bench")
