Ask the only searcher of a shard again after a stall, while time is left

What callers saw: an answer without a shard (reason deadline) 99 ms after the search was sent, though the deadline is 500 ms and the shard's searcher lives.

Cause: an attempt ends after four times the 0.99 quantile of the searcher's latency, at least 50 ms, so that a silent connection is noticed; its connections are replaced. The retry then went to other searchers only. A shard whose other searcher leaves has none, and the sub-request ended with most of its time unused. Class: a timeout that is meant for choosing another searcher where there is no other.

Change: after such a timeout, and if no other searcher is left, the same one is asked again on a new connection, within the retry budget and the deadline. The searches of this path are repeatable; suspects are not retried, as before. Product's own interface only; the platform's process does not use this code.

--- a/foxtailseam/searchers/_dispatcher.py
+++ b/foxtailseam/searchers/_dispatcher.py
@@ -315,6 +315,9 @@
         if progress.lost or (request.suspect and not nothing_sent):
             return
         candidates = self._candidates(request, progress.tried)
+        if not candidates and progress.missing_reason is MissingReason.DEADLINE:
+            # A searcher that did not answer an attempt may answer on a new connection.
+            candidates = self._candidates(request, set())
         if not candidates or not self._slots.can_meet_deadline(
             candidates, request.deadline
         ):
