--- a/foxtailseam/front/__init__.py
+++ b/foxtailseam/front/__init__.py
@@ -2,13 +2,15 @@
 
 from foxtailseam.front._configuration import ConfigurationManager
 from foxtailseam.front._front import FrontEnd
-from foxtailseam.front._host import Host, run_host
+from foxtailseam.front._host import METRICS_PORT, METRICS_TARGET, Host, run_host
 from foxtailseam.front._overload_guard import OverloadGuard, QueryDuration
 from foxtailseam.front._quarantine_guard import QuarantineGuard
 from foxtailseam.front._responses import ResponseBuilder
 from foxtailseam.front._timing import TimingSettings, query_times
 
 __all__ = [
+    "METRICS_PORT",
+    "METRICS_TARGET",
     "ResponseBuilder",
     "ConfigurationManager",
     "FrontEnd",
--- a/foxtailseam/metrics/__init__.py
+++ b/foxtailseam/metrics/__init__.py
@@ -1,5 +1,5 @@
 """Counters, gauges and latency histograms in the Prometheus text format."""
 
-from foxtailseam.metrics._registry import Metrics
+from foxtailseam.metrics._registry import PREFIX, Metrics
 
-__all__ = ["Metrics"]
+__all__ = ["PREFIX", "Metrics"]
--- a/foxtailseam_bench/platform_deployment.py
+++ b/foxtailseam_bench/platform_deployment.py
@@ -8,6 +8,8 @@
 from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
 
+from foxtailseam.front import METRICS_PORT, METRICS_TARGET
+from foxtailseam.metrics import PREFIX
 from foxtailseam_bench._processes import free_ports
 from foxtailseam_bench.platform_stand_in import StandInSearcher, StandInStore
 
@@ -18,8 +20,6 @@
 START_ID = 0x1000
 MAX_CONNECTIONS = 26
 RETRY_SLACK = 50
-METRICS_PORT = 9180
-METRIC_PREFIX = "foxtailseam_"
 # Hosts serve metrics on a fixed port: processes that overlap need other addresses.
 LOOPBACK_NETWORK = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}"
 
@@ -110,12 +110,14 @@
 
     async def metrics(self) -> dict[str, float]:
         """Return the values of the host's counters and gauges by name."""
-        _, _, body = await self.ask(f"{self.address}:{METRICS_PORT}", "/metrics")
+        _, _, body = await self.ask(
+            f"{self.address}:{METRICS_PORT}", METRICS_TARGET.decode()
+        )
         lines = [line.split(" ") for line in body.decode().splitlines()]
         return {
-            name.removeprefix(METRIC_PREFIX): float(value)
+            name.removeprefix(PREFIX): float(value)
             for name, *_, value in lines
-            if name.startswith(METRIC_PREFIX)
+            if name.startswith(PREFIX)
         }
 
 
