--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -141,6 +141,7 @@
         self._gossip_tasks: set[asyncio.Task] = set()
         self._changed = asyncio.Event()
         self._stop_server = None
+        self._relaying_peer: str | None = None
         # The changes that were compressed last, and the result.
         self._uncompressed_changes: tuple[WireChange, ...] = ()
         self._compressed_changes = b""
@@ -158,6 +159,14 @@
         """Return whether this host currently reads the configuration service."""
         return self._read_task is not None
 
+    @property
+    def change_source(self) -> str:
+        """Return who sent the changes that are being applied to the replica.
+
+        ``service`` or the address of the host that relays them.
+        """
+        return self._relaying_peer or "service"
+
     async def start(self) -> None:
         """Start to read or follow, to serve other hosts and to gossip."""
         # The import of grpclib is a noticeable part of the startup time, so the first
@@ -391,14 +400,20 @@
         parent.updated_at = self.clock.monotonic()
         if update.grace_ms:
             self.catalogue.extend_grace(timedelta(milliseconds=update.grace_ms))
+        self._relaying_peer = address
+        try:
+            change_count = self._apply_changes(update)
+        finally:
+            self._relaying_peer = None
+        if change_count:
+            self.notify_followers()
+
+    def _apply_changes(self, update: FollowUpdate) -> int:
         changes = [change.to_change() for change in update.changes]
         if update.is_listing:
             items = tuple(item for item in changes if isinstance(item, Item))
-            change_count = self.replica.apply_listing(Listing(items, update.revision))
-        else:
-            change_count = self.replica.apply(changes, update.revision)
-        if change_count:
-            self.notify_followers()
+            return self.replica.apply_listing(Listing(items, update.revision))
+        return self.replica.apply(changes, update.revision)
 
     def _on_parent_lost(self, address: str, reason: str) -> None:
         parent = self._parents.get(address)
--- a/foxtailseam/front/_configuration.py
+++ b/foxtailseam/front/_configuration.py
@@ -99,12 +99,20 @@
             self._round_robins[destination] = round_robin
         return round_robin.next()
 
-    def apply_change(self, change: Change) -> None:
-        """Apply a change of one key of the configuration service."""
+    def apply_change(self, change: Change, source: str = "service") -> None:
+        """Apply a change of one key of the configuration service.
+
+        Parameters
+        ----------
+        change : Change
+            New value of a key, or its removal.
+        source : str
+            Who sent the change: ``service`` or the address of another host.
+        """
         identifier = searcher_id_from_key(change.key)
         match change:
             case Item(key=key, value=value) if key == CONFIGURATION_KEY:
-                self._apply_configuration(value, change.revision)
+                self._apply_configuration(value, change.revision, source)
             case Item(value=value) if identifier is not None:
                 self._apply_entry(identifier, value)
             case Removal() if identifier is not None:
@@ -155,7 +163,7 @@
         self.log.write(EventCode.ENTRY_REFUSED, searcher=identifier, problem=problem)
         self.catalogue.mark_missing(identifier)
 
-    def _apply_configuration(self, value: bytes, revision: int) -> None:
+    def _apply_configuration(self, value: bytes, revision: int, source: str) -> None:
         decoded = decode_configuration(value)
         if decoded.is_err():
             problem = str(decoded.unwrap_err())
@@ -169,6 +177,8 @@
                 EventCode.CONFIGURATION_STALE,
                 version=configuration.version,
                 in_force=self.version,
+                revision=revision,
+                source=source,
             )
             return
         self._activate(configuration)
@@ -176,6 +186,7 @@
             EventCode.CONFIGURATION_ACCEPTED,
             version=configuration.version,
             revision=revision,
+            source=source,
             routes=len(configuration.routes),
         )
 
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -48,6 +48,7 @@
     Change,
     FollowerSettings,
     FollowerState,
+    ReadFailure,
     StoreFollower,
     StoreReplica,
 )
@@ -157,6 +158,7 @@
             FollowerSettings(),
             self._on_service_state,
             self._generator,
+            on_failure=self._on_read_failure,
         )
         self._fleet = FleetController(
             self._own_record(),
@@ -280,7 +282,7 @@
         return HostRecord(self.settings.peers, self.settings.failure_domain, started_ms)
 
     def _apply_change(self, change: Change) -> None:
-        self.configuration_manager.apply_change(change)
+        self.configuration_manager.apply_change(change, self._fleet.change_source)
         self._fleet.notify_followers()
 
     def _on_host_count(self, hosts: int) -> None:
@@ -319,6 +321,17 @@
         self.configuration_manager.catalogue.service_recovered()
         self.log.write(EventCode.SERVICE_REGAINED, revision=self._replica.revision)
 
+    def _on_read_failure(self, failure: ReadFailure) -> None:
+        self.metrics.add("service_read_failures")
+        self.log.write(
+            EventCode.READ_FAILED,
+            reason=failure.reason,
+            ms=round(failure.elapsed * 1000),
+            failures=failure.failures,
+            pause_ms=round(failure.pause * 1000),
+            revision=self._replica.revision,
+        )
+
     def _on_ejected(self, searcher) -> None:
         self.metrics.add("searchers_ejected")
         self.log.write(
--- a/foxtailseam/logs/_catalogue.py
+++ b/foxtailseam/logs/_catalogue.py
@@ -39,6 +39,7 @@
     CONFIGURATION_STALE = (242, Severity.WARNING, "an older configuration was ignored")
     SERVICE_LOST = (243, Severity.WARNING, "the configuration service is unavailable")
     SERVICE_REGAINED = (244, Severity.INFO, "the configuration service is available")
+    READ_FAILED = (245, Severity.INFO, "a read of the configuration service failed")
     REQUEST_ARRIVED = (300, Severity.DEBUG, "a caller's request was received")
     REQUEST_ANSWERED = (301, Severity.DEBUG, "a caller's request was answered")
     TICKET_MINTED = (310, Severity.DEBUG, "a ticket was issued")
--- a/foxtailseam/store/__init__.py
+++ b/foxtailseam/store/__init__.py
@@ -9,6 +9,7 @@
 from foxtailseam.store._follower import (
     FollowerSettings,
     FollowerState,
+    ReadFailure,
     StoreFollower,
 )
 from foxtailseam.store._replica import Change, Item, Listing, Removal, StoreReplica
@@ -20,6 +21,7 @@
     "HistoryCompacted",
     "Item",
     "Listing",
+    "ReadFailure",
     "Removal",
     "StoreClient",
     "StoreFailure",
--- a/foxtailseam/store/_follower.py
+++ b/foxtailseam/store/_follower.py
@@ -56,6 +56,28 @@
     LOST = "lost"
 
 
+@dataclass(frozen=True, slots=True)
+class ReadFailure:
+    """A read of the service that failed, and when the next one is made.
+
+    Parameters
+    ----------
+    reason : str
+        Why the service gave no usable response.
+    elapsed : float
+        Seconds that the read took.
+    failures : int
+        Number of reads in a row that failed, this one included.
+    pause : float
+        Seconds until the next read.
+    """
+
+    reason: str
+    elapsed: float
+    failures: int
+    pause: float
+
+
 class StoreFollower:
     """Keeps a replica in sync with the configuration service while it runs.
 
@@ -76,6 +98,8 @@
         Adds jitter, so that many processes do not retry at the same time.
     sleep : callable
         Coroutine function that waits for a number of seconds.
+    on_failure : callable
+        Called with each `ReadFailure`.
     """
 
     def __init__(
@@ -87,6 +111,7 @@
         on_state_change: Callable[[FollowerState, str], None],
         generator: random.Random,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        on_failure: Callable[[ReadFailure], None] = lambda failure: None,
     ):
         self.client = client
         self.replica = replica
@@ -95,9 +120,11 @@
         self.on_state_change = on_state_change
         self.generator = generator
         self.sleep = sleep
+        self.on_failure = on_failure
         self._state = FollowerState.UNKNOWN
         self._failures = 0
         self._in_sync_at = float("-inf")
+        self._read_started_at = float("-inf")
 
     @property
     def state(self) -> FollowerState:
@@ -134,6 +161,7 @@
             self._state = FollowerState.UNKNOWN
 
     async def _list(self) -> bool:
+        self._read_started_at = self.clock.monotonic()
         listing = await self.client.list_items()
         match listing:
             case Listing():
@@ -152,6 +180,7 @@
         """
         after = self.replica.revision
         while True:
+            self._read_started_at = self.clock.monotonic()
             result = await self.client.watch(after, self.settings.watch_wait)
             match result:
                 case WatchResult(changes=changes, revision=revision):
@@ -176,7 +205,10 @@
         longest = self.settings.max_backoff.total_seconds()
         backoff = min(longest, initial * 2**self._failures)
         self._failures = min(self._failures + 1, 16)
-        await self.sleep(backoff * self.generator.uniform(0.6, 1.0))
+        pause = backoff * self.generator.uniform(0.6, 1.0)
+        elapsed = self.clock.monotonic() - self._read_started_at
+        self.on_failure(ReadFailure(reason, elapsed, self._failures, pause))
+        await self.sleep(pause)
 
     def _set_state(self, state: FollowerState, reason: str) -> None:
         if state is not self._state:
