--- a/foxtailseam/store/tests/test_follower.py
+++ b/foxtailseam/store/tests/test_follower.py
@@ -40,6 +40,8 @@
         return self.script.pop(0)
 
 
+# Time in which a confirmed configuration has to be in force.
+CONFIGURATION_SECONDS = 3.0
 LISTING = Listing((Item("a", b"1", 4),), 5)
 CHANGE = WatchResult((Item("b", b"1", 6),), 6)
 
@@ -114,6 +116,77 @@
         assert age == pytest.approx(sum(pauses), abs=1e-5)
 
 
+class SilentService:
+    """Answers no read that starts during an outage, and all others at once.
+
+    An unanswered read is given up after as long as `PlatformStore` waits.
+    """
+
+    READ_TIMEOUT = timedelta(seconds=1.5)
+    WATCH_MARGIN = timedelta(seconds=1.2)
+
+    def __init__(self, clock, outage_start, outage_end):
+        self.clock = clock
+        self.outage_start = outage_start
+        self.outage_end = outage_end
+        self.answered_at = []
+
+    async def list_items(self):
+        return await self._read(LISTING, self.READ_TIMEOUT)
+
+    async def watch(self, after, wait):
+        answer = WatchResult((), LISTING.revision)
+        return await self._read(answer, wait + self.WATCH_MARGIN)
+
+    async def _read(self, answer, timeout):
+        await asyncio.sleep(0)
+        started_at = self.clock.monotonic()
+        if self.outage_start <= started_at < self.outage_end:
+            self.clock.advance(timeout)
+            return StoreFailure("timeout")
+        self.clock.advance(timedelta(milliseconds=50))
+        self.answered_at.append(self.clock.monotonic())
+        return answer
+
+
+def seconds_out_of_sync_after_outage(seed):
+    """Return how long after a silent outage a follower reads again."""
+    generator = random.Random(seed)
+    clock = ManualClock()
+    start = clock.monotonic() + generator.uniform(1.0, 3.0)
+    end = start + generator.uniform(5.0, 30.0)
+    service = SilentService(clock, start, end)
+
+    async def sleep(seconds):
+        clock.advance(timedelta(seconds=seconds))
+        await asyncio.sleep(0)
+
+    follower = StoreFollower(
+        service,
+        StoreReplica(lambda change: None),
+        clock,
+        FollowerSettings(),
+        lambda *_: None,
+        generator,
+        sleep,
+    )
+
+    async def run():
+        task = asyncio.create_task(follower.run())
+        while clock.monotonic() < end or service.answered_at[-1] < end:
+            await asyncio.sleep(0)
+        task.cancel()
+
+    asyncio.run(run())
+    return next(moment for moment in service.answered_at if moment >= end) - end
+
+
+class TestSilentOutage:
+    def test_replica_is_in_sync_before_a_configuration_is_due(self):
+        waits = [seconds_out_of_sync_after_outage(seed) for seed in range(300)]
+        assert max(waits) <= CONFIGURATION_SECONDS
+
+
 class TestStoreFollower:
     def test_a_change_is_applied_and_the_watch_continues_after_it(self):
         state, age, replica, calls, _, _ = run_follower(LISTING, CHANGE)
