--- a/foxtailseam/store/_follower.py
+++ b/foxtailseam/store/_follower.py
@@ -34,14 +34,18 @@
         Pause after a watch that returned changes, so that the next one returns
         several changes at once.
     initial_backoff, max_backoff : timedelta
-        Pause after the first failure, and the longest pause. The pause doubles with
-        each further failure; jitter shortens it by up to 40 %.
+        Time from the start of a read that failed to the next read, after the first
+        failure, and the longest one. It doubles with each further failure; jitter
+        shortens it by up to 40 %.
+    min_pause : timedelta
+        Shortest pause between a read that failed and the next one, before jitter.
     """
 
     watch_wait: timedelta = timedelta(milliseconds=800)
     batch_delay: timedelta = timedelta(milliseconds=200)
     initial_backoff: timedelta = timedelta(milliseconds=250)
     max_backoff: timedelta = timedelta(seconds=2)
+    min_pause: timedelta = timedelta(milliseconds=250)
 
 
 class FollowerState(StrEnum):
@@ -201,15 +205,24 @@
 
     async def _on_failure(self, reason: str) -> None:
         self._set_state(FollowerState.LOST, reason)
-        initial = self.settings.initial_backoff.total_seconds()
-        longest = self.settings.max_backoff.total_seconds()
-        backoff = min(longest, initial * 2**self._failures)
-        self._failures = min(self._failures + 1, 16)
-        pause = backoff * self.generator.uniform(0.6, 1.0)
         elapsed = self.clock.monotonic() - self._read_started_at
+        pause = self._compute_pause(elapsed)
+        self._failures = min(self._failures + 1, 16)
         self.on_failure(ReadFailure(reason, elapsed, self._failures, pause))
         await self.sleep(pause)
 
+    def _compute_pause(self, elapsed: float) -> float:
+        """Return the seconds to wait after a failed read.
+
+        Time that the read took counts: the host must not wait for its timeout and then
+        for the whole backoff, since the service may be back in the meantime.
+        """
+        initial = self.settings.initial_backoff.total_seconds()
+        longest = self.settings.max_backoff.total_seconds()
+        backoff = min(longest, initial * 2**self._failures)
+        pause = max(self.settings.min_pause.total_seconds(), backoff - elapsed)
+        return pause * self.generator.uniform(0.6, 1.0)
+
     def _set_state(self, state: FollowerState, reason: str) -> None:
         if state is not self._state:
             self._state = state
