--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -351,6 +351,7 @@
     ) -> None:
         metadata = self.dispatcher.read_answer(response.status, response.headers)
         attempt.outcome = str(response.status)
+        self.dispatcher.record_limit(attempt.searcher, metadata)
         if metadata.not_run:
             self._rejections += 1
             failure = (
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -13,7 +13,7 @@
 from foxtailseam.dispatch._searcher_selection import Candidate, choose_searcher
 from foxtailseam.dispatch._shard_selection import ShardEstimate
 from foxtailseam.dispatch._wait_queue import WaitQueue, expected_wait
-from foxtailseam.dispatch._wire_format import AnswerReader
+from foxtailseam.dispatch._wire_format import AnswerMetadata, AnswerReader
 from foxtailseam.http import HttpRequest
 from foxtailseam.metrics import Metrics
 from foxtailseam.routing import Route, Service
@@ -90,6 +90,10 @@
         self.on_ejected: Callable[[Searcher], None] = lambda searcher: None
         # Called with a searcher that crashed and the request it was running.
         self.on_crash: Callable[[Searcher, HttpRequest], None] = lambda *_: None
+        # Called with a searcher whose limit changed, and with one that named a limit
+        # that cannot be read.
+        self.on_limit_change: Callable[[Searcher], None] = lambda searcher: None
+        self.on_malformed_limit: Callable[[Searcher], None] = lambda searcher: None
         self._hosts = ASSUMED_HOSTS
         self._searchers: dict[str, Searcher] = {}
         self._by_service: dict[str, dict[str, Searcher]] = {}
@@ -228,6 +232,20 @@
 
         searcher.pool.probe(on_probed)
 
+    def record_limit(self, searcher: Searcher, metadata: AnswerMetadata) -> None:
+        """Update the limit of a searcher from its answer.
+
+        The previous limit holds if the answer is another searcher's or names one that
+        cannot be read.
+        """
+        if metadata.is_misdirected:
+            return
+        if metadata.is_limit_malformed:
+            self.on_malformed_limit(searcher)
+        elif metadata.rate_limit != searcher.rate_limit:
+            searcher.rate_limit = metadata.rate_limit
+            self.on_limit_change(searcher)
+
     def budget(self, service: str) -> ExtraLoadBudget:
         """Return the budget of hedges and retries of a service."""
         budget = self._budgets.get(service)
--- a/foxtailseam/dispatch/_searcher.py
+++ b/foxtailseam/dispatch/_searcher.py
@@ -86,6 +86,9 @@
         self.health = SearcherHealth(clock)
         # Whether the published entry is missing.
         self.is_lapsed = False
+        # Requests per second that the searcher accepts from all hosts together, as its
+        # latest answer says; None if that names no limit.
+        self.rate_limit: float | None = None
         self._warmup_ends_at = clock.monotonic() + entry.warmup.total_seconds()
         # Requests in flight by number, oldest first: time of sending and median
         # response time of the route.
--- a/foxtailseam/dispatch/_wire_format.py
+++ b/foxtailseam/dispatch/_wire_format.py
@@ -19,11 +19,18 @@
         Whether the searcher states that it did not run the request.
     is_misdirected : bool
         Whether the request reached another searcher than the intended one.
+    rate_limit : float or None
+        Requests per second that the searcher accepts from all hosts together; None if
+        it names no limit.
+    is_limit_malformed : bool
+        Whether the searcher names a limit that cannot be read.
     """
 
     stamp: bytes
     not_run: bool
     is_misdirected: bool
+    rate_limit: float | None = None
+    is_limit_malformed: bool = False
 
 
 class RequestTemplate(Protocol):
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -16,7 +16,7 @@
 from result import Result
 
 from foxtailseam.clocks import HybridClock, SuspendAwareClock
-from foxtailseam.dispatch import BudgetSettings, Dispatcher
+from foxtailseam.dispatch import BudgetSettings, Dispatcher, Searcher
 from foxtailseam.fleet import FleetController, FleetSettings, HostRecord
 from foxtailseam.front._configuration import ConfigurationManager
 from foxtailseam.front._front import FrontEnd
@@ -127,6 +127,8 @@
             self._generator,
         )
         self.dispatcher.on_ejected = self._on_ejected
+        self.dispatcher.on_limit_change = self._on_limit_change
+        self.dispatcher.on_malformed_limit = self._on_malformed_limit
         self.configuration_manager = ConfigurationManager(
             self.dispatcher,
             self.clock,
@@ -332,6 +334,23 @@
             revision=self._replica.revision,
         )
 
+    def _on_limit_change(self, searcher: Searcher) -> None:
+        self.metrics.add("searcher_limit_changes")
+        self.log.write(
+            EventCode.SEARCHER_LIMITED,
+            searcher=searcher.entry.identifier,
+            service=searcher.entry.service,
+            limit=searcher.rate_limit,
+            hosts=self.dispatcher.hosts,
+        )
+
+    def _on_malformed_limit(self, searcher: Searcher) -> None:
+        self.log.write(
+            EventCode.SEARCHER_LIMIT_INVALID,
+            searcher=searcher.entry.identifier,
+            limit=searcher.rate_limit,
+        )
+
     def _on_ejected(self, searcher) -> None:
         self.metrics.add("searchers_ejected")
         self.log.write(
--- a/foxtailseam/logs/_catalogue.py
+++ b/foxtailseam/logs/_catalogue.py
@@ -63,6 +63,8 @@
     SEARCHER_EJECTED = (407, Severity.WARNING, "a searcher is avoided after failures")
     SEARCHER_LAPSED = (409, Severity.INFO, "a searcher's entry is missing")
     SEARCHER_BACK = (410, Severity.INFO, "a missing entry was published again")
+    SEARCHER_LIMITED = (411, Severity.INFO, "a searcher named another limit, or none")
+    SEARCHER_LIMIT_INVALID = (412, Severity.WARNING, "a searcher's limit is invalid")
     ENTRY_REFUSED = (408, Severity.WARNING, "a searcher's entry is invalid")
     PEER_STATE = (500, Severity.INFO, "a peer's state changed")
     PEER_UNREACHABLE = (501, Severity.WARNING, "a call to another host failed")
--- a/foxtailseam/platform/_headers.py
+++ b/foxtailseam/platform/_headers.py
@@ -12,6 +12,7 @@
 _EXPECT_INSTANCE = b"foxtailseam-expect-instance"
 _STAMP = b"foxtailseam-server-stamp"
 _NOT_EXECUTED = b"foxtailseam-not-executed"
+_RATE_LIMIT = b"server-limit"
 _INSTANCE = b"foxtailseam-instance-id"
 
 # Searchers echo the identifier of the request in this response header.
@@ -19,6 +20,8 @@
 
 _REPLACED_HEADERS = frozenset({_DEADLINE, _EXPECT_INSTANCE})
 _MISDIRECTED = 421
+# Greatest limit of a searcher that is believed, in requests per second.
+_MAX_RATE = 1e9
 _RETRY_AFTER_FORMAT = b"%.3f"
 
 
@@ -61,13 +64,20 @@
     """
     stamp = b""
     not_run = status == _MISDIRECTED
+    rate_limit = None
+    is_limit_malformed = False
     for name, value in headers:
         lower = name.lower()
         if lower == _STAMP:
             stamp = value
         elif lower == _NOT_EXECUTED:
             not_run = True
-    return AnswerMetadata(stamp, not_run, status == _MISDIRECTED)
+        elif lower == _RATE_LIMIT:
+            rate_limit = _parse_rate(value)
+            is_limit_malformed = rate_limit is None
+    return AnswerMetadata(
+        stamp, not_run, status == _MISDIRECTED, rate_limit, is_limit_malformed
+    )
 
 
 class PlatformRequestTemplate:
@@ -163,6 +173,14 @@
     return tuple(headers)
 
 
+def _parse_rate(text: bytes) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0 <= value < _MAX_RATE else None
+
+
 def _parse_milliseconds(text: bytes) -> timedelta | None:
     try:
         value = float(text)
--- a/foxtailseam/platform/tests/test_decoding.py
+++ b/foxtailseam/platform/tests/test_decoding.py
@@ -232,6 +232,29 @@
     ):
         assert parse_response_headers(status, headers).not_run is not_run
 
+    @pytest.mark.parametrize(
+        ("text", "limit", "is_malformed"),
+        [
+            (b"1", 1.0, False),
+            (b"2.75", 2.75, False),
+            (b"0", 0.0, False),
+            (b"-1", None, True),
+            (b"nan", None, True),
+            (b"inf", None, True),
+            (b"", None, True),
+            (b"many", None, True),
+        ],
+    )
+    def test_limit_of_a_searcher(self, text, limit, is_malformed):
+        answer = parse_response_headers(200, ((b"SERVER-LIMIT", text),))
+        assert answer.rate_limit == limit
+        assert answer.is_limit_malformed is is_malformed
+
+    def test_searcher_without_a_limit(self):
+        answer = parse_response_headers(200, ())
+        assert answer.rate_limit is None
+        assert not answer.is_limit_malformed
+
     def test_headers_of_responses_to_the_caller(self):
         merged = dict(merged_response_headers(b"0a", [b"x", b"y"], 3))
         assert merged[b"Foxtailseam-Part-Stamps"] == b"x, y"
