--- a/foxtailseam_bench/simulation/__init__.py
+++ b/foxtailseam_bench/simulation/__init__.py
@@ -5,7 +5,9 @@
     SimulatedCall,
     SimulatedTier,
     simulated_hosts,
+    simulated_service,
     simulated_shards,
+    tier_number,
 )
 from foxtailseam_bench.simulation._time import VirtualTime
 
@@ -15,5 +17,7 @@
     "SimulatedTier",
     "VirtualTime",
     "simulated_hosts",
+    "simulated_service",
     "simulated_shards",
+    "tier_number",
 ]
--- a/foxtailseam_bench/simulation/_searcher.py
+++ b/foxtailseam_bench/simulation/_searcher.py
@@ -9,6 +9,8 @@
 
 NETWORK_SECONDS = 0.0005
 SHED_STATUS = 503
+# Names the limit of a searcher in its responses.
+LIMIT_HEADER = b"limit"
 # Time after which a searcher that crashed accepts requests again.
 RESTART_SECONDS = 2.0
 
@@ -60,6 +62,11 @@
         Time until which requests do not complete, in virtual seconds.
     crashes_on : bytes
         A request with this text in its payload crashes the searcher; empty for none.
+    rate_limit : float or None
+        Requests per second that the searcher accepts from all hosts together, named in
+        each response; None to name none. It does not reject what exceeds the limit.
+    limit_answers : list of tuple of float, bytes
+        Time and request identifier of each response that named a limit.
     loss_probability : float
         Probability that a request is run and its connection then reset, 0 to 1.
     arrivals : list of tuple of float, bytes
@@ -90,6 +97,8 @@
         self.paused_until = 0.0
         self.crashes_on = b""
         self.crashes = 0
+        self.rate_limit: float | None = None
+        self.limit_answers: list[tuple[float, bytes]] = []
         self.loss_probability = 0.0
         self.arrivals: list[tuple[float, bytes]] = []
         self.sheds = 0
@@ -188,10 +197,16 @@
             waiting = self._waiting.pop(0)
             if waiting.done is not None:
                 self._run(waiting)
-        response = HttpResponse(200, ((b"stamp", b"s"),), b"0123456789abcdef")
+        headers = [(b"stamp", b"s")]
+        if self.rate_limit is not None:
+            headers.append((LIMIT_HEADER, b"%g" % self.rate_limit))
+        response = HttpResponse(200, tuple(headers), b"0123456789abcdef")
         self.time.call_later(NETWORK_SECONDS, self._reply, exchange, Received(response))
 
     def _reply(self, exchange: SimulatedExchange, result: object) -> None:
         done, exchange.done = exchange.done, None
-        if done is not None:
-            done(result)
+        if done is None:
+            return
+        if self.rate_limit is not None:
+            self.limit_answers.append((self.time.monotonic(), exchange.identifier))
+        done(result)
--- a/foxtailseam_bench/simulation/_tier.py
+++ b/foxtailseam_bench/simulation/_tier.py
@@ -17,13 +17,17 @@
     QuarantineGuard,
     TimingSettings,
 )
-from foxtailseam.http import HttpRequest, HttpResponse
+from foxtailseam.http import HttpRequest, HttpResponse, find_header
 from foxtailseam.logs import EventCode
 from foxtailseam.metrics import Metrics
 from foxtailseam.quarantine import QuarantineController
 from foxtailseam.routing import Configuration
 from foxtailseam.store import Item, Removal
-from foxtailseam_bench.simulation._searcher import SHED_STATUS, SimulatedSearcher
+from foxtailseam_bench.simulation._searcher import (
+    LIMIT_HEADER,
+    SHED_STATUS,
+    SimulatedSearcher,
+)
 from foxtailseam_bench.simulation._time import LateTimers, VirtualTime
 
 EXPIRY_INTERVAL_SECONDS = 0.25
@@ -80,9 +84,16 @@
 
 
 def read_simulated_answer(status: int, headers) -> AnswerMetadata:
-    """Return the stamp and the shed flag of a simulated searcher's response."""
+    """Return the metadata of a simulated searcher's response."""
     stamp = b"s" if headers else b""
-    return AnswerMetadata(stamp, status == SHED_STATUS, False)
+    limit = find_header(headers, LIMIT_HEADER)
+    rate_limit = None if limit is None else float(limit)
+    return AnswerMetadata(stamp, status == SHED_STATUS, False, rate_limit)
+
+
+def tier_number(identifier: bytes) -> int:
+    """Return the index of the tier that sent a request."""
+    return int(identifier, 16) // IDENTIFIERS_PER_TIER
 
 
 class SimulatedTier:
@@ -332,3 +343,50 @@
         SimulatedTier(routes, searchers, time, seed + number, hosts, number=number)
         for number in range(hosts)
     ]
+
+
+@contextmanager
+def simulated_service(
+    hosts: int, searchers: int, service_seconds: float, goal_ms: int, seed: int = 1
+):
+    """Yield several tiers with a route to one service whose searchers they share.
+
+    Parameters
+    ----------
+    hosts : int
+        Number of hosts, each with a tier of its own.
+    searchers : int
+        Number of searchers of the service.
+    service_seconds : float
+        Mean service time of a searcher, in seconds.
+    goal_ms : int
+        Latency goal of the route, in milliseconds.
+    seed : int
+        Seed of the searchers and the first tier.
+
+    Yields
+    ------
+    list of SimulatedTier
+    """
+    time = VirtualTime()
+    generator = random.Random(seed)
+    members = [
+        SimulatedSearcher(time, 2, service_seconds, generator) for _ in range(searchers)
+    ]
+    route = {
+        "name": "read",
+        "host": "a.example",
+        "path_prefix": "/read/",
+        "type": "idempotent",
+        "timeout_ms": 4_000,
+        "latency_goal_ms": goal_ms,
+        "max_attempts": 2,
+        "priority": 1,
+        "service": "records",
+    }
+    yield [
+        SimulatedTier(
+            [route], {"records": members}, time, seed + number, hosts, number=number
+        )
+        for number in range(hosts)
+    ]
