--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -1,6 +1,7 @@
 """Request to one service, sent to one searcher after another until one answers."""
 
 from collections.abc import Callable
+from datetime import timedelta
 from functools import partial
 
 from foxtailseam.dispatch._attempts import Attempt, CallPlan, CallRecord
@@ -16,7 +17,7 @@
 )
 from foxtailseam.dispatch._searcher import Searcher
 from foxtailseam.dispatch._shard_selection import ShardEstimate
-from foxtailseam.dispatch._wait_queue import WaitEntry
+from foxtailseam.dispatch._wait_queue import WaitEntry, clamp_retry_after
 from foxtailseam.http import (
     ExchangeFailure,
     ExchangeResult,
@@ -267,7 +268,7 @@
             self._send(searcher)
             return
         if not self._has_untried_searcher():
-            self._fail()
+            self._fail_without_searcher()
             return
         self._wait_entry = dispatcher.wait_queue(plan.service).add(
             plan.route.priority, plan.deadline_at, self._on_admitted
@@ -351,7 +352,9 @@
     ) -> None:
         metadata = self.dispatcher.read_answer(response.status, response.headers)
         attempt.outcome = str(response.status)
-        self.dispatcher.record_limit(attempt.searcher, metadata)
+        is_new_limit = metadata.rate_limit != attempt.searcher.rate_limit
+        if is_new_limit or metadata.is_limit_malformed:
+            self.dispatcher.record_limit(attempt.searcher, metadata)
         if metadata.not_run:
             self._rejections += 1
             failure = (
@@ -427,7 +430,7 @@
     def _has_untried_searcher(self) -> bool:
         return any(
             searcher.entry.identifier not in self._tried
-            for searcher in self.dispatcher.usable_searchers(self.plan.service)
+            for searcher in self.dispatcher.open_searchers(self.plan.service)
         )
 
     def _remaining_time(self) -> float:
@@ -446,6 +449,20 @@
         attempt.exchange.cancel()
         self.dispatcher.admit_waiting(self.plan.service)
 
+    def _fail_without_searcher(self) -> None:
+        """End the call because no searcher is left that takes it."""
+        usable = self.dispatcher.usable_searchers(self.plan.service)
+        is_limited = any(searcher.is_rate_limited for searcher in usable)
+        if is_limited and self._failure_reason is FailureReason.NO_SEARCHER:
+            self._failure_reason = FailureReason.RATE_LIMITED
+        self._fail()
+
+    def _retry_after(self) -> timedelta | None:
+        if self._failure_reason is not FailureReason.RATE_LIMITED:
+            return None
+        wait = self.dispatcher.rate_limit_wait(self.plan.service)
+        return timedelta(seconds=clamp_retry_after(wait))
+
     def _fail(self) -> None:
         if self._is_over:
             return
@@ -453,6 +470,9 @@
         if self._wait_entry is not None:
             self._wait_entry.cancel()
         failure = ServiceFailure(
-            self._failure_reason, self.may_have_run, self._failure_response
+            self._failure_reason,
+            self.may_have_run,
+            self._failure_response,
+            self._retry_after(),
         )
         self.on_result(self, failure)
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -9,6 +9,7 @@
 from foxtailseam.clocks import Clock
 from foxtailseam.dispatch._budget import BudgetSettings, ExtraLoadBudget
 from foxtailseam.dispatch._latency import ResponseTimes
+from foxtailseam.dispatch._rate_limits import HostGroup, RequestPacer
 from foxtailseam.dispatch._searcher import Searcher, SearcherPool
 from foxtailseam.dispatch._searcher_selection import Candidate, choose_searcher
 from foxtailseam.dispatch._shard_selection import ShardEstimate
@@ -95,10 +96,13 @@
         self.on_limit_change: Callable[[Searcher], None] = lambda searcher: None
         self.on_malformed_limit: Callable[[Searcher], None] = lambda searcher: None
         self._hosts = ASSUMED_HOSTS
+        self._host_group = HostGroup()
         self._searchers: dict[str, Searcher] = {}
         self._by_service: dict[str, dict[str, Searcher]] = {}
         # Searchers of each service that are not draining.
         self._usable: dict[str, tuple[Searcher, ...]] = {}
+        # Identifiers of the searchers of each service that name a limit.
+        self._limited: dict[str, set[str]] = {}
         self._max_connections: dict[str, int] = {}
         self._budgets: dict[str, ExtraLoadBudget] = {}
         self._wait_queues: dict[str, WaitQueue] = {}
@@ -117,6 +121,13 @@
         for searcher in self._searchers.values():
             searcher.pool.limit = self._connection_limit(searcher.entry.service)
 
+    def set_host_group(self, group: HostGroup) -> None:
+        """Set the hosts that share the limits of searchers."""
+        self._host_group = group
+        for searcher in self._searchers.values():
+            if searcher.pacer is not None:
+                self._update_pacer(searcher)
+
     @property
     def searchers(self) -> tuple[Searcher, ...]:
         """Return all registered searchers, draining ones included."""
@@ -162,6 +173,7 @@
         searcher = self._searchers.pop(identifier, None)
         if searcher is not None:
             self._usable.pop(searcher.entry.service, None)
+            self._limited.get(searcher.entry.service, set()).discard(identifier)
             del self._by_service[searcher.entry.service][identifier]
             searcher.pool.retire()
 
@@ -174,6 +186,25 @@
             self._usable[service] = usable
         return usable
 
+    def open_searchers(self, service: str) -> tuple[Searcher, ...]:
+        """Return the searchers of a service that take requests of this host now.
+
+        A searcher whose slots are full counts, one that is draining or for whose limit
+        this host has to wait does not.
+        """
+        usable = self.usable_searchers(service)
+        if not self._limited.get(service):
+            return usable
+        return tuple([item for item in usable if not item.is_rate_limited])
+
+    def rate_limit_wait(self, service: str) -> float:
+        """Return the seconds until a searcher of a service takes some host's request.
+
+        0 without searchers.
+        """
+        waits = [item.rate_limit_wait for item in self.usable_searchers(service)]
+        return min(waits, default=0.0)
+
     def choose_searcher(
         self, service: str, median_time: float, excluded: Iterable[str] = ()
     ) -> Searcher | None:
@@ -236,16 +267,36 @@
         """Update the limit of a searcher from its answer.
 
         The previous limit holds if the answer is another searcher's or names one that
-        cannot be read.
+        cannot be read, and if it is a rejection that names none.
         """
-        if metadata.is_misdirected:
+        if self._searchers.get(searcher.entry.identifier) is not searcher:
+            return
+        names_limit = metadata.rate_limit is not None
+        if metadata.is_misdirected or (metadata.not_run and not names_limit):
             return
         if metadata.is_limit_malformed:
             self.on_malformed_limit(searcher)
         elif metadata.rate_limit != searcher.rate_limit:
             searcher.rate_limit = metadata.rate_limit
+            self._update_pacer(searcher)
             self.on_limit_change(searcher)
 
+    def _update_pacer(self, searcher: Searcher) -> None:
+        limited = self._limited.setdefault(searcher.entry.service, set())
+        if searcher.rate_limit is None:
+            searcher.pacer = None
+            limited.discard(searcher.entry.identifier)
+            return
+        limited.add(searcher.entry.identifier)
+        now = self.clock.monotonic()
+        share = self._host_group.rate_share(
+            searcher.entry.identifier, searcher.rate_limit
+        )
+        if searcher.pacer is None:
+            searcher.pacer = RequestPacer(share, now, self.generator.random())
+        else:
+            searcher.pacer.set_share(share, now)
+
     def budget(self, service: str) -> ExtraLoadBudget:
         """Return the budget of hedges and retries of a service."""
         budget = self._budgets.get(service)
@@ -282,14 +333,21 @@
         ahead = queue.count_ahead(route.priority, deadline_at) if queue else 0
         if not ahead:
             return 0.0
-        slots = sum(searcher.entry.slots for searcher in self.usable_searchers(service))
+        slots = sum(searcher.entry.slots for searcher in self.open_searchers(service))
         return expected_wait(ahead, slots, self.response_times(route).median)
 
     def admit_waiting(self, service: str) -> None:
-        """Admit waiting requests of a service while a searcher has spare capacity."""
+        """Admit waiting requests of a service while a searcher has spare capacity.
+
+        All are admitted, to be refused, if limits leave no searcher that takes them.
+        """
         queue = self._wait_queues.get(service)
         if not queue:
             return
+        if self.usable_searchers(service) and not self.open_searchers(service):
+            while queue.admit_next():
+                pass
+            return
         # Bounded because a request that has already tried every searcher with
         # spare capacity is queued again at once.
         for _ in range(MAX_ADMISSIONS):
--- a/foxtailseam/dispatch/_query.py
+++ b/foxtailseam/dispatch/_query.py
@@ -107,12 +107,33 @@
         waits = sorted(
             dispatcher.expected_wait(plan.service, plan.route, plan.deadline_at)
             for plan in plans
-            if dispatcher.usable_searchers(plan.service)
+            if dispatcher.open_searchers(plan.service)
         )
         if len(waits) < required:
-            reason, wait = FailureReason.NO_SEARCHER, NO_SEARCHER_RETRY_AFTER
+            reason, wait = self._refusal_without_searchers(plans, required - len(waits))
         else:
             reason, wait = FailureReason.SHED, waits[required - 1]
             if wait < self.times.deadline_at - self._now():
                 return None
         return NotAnswered(reason, False, timedelta(seconds=clamp_retry_after(wait)))
+
+    def _refusal_without_searchers(
+        self, plans: tuple[CallPlan, ...], lacking: int
+    ) -> tuple[FailureReason, float]:
+        """Return why too few plans have a searcher, and how long that lasts.
+
+        Parameters
+        ----------
+        plans : tuple of CallPlan
+            All plans of the query.
+        lacking : int
+            Number of plans that need a searcher.
+        """
+        limit_waits = [
+            wait
+            for plan in plans
+            if (wait := self.dispatcher.rate_limit_wait(plan.service)) > 0.0
+        ]
+        if len(limit_waits) < lacking:
+            return FailureReason.NO_SEARCHER, NO_SEARCHER_RETRY_AFTER
+        return FailureReason.RATE_LIMITED, sorted(limit_waits)[lacking - 1]
--- a/foxtailseam/dispatch/_results.py
+++ b/foxtailseam/dispatch/_results.py
@@ -1,6 +1,7 @@
 """Results of a call to one service."""
 
 from dataclasses import dataclass
+from datetime import timedelta
 from enum import StrEnum
 
 from foxtailseam.http import HttpResponse
@@ -11,6 +12,7 @@
 
     NO_SEARCHER = "no-searcher"
     SHED = "shed"
+    RATE_LIMITED = "rate-limited"
     LOST = "lost"
     ERROR = "error"
     DEADLINE = "deadline"
@@ -51,11 +53,14 @@
         request.
     response : HttpResponse or None
         Last error response of a searcher, if any.
+    retry_after : timedelta or None
+        Time after which the caller should retry; None if unknown.
     """
 
     reason: FailureReason
     may_have_run: bool
     response: HttpResponse | None = None
+    retry_after: timedelta | None = None
 
 
 ServiceResult = ServiceAnswer | ServiceFailure
--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -99,8 +99,8 @@
         Log for changes of the sources of `replica` and for failed calls.
     generator : random.Random
         Chooses hosts and adds jitter to intervals.
-    on_member_count : callable
-        Called with the number of alive hosts when the membership changes.
+    on_members : callable
+        Called with the addresses of the alive hosts when the membership changes.
     quarantine : QuarantineController
         Suspicion states of requests, which the hosts share.
     """
@@ -116,7 +116,7 @@
         settings: FleetSettings,
         log: LogWriter,
         generator: random.Random,
-        on_member_count: Callable[[int], None],
+        on_members: Callable[[frozenset[str]], None],
         quarantine: QuarantineController,
     ):
         self.seeds = seeds
@@ -127,7 +127,7 @@
         self.settings = settings
         self.log = log
         self.generator = generator
-        self.on_member_count = on_member_count
+        self.on_members = on_members
         self.quarantine = quarantine
         self.membership = Membership(own_record, clock, generator)
         self._position = TreePosition(True, ())
@@ -342,7 +342,7 @@
             self._position = compute_position(
                 self.membership.own_record.address, members
             )
-            self.on_member_count(len(members))
+            self.on_members(members)
         wanted = {*self._position.parents, *self._extra_parents(members)}
         for address in list(self._parents):
             if address not in wanted:
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -16,7 +16,7 @@
 from result import Result
 
 from foxtailseam.clocks import HybridClock, SuspendAwareClock
-from foxtailseam.dispatch import BudgetSettings, Dispatcher, Searcher
+from foxtailseam.dispatch import BudgetSettings, Dispatcher, HostGroup, Searcher
 from foxtailseam.fleet import FleetController, FleetSettings, HostRecord
 from foxtailseam.front._configuration import ConfigurationManager
 from foxtailseam.front._front import FrontEnd
@@ -172,7 +172,7 @@
             FleetSettings(),
             self.log,
             self._generator,
-            self._on_host_count,
+            self._on_members,
             quarantine,
         )
         self._quarantine_guard.on_update = self._fleet.gossip_now
@@ -287,10 +287,11 @@
         self.configuration_manager.apply_change(change, self._fleet.change_source)
         self._fleet.notify_followers()
 
-    def _on_host_count(self, hosts: int) -> None:
+    def _on_members(self, addresses: frozenset[str]) -> None:
         # A host that has just started may not know all the others yet.
-        self.dispatcher.hosts = max(hosts, MIN_HOSTS)
-        self.metrics.set("hosts", hosts)
+        self.dispatcher.hosts = max(len(addresses), MIN_HOSTS)
+        self.dispatcher.set_host_group(HostGroup(self.settings.peers, addresses))
+        self.metrics.set("hosts", len(addresses))
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self._overload_guard.configure(configuration)
--- a/foxtailseam/front/_responses.py
+++ b/foxtailseam/front/_responses.py
@@ -28,6 +28,7 @@
 _DEFAULT_RETRY_AFTER = {
     FailureReason.NO_SEARCHER: timedelta(milliseconds=500),
     FailureReason.SHED: timedelta(milliseconds=100),
+    FailureReason.RATE_LIMITED: timedelta(milliseconds=500),
     FailureReason.BUDGET: timedelta(milliseconds=200),
     FailureReason.LOST: timedelta(milliseconds=100),
     FailureReason.ERROR: timedelta(milliseconds=100),
@@ -109,8 +110,6 @@
 
 
 def _retry_after(result: ServiceFailure | NotAnswered) -> timedelta:
-    match result:
-        case NotAnswered(retry_after=timedelta() as retry_after):
-            return retry_after
-        case _:
-            return _DEFAULT_RETRY_AFTER[result.reason]
+    if result.retry_after is not None:
+        return result.retry_after
+    return _DEFAULT_RETRY_AFTER[result.reason]
--- a/foxtailseam_bench/simulation/_tier.py
+++ b/foxtailseam_bench/simulation/_tier.py
@@ -9,7 +9,7 @@
 from itertools import count
 
 from foxtailseam.clocks import HybridClock
-from foxtailseam.dispatch import AnswerMetadata, BudgetSettings, Dispatcher
+from foxtailseam.dispatch import AnswerMetadata, BudgetSettings, Dispatcher, HostGroup
 from foxtailseam.front import (
     ConfigurationManager,
     FrontEnd,
@@ -85,7 +85,7 @@
 
 def read_simulated_answer(status: int, headers) -> AnswerMetadata:
     """Return the metadata of a simulated searcher's response."""
-    stamp = b"s" if headers else b""
+    stamp = find_header(headers, b"stamp") or b""
     limit = find_header(headers, LIMIT_HEADER)
     rate_limit = None if limit is None else float(limit)
     return AnswerMetadata(stamp, status == SHED_STATUS, False, rate_limit)
@@ -149,6 +149,8 @@
             generator,
         )
         self.dispatcher.hosts = hosts
+        addresses = frozenset(f"host-{index}" for index in range(hosts))
+        self.dispatcher.set_host_group(HostGroup(f"host-{number}", addresses))
         self._overload_guard = OverloadGuard(time, generator)
         log = self.log
         quarantine = QuarantineController(time, HybridClock(time))
