--- a/foxtailseam/dispatch/__init__.py
+++ b/foxtailseam/dispatch/__init__.py
@@ -23,7 +23,6 @@
     ResponseTimes,
 )
 from foxtailseam.dispatch._query import NotAnswered, Query, QueryTimes
-from foxtailseam.dispatch._rate_limits import HostGroup, RateShare, RequestPacer
 from foxtailseam.dispatch._results import (
     FailureReason,
     ServiceAnswer,
@@ -55,7 +54,6 @@
     "GatherQuery",
     "GatherResult",
     "HedgeInputs",
-    "HostGroup",
     "LatencyBaseline",
     "MergedAnswer",
     "NotAnswered",
@@ -64,8 +62,6 @@
     "QueryDecision",
     "QueryProgress",
     "QueryTimes",
-    "RateShare",
-    "RequestPacer",
     "RequestTemplate",
     "ResponseTimes",
     "Searcher",
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -352,8 +352,8 @@
     ) -> None:
         metadata = self.dispatcher.read_answer(response.status, response.headers)
         attempt.outcome = str(response.status)
-        is_new_limit = metadata.rate_limit != attempt.searcher.rate_limit
-        if is_new_limit or metadata.is_limit_malformed:
+        names_limit = metadata.rate_limit is not None or metadata.is_limit_malformed
+        if names_limit or attempt.searcher.rate_limit is not None:
             self.dispatcher.record_limit(attempt.searcher, metadata)
         if metadata.not_run:
             self._rejections += 1
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -9,7 +9,6 @@
 from foxtailseam.clocks import Clock
 from foxtailseam.dispatch._budget import BudgetSettings, ExtraLoadBudget
 from foxtailseam.dispatch._latency import ResponseTimes
-from foxtailseam.dispatch._rate_limits import HostGroup, RequestPacer
 from foxtailseam.dispatch._searcher import Searcher, SearcherPool
 from foxtailseam.dispatch._searcher_selection import Candidate, choose_searcher
 from foxtailseam.dispatch._shard_selection import ShardEstimate
@@ -17,6 +16,12 @@
 from foxtailseam.dispatch._wire_format import AnswerMetadata, AnswerReader
 from foxtailseam.http import HttpRequest
 from foxtailseam.metrics import Metrics
+from foxtailseam.rate_limits import (
+    HostGroup,
+    LimitNotice,
+    LimitObservations,
+    RequestPacer,
+)
 from foxtailseam.routing import Route, Service
 
 # Fraction of a searcher's connection limit that all hosts together may use.
@@ -95,6 +100,9 @@
         # that cannot be read.
         self.on_limit_change: Callable[[Searcher], None] = lambda searcher: None
         self.on_malformed_limit: Callable[[Searcher], None] = lambda searcher: None
+        # What the hosts know of the limits of searchers.
+        self.limit_observations = LimitObservations(clock, generator)
+        self.limit_observations.on_notice = self._apply_limit_notice
         self._hosts = ASSUMED_HOSTS
         self._host_group = HostGroup()
         self._searchers: dict[str, Searcher] = {}
@@ -157,6 +165,8 @@
             self._searchers[entry.identifier] = searcher
             searchers = self._by_service.setdefault(entry.service, {})
             searchers[entry.identifier] = searcher
+            limit = self.limit_observations.limit(entry.identifier, entry.started_ms)
+            self._set_limit(searcher, limit)
         self.admit_waiting(entry.service)
 
     def set_lapsed(self, identifier: str, is_lapsed: bool) -> None:
@@ -276,8 +286,23 @@
             return
         if metadata.is_limit_malformed:
             self.on_malformed_limit(searcher)
-        elif metadata.rate_limit != searcher.rate_limit:
-            searcher.rate_limit = metadata.rate_limit
+            return
+        entry = searcher.entry
+        self.limit_observations.record(
+            entry.identifier, entry.started_ms, metadata.rate_limit
+        )
+        self._set_limit(searcher, metadata.rate_limit)
+
+    def _apply_limit_notice(self, notice: LimitNotice) -> None:
+        searcher = self._searchers.get(notice.searcher)
+        if searcher is None or searcher.entry.started_ms != notice.started_ms:
+            return
+        self._set_limit(searcher, notice.limit)
+        self.admit_waiting(searcher.entry.service)
+
+    def _set_limit(self, searcher: Searcher, limit: float | None) -> None:
+        if limit != searcher.rate_limit:
+            searcher.rate_limit = limit
             self._update_pacer(searcher)
             self.on_limit_change(searcher)
 
--- a/foxtailseam/dispatch/_searcher.py
+++ b/foxtailseam/dispatch/_searcher.py
@@ -7,9 +7,9 @@
 from foxtailseam.catalogue import SearcherEntry
 from foxtailseam.clocks import Clock
 from foxtailseam.dispatch._health import SearcherHealth
-from foxtailseam.dispatch._rate_limits import RequestPacer
 from foxtailseam.dispatch._searcher_selection import Candidate
 from foxtailseam.http import ExchangeResult
+from foxtailseam.rate_limits import RequestPacer
 
 # Number of requests beyond its slots that one host sends to a searcher, so that the
 # slots stay busy while requests and answers are in transit.
--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -19,6 +19,7 @@
 from foxtailseam.fleet._tree import TreePosition, compute_position
 from foxtailseam.logs import EventCode, LogWriter
 from foxtailseam.quarantine import QuarantineController
+from foxtailseam.rate_limits import LimitObservations
 from foxtailseam.store import Item, Listing, StoreFollower, StoreReplica
 
 # Age sent to followers by a host that was never in sync, in milliseconds.
@@ -103,6 +104,8 @@
         Called with the addresses of the alive hosts when the membership changes.
     quarantine : QuarantineController
         Suspicion states of requests, which the hosts share.
+    limits : LimitObservations
+        Limits of searchers, which the hosts share.
     """
 
     def __init__(
@@ -118,6 +121,7 @@
         generator: random.Random,
         on_members: Callable[[frozenset[str]], None],
         quarantine: QuarantineController,
+        limits: LimitObservations,
     ):
         self.seeds = seeds
         self.replica = replica
@@ -129,6 +133,7 @@
         self.generator = generator
         self.on_members = on_members
         self.quarantine = quarantine
+        self.limits = limits
         self.membership = Membership(own_record, clock, generator)
         self._position = TreePosition(True, ())
         self._parents: dict[str, _Parent] = {}
@@ -321,11 +326,14 @@
 
     def _build_exchange(self) -> MemberExchange:
         return MemberExchange(
-            self.membership.gossip_records(), self.quarantine.notices()
+            self.membership.gossip_records(),
+            self.quarantine.notices(),
+            self.limits.notices(),
         )
 
     def _merge_exchange(self, message: MemberExchange) -> None:
         self._merge_records(message.records)
+        self.limits.merge(message.limits)
         if self.quarantine.merge(message.notices):
             self.gossip_now()
 
--- a/foxtailseam/fleet/_messages.py
+++ b/foxtailseam/fleet/_messages.py
@@ -8,6 +8,7 @@
 
 from foxtailseam.fleet._membership import HostRecord
 from foxtailseam.quarantine import SuspicionNotice
+from foxtailseam.rate_limits import LimitNotice
 from foxtailseam.store import Change, Item, Removal
 
 
@@ -21,10 +22,13 @@
         Record of the sender, and records of other hosts that it considers alive.
     notices : tuple of SuspicionNotice
         Suspicion states of requests that are known to the sender.
+    limits : tuple of LimitNotice
+        Limits of searchers that are known to the sender.
     """
 
     records: tuple[HostRecord, ...]
     notices: tuple[SuspicionNotice, ...] = ()
+    limits: tuple[LimitNotice, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailseam/fleet/tests/test_controller.py
+++ b/foxtailseam/fleet/tests/test_controller.py
@@ -17,10 +17,12 @@
 from foxtailseam.fleet import FleetController, FleetSettings, HostRecord
 from foxtailseam.fleet._messages import (
     FollowRequest,
+    MemberExchange,
     compress_changes,
     decompress_changes,
 )
 from foxtailseam.quarantine import QuarantineController
+from foxtailseam.rate_limits import LimitNotice, LimitObservations
 from foxtailseam.store import (
     FollowerSettings,
     HistoryCompacted,
@@ -139,6 +141,7 @@
             generator,
             lambda hosts: None,
             QuarantineController(clock, HybridClock(clock)),
+            LimitObservations(clock, generator),
         )
 
 
@@ -203,6 +206,25 @@
 
         run_scenario(scenario)
 
+    def test_limits_of_searchers_reach_all_hosts(self):
+        async def scenario(service, hosts):
+            hosts[0].fleet.limits.record("i-1", 7, 2.5)
+            await eventually(
+                lambda: all(h.fleet.limits.limit("i-1", 7) == 2.5 for h in hosts)
+            )
+
+        run_scenario(scenario)
+
+    def test_message_of_a_host_without_limits_is_understood(self):
+        record = HostRecord("10.0.0.1:1", "d1", 1)
+        old = msgspec.msgpack.encode({"records": [record], "notices": []})
+        assert msgspec.msgpack.decode(old, type=MemberExchange).limits == ()
+        new = MemberExchange((record,), (), (LimitNotice("i-1", 7, None, 5),))
+        decoded = msgspec.msgpack.decode(
+            msgspec.msgpack.encode(new), type=MemberExchange
+        )
+        assert decoded == new
+
     def test_a_removal_is_relayed(self):
         async def scenario(service, hosts):
             service.remove("a")
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -16,7 +16,7 @@
 from result import Result
 
 from foxtailseam.clocks import HybridClock, SuspendAwareClock
-from foxtailseam.dispatch import BudgetSettings, Dispatcher, HostGroup, Searcher
+from foxtailseam.dispatch import BudgetSettings, Dispatcher, Searcher
 from foxtailseam.fleet import FleetController, FleetSettings, HostRecord
 from foxtailseam.front._configuration import ConfigurationManager
 from foxtailseam.front._front import FrontEnd
@@ -43,6 +43,7 @@
     parse_response_headers,
 )
 from foxtailseam.quarantine import QuarantineController
+from foxtailseam.rate_limits import HostGroup
 from foxtailseam.routing import Configuration
 from foxtailseam.store import (
     Change,
@@ -174,6 +175,7 @@
             self._generator,
             self._on_members,
             quarantine,
+            self.dispatcher.limit_observations,
         )
         self._quarantine_guard.on_update = self._fleet.gossip_now
         self._caller_listener = Listener(
@@ -342,6 +344,7 @@
             searcher=searcher.entry.identifier,
             service=searcher.entry.service,
             limit=searcher.rate_limit,
+            interval_ms=searcher.pacer and round(searcher.pacer.share.interval * 1000),
             hosts=self.dispatcher.hosts,
         )
 
--- a/foxtailseam/dispatch/tests/test_rate_limits.py
+++ b/foxtailseam/rate_limits/tests/test_sharing.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from foxtailseam.dispatch import HostGroup, RateShare, RequestPacer
+from foxtailseam.rate_limits import HostGroup, RateShare, RequestPacer
 
 WINDOW = 4.0
 
--- a/foxtailseam_bench/simulation/_tier.py
+++ b/foxtailseam_bench/simulation/_tier.py
@@ -9,7 +9,7 @@
 from itertools import count
 
 from foxtailseam.clocks import HybridClock
-from foxtailseam.dispatch import AnswerMetadata, BudgetSettings, Dispatcher, HostGroup
+from foxtailseam.dispatch import AnswerMetadata, BudgetSettings, Dispatcher
 from foxtailseam.front import (
     ConfigurationManager,
     FrontEnd,
@@ -21,6 +21,7 @@
 from foxtailseam.logs import EventCode
 from foxtailseam.metrics import Metrics
 from foxtailseam.quarantine import QuarantineController
+from foxtailseam.rate_limits import HostGroup
 from foxtailseam.routing import Configuration
 from foxtailseam.store import Item, Removal
 from foxtailseam_bench.simulation._searcher import (
