--- a/foxtailseam/searchers/_dispatcher.py
+++ b/foxtailseam/searchers/_dispatcher.py
@@ -30,6 +30,8 @@
 
 DEFAULT_HEDGE_DELAY = timedelta(milliseconds=50)
 MIN_HEDGE_DELAY = timedelta(milliseconds=5)
+# Ends of an attempt after which the same searcher may still answer.
+_NO_ANSWER_REASONS = frozenset({MissingReason.DEADLINE, MissingReason.NO_SEARCHER})
 
 
 @dataclass
@@ -315,8 +317,9 @@
         if progress.lost or (request.suspect and not nothing_sent):
             return
         candidates = self._candidates(request, progress.tried)
-        if not candidates and progress.missing_reason is MissingReason.DEADLINE:
+        if not candidates and progress.missing_reason in _NO_ANSWER_REASONS:
             # A searcher that did not answer an attempt may answer on a new connection.
+            # One that refuses connections has been ejected and is no candidate.
             candidates = self._candidates(request, set())
         if not candidates or not self._slots.can_meet_deadline(
             candidates, request.deadline
--- a/foxtailseam/searchers/tests/test_dispatcher.py
+++ b/foxtailseam/searchers/tests/test_dispatcher.py
@@ -13,7 +13,9 @@
     ShardRequest,
     SubRequestDispatcher,
 )
+from foxtailseam.searchers._attempt_results import NotSent
 from foxtailseam.searchers._latency import MIN_SAMPLES, REFRESH_INTERVAL
+from foxtailseam.searchers._sender import MIN_RESPONSE_TIMEOUT
 from foxtailseam.snapshots import Shard
 from foxtailseam_bench.platform_stand_in import read_request, render
 
@@ -95,7 +97,42 @@
     return answer, searcher.searches - MIN_SAMPLES
 
 
+async def answer_after_unopened_connections(count):
+    """Return the answer to a search whose first connections do not open in time."""
+    searcher = StallingSearcher()
+    server = await asyncio.start_server(searcher.handle_connection, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    clock = SystemClock()
+    leaving = LeavingSearchers(clock)
+    controller = SearcherController(clock, SilentRecorder(), leaving, lambda: None)
+    dispatcher = SubRequestDispatcher(controller, clock, Metrics())
+    client = controller.get_or_create(address, 2, 4).client
+    send = client.send
+    unopened = [NotSent(timed_out=True)] * count
+
+    async def send_after_unopened(request, timeout):
+        if not unopened:
+            return await send(request, timeout)
+        await asyncio.sleep(MIN_RESPONSE_TIMEOUT.total_seconds())
+        return unopened.pop()
+
+    client.send = send_after_unopened
+    answer = await search(dispatcher, clock, address)
+    dispatcher.close()
+    server.close()
+    return answer
+
+
 class TestOnlySearcherOfAShard:
+    def test_it_is_asked_again_after_a_connection_that_did_not_open_in_time(self):
+        answer = asyncio.run(answer_after_unopened_connections(1))
+        assert answer.lack is None
+
+    def test_it_is_left_alone_after_several_such_connections(self):
+        answer = asyncio.run(answer_after_unopened_connections(100))
+        assert answer.lack == "no-searcher"
+        assert answer.attempts <= 6
+
     def test_it_is_asked_again_after_a_stall_while_time_is_left(self):
         answer, searches = asyncio.run(answers_after_stalls(1))
         assert answer.lack is None
