--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -17,7 +17,11 @@
 )
 from foxtailseam.dispatch._searcher import Searcher
 from foxtailseam.dispatch._shard_selection import ShardEstimate
-from foxtailseam.dispatch._wait_queue import WaitEntry, clamp_retry_after
+from foxtailseam.dispatch._wait_queue import (
+    MAX_RATE_LIMITED_RETRY_AFTER,
+    WaitEntry,
+    clamp_retry_after,
+)
 from foxtailseam.http import (
     ExchangeFailure,
     ExchangeResult,
@@ -461,7 +465,7 @@
         if self._failure_reason is not FailureReason.RATE_LIMITED:
             return None
         wait = self.dispatcher.rate_limit_wait(self.plan.service)
-        return timedelta(seconds=clamp_retry_after(wait))
+        return timedelta(seconds=clamp_retry_after(wait, MAX_RATE_LIMITED_RETRY_AFTER))
 
     def _fail(self) -> None:
         if self._is_over:
--- a/foxtailseam/dispatch/_query.py
+++ b/foxtailseam/dispatch/_query.py
@@ -7,7 +7,10 @@
 from foxtailseam.dispatch._attempts import CallPlan
 from foxtailseam.dispatch._dispatcher import Dispatcher, TimerHandle
 from foxtailseam.dispatch._results import FailureReason
-from foxtailseam.dispatch._wait_queue import clamp_retry_after
+from foxtailseam.dispatch._wait_queue import (
+    MAX_RATE_LIMITED_RETRY_AFTER,
+    clamp_retry_after,
+)
 
 # Time in seconds after the answer during which requests in flight may still complete:
 # cancelling them closes connections, which then have to be reopened.
@@ -110,17 +113,16 @@
             if dispatcher.open_searchers(plan.service)
         )
         if len(waits) < required:
-            reason, wait = self._refusal_without_searchers(plans, required - len(waits))
-        else:
-            reason, wait = FailureReason.SHED, waits[required - 1]
-            if wait < self.times.deadline_at - self._now():
-                return None
-        return NotAnswered(reason, False, timedelta(seconds=clamp_retry_after(wait)))
+            return self._refusal_without_searchers(plans, required - len(waits))
+        wait = waits[required - 1]
+        if wait < self.times.deadline_at - self._now():
+            return None
+        return _refused(FailureReason.SHED, clamp_retry_after(wait))
 
     def _refusal_without_searchers(
         self, plans: tuple[CallPlan, ...], lacking: int
-    ) -> tuple[FailureReason, float]:
-        """Return why too few plans have a searcher, and how long that lasts.
+    ) -> NotAnswered:
+        """Return the refusal of a query for which too few plans have a searcher.
 
         Parameters
         ----------
@@ -135,5 +137,13 @@
             if (wait := self.dispatcher.rate_limit_wait(plan.service)) > 0.0
         ]
         if len(limit_waits) < lacking:
-            return FailureReason.NO_SEARCHER, NO_SEARCHER_RETRY_AFTER
-        return FailureReason.RATE_LIMITED, sorted(limit_waits)[lacking - 1]
+            return _refused(FailureReason.NO_SEARCHER, NO_SEARCHER_RETRY_AFTER)
+        wait = sorted(limit_waits)[lacking - 1]
+        return _refused(
+            FailureReason.RATE_LIMITED,
+            clamp_retry_after(wait, MAX_RATE_LIMITED_RETRY_AFTER),
+        )
+
+
+def _refused(reason: FailureReason, retry_after: float) -> NotAnswered:
+    return NotAnswered(reason, False, timedelta(seconds=retry_after))
--- a/foxtailseam/dispatch/_wait_queue.py
+++ b/foxtailseam/dispatch/_wait_queue.py
@@ -7,6 +7,8 @@
 # Bounds of the retry delay given to a refused caller, in seconds.
 MIN_RETRY_AFTER = 0.05
 MAX_RETRY_AFTER = 2.0
+# Upper bound if a searcher's limit decides, which is known, unlike a queue's length.
+MAX_RATE_LIMITED_RETRY_AFTER = 30.0
 
 
 class WaitEntry:
@@ -116,12 +118,14 @@
     return (ahead + 1) * median_time / max(1, slots)
 
 
-def clamp_retry_after(wait: float) -> float:
+def clamp_retry_after(wait: float, longest: float = MAX_RETRY_AFTER) -> float:
     """Return the retry delay of a refused caller, in seconds.
 
     Parameters
     ----------
     wait : float
-        Expected queueing time in seconds.
+        Expected time until the request could be served, in seconds.
+    longest : float
+        Upper bound of the delay, in seconds.
     """
-    return min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, wait))
+    return min(longest, max(MIN_RETRY_AFTER, wait))
--- a/foxtailseam/front/tests/test_rate_limits.py
+++ b/foxtailseam/front/tests/test_rate_limits.py
@@ -127,6 +127,19 @@
             assert headers[b"Foxtailseam-Request-Id"] not in ran
             assert 0 < float(headers[b"Retry-After"]) <= 2.0
 
+    def test_retry_after_is_the_time_until_a_searcher_takes_a_request(self):
+        with simulated_service(1, 2, 0.1, 600) as tiers:
+            (tier,) = tiers
+            for searcher in tier.searchers["records"]:
+                searcher.rate_limit = 0.1
+            tier.load("/read/q", 10, 0, 5)
+            tier.time.run_until(6)
+        refused = [c for c in tier.answered() if c.response.status == 503]
+        delays = [float(dict(c.response.headers)[b"Retry-After"]) for c in refused]
+        assert refused
+        # Each of both searchers takes a request in ten seconds.
+        assert 2.0 < max(delays) <= 10.0
+
     def test_waiting_requests_are_not_kept_for_a_searcher_that_becomes_limited(self):
         with simulated_service(1, 2, 0.5, 2_000) as tiers:
             (tier,) = tiers
--- a/foxtailseam/rate_limits/_observations.py
+++ b/foxtailseam/rate_limits/_observations.py
@@ -11,10 +11,9 @@
 
 # Maximum number of notices in one message.
 MAX_NOTICES = 64
-# Seconds for which the end of a limit is passed on.
-ENDED_RETENTION_SECONDS = 60.0
-# Seconds without an answer of the searcher after which a limit is not passed on.
-LIMIT_RETENTION_SECONDS = 300.0
+# Seconds after an answer for which it is passed on. The end of a limit is kept as long
+# as the limit itself, so that no host hears of the limit again afterwards.
+RETENTION_SECONDS = 300.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,10 +128,5 @@
 
     def _remove_expired(self, now: float) -> None:
         for searcher, known in list(self._observations.items()):
-            retention = (
-                ENDED_RETENTION_SECONDS
-                if known.limit is None
-                else LIMIT_RETENTION_SECONDS
-            )
-            if now - known.observed_at > retention:
+            if now - known.observed_at > RETENTION_SECONDS:
                 del self._observations[searcher]
--- a/foxtailseam/rate_limits/tests/test_observations.py
+++ b/foxtailseam/rate_limits/tests/test_observations.py
@@ -7,7 +7,7 @@
 
 from foxtailseam.clocks import ManualClock
 from foxtailseam.rate_limits import LimitNotice, LimitObservations
-from foxtailseam.rate_limits._observations import MAX_NOTICES
+from foxtailseam.rate_limits._observations import MAX_NOTICES, RETENTION_SECONDS
 
 
 @pytest.fixture
@@ -67,14 +67,27 @@
         assert host.limit("i-1", 7) == 1.0
         assert host.limit("i-1", 8) is None
 
-    @pytest.mark.parametrize(("limit", "seconds"), [(1.0, 301), (None, 61)])
-    def test_old_observations_are_forgotten(self, clock, limit, seconds):
+    @pytest.mark.parametrize("limit", [1.0, None])
+    def test_old_observations_are_forgotten(self, clock, limit):
         host = observations(clock)
         host.record("i-1", 7, 1.0)
         host.record("i-1", 7, limit)
-        clock.advance(timedelta(seconds=seconds))
+        clock.advance(timedelta(seconds=RETENTION_SECONDS))
+        assert len(host.notices()) == 1
+        clock.advance(timedelta(seconds=1))
         assert host.notices() == ()
 
+    def test_a_limit_that_has_ended_does_not_come_back_by_an_old_notice(self, clock):
+        first, second = observations(clock), observations(clock)
+        for host in (first, second):
+            host.record("i-1", 7, 1.0)
+        first.record("i-1", 7, None)
+        # As long as the second host passes on the limit, the first one knows better.
+        clock.advance(timedelta(seconds=RETENTION_SECONDS - 1))
+        first.merge(second.notices())
+        assert first.limit("i-1", 7) is None
+        assert first.received == []
+
     def test_a_message_is_bounded(self, clock):
         host = observations(clock)
         for number in range(3 * MAX_NOTICES):
