--- /dev/null
+++ b/foxtailseam/conditions/_notices.py
@@ -0,0 +1,120 @@
+"""Notices by which hosts tell one another the conditions of searchers.
+
+Hosts share no clock, so the notices hold ages and remaining times. Each relay makes a
+notice look older than it is, so that one that returns to its sender adds nothing.
+"""
+
+from dataclasses import dataclass
+
+from foxtailseam.conditions._model import (
+    Leaving,
+    Pause,
+    RateLimit,
+    SearcherConditions,
+)
+
+# Longest time that a notice is expected to take from one host to another.
+RELAY_SECONDS = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class LimitNotice:
+    """Limit of a searcher as one of its answers named it, relayed by hosts.
+
+    Parameters
+    ----------
+    searcher : str
+        Identifier of the searcher.
+    started_ms : int
+        Start time of the searcher's process; tells runs with one identifier apart.
+    limit : float or None
+        Requests per second that it accepts from all hosts together; None for no limit.
+    age_ms : int
+        Milliseconds since the answer, by the clocks of the hosts that relayed it.
+    """
+
+    searcher: str
+    started_ms: int
+    limit: float | None
+    age_ms: int
+
+    def to_conditions(self, now: float) -> SearcherConditions:
+        """Return the conditions that the notice reports at a monotonic time."""
+        observed_at = now - self.age_ms / 1000 - RELAY_SECONDS
+        limit = RateLimit(self.limit, observed_at)
+        return SearcherConditions(self.started_ms, rate_limit=limit)
+
+
+@dataclass(frozen=True, slots=True)
+class LeavingNotice:
+    """A searcher that said that it is about to stop.
+
+    Parameters
+    ----------
+    searcher : str
+        Identifier of the searcher.
+    started_ms : int
+        Start time of the searcher's process.
+    age_ms : int
+        Milliseconds since it first said so.
+    """
+
+    searcher: str
+    started_ms: int
+    age_ms: int
+
+    def to_conditions(self, now: float) -> SearcherConditions:
+        """Return the conditions that the notice reports at a monotonic time."""
+        leaving = Leaving(now - self.age_ms / 1000)
+        return SearcherConditions(self.started_ms, leaving=leaving)
+
+
+@dataclass(frozen=True, slots=True)
+class PauseNotice:
+    """A searcher that asked another host for a pause.
+
+    Parameters
+    ----------
+    searcher : str
+        Identifier of the searcher.
+    started_ms : int
+        Start time of the searcher's process.
+    remaining_ms : int
+        Milliseconds until the end of the pause.
+    """
+
+    searcher: str
+    started_ms: int
+    remaining_ms: int
+
+    def to_conditions(self, now: float) -> SearcherConditions:
+        """Return the conditions that the notice reports at a monotonic time."""
+        pause = Pause(now + self.remaining_ms / 1000 - RELAY_SECONDS)
+        return SearcherConditions(self.started_ms, peer_pause=pause)
+
+
+ConditionNotice = LimitNotice | LeavingNotice | PauseNotice
+
+
+@dataclass(frozen=True, slots=True)
+class ConditionNotices:
+    """Notices of one message, by kind.
+
+    Parameters
+    ----------
+    limits : tuple of LimitNotice
+        Limits that searchers named.
+    leaving : tuple of LeavingNotice
+        Searchers that are about to stop.
+    pauses : tuple of PauseNotice
+        Searchers that asked for a pause.
+    """
+
+    limits: tuple[LimitNotice, ...] = ()
+    leaving: tuple[LeavingNotice, ...] = ()
+    pauses: tuple[PauseNotice, ...] = ()
+
+    @property
+    def all(self) -> tuple[ConditionNotice, ...]:
+        """Return the notices of all kinds."""
+        return (*self.limits, *self.leaving, *self.pauses)
--- a/foxtailseam/dispatch/__init__.py
+++ b/foxtailseam/dispatch/__init__.py
@@ -35,12 +35,16 @@
 from foxtailseam.dispatch._single import SingleQuery, SingleResult
 from foxtailseam.dispatch._wait_queue import WaitQueue, clamp_retry_after, expected_wait
 from foxtailseam.dispatch._wire_format import (
+    MALFORMED_LIMIT,
+    MALFORMED_PAUSE,
     AnswerMetadata,
     AnswerReader,
     RequestTemplate,
 )
 
 __all__ = [
+    "MALFORMED_LIMIT",
+    "MALFORMED_PAUSE",
     "AnswerDelay",
     "AnswerMetadata",
     "AnswerReader",
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -18,7 +18,7 @@
 from foxtailseam.dispatch._searcher import Searcher
 from foxtailseam.dispatch._shard_selection import ShardEstimate
 from foxtailseam.dispatch._wait_queue import (
-    MAX_RATE_LIMITED_RETRY_AFTER,
+    MAX_KNOWN_RETRY_AFTER,
     WaitEntry,
     clamp_retry_after,
 )
@@ -42,6 +42,10 @@
 NO_RESPONSE_FACTOR = 4.0
 FIRST_SERVER_ERROR = 500
 
+# Reasons of a call that no searcher has run.
+_REJECTED = frozenset({FailureReason.NO_SEARCHER, FailureReason.SHED})
+# Reasons of a call for which the searchers have said when they take requests again.
+_CLOSED = frozenset({FailureReason.RATE_LIMITED, FailureReason.PAUSED})
 _POSSIBLE_CRASHES = frozenset({FailureKind.RESET, FailureKind.CLOSED})
 _ATTEMPT_FAILURES = {
     FailureKind.REFUSED: AttemptFailure.UNREACHABLE,
@@ -356,23 +360,26 @@
     ) -> None:
         metadata = self.dispatcher.read_answer(response.status, response.headers)
         attempt.outcome = str(response.status)
-        names_limit = metadata.rate_limit is not None or metadata.is_limit_malformed
-        if names_limit or attempt.searcher.rate_limit is not None:
-            self.dispatcher.record_limit(attempt.searcher, metadata)
+        if metadata.has_conditions or attempt.searcher.gate is not None:
+            self.dispatcher.record_conditions(attempt.searcher, metadata)
         if metadata.not_run:
-            self._rejections += 1
+            # A searcher that pauses is not asked again, so these rejections are few.
+            self._rejections += metadata.pause is None
             failure = (
                 AttemptFailure.MISDIRECTED
                 if metadata.is_misdirected
                 else AttemptFailure.SHED
             )
-            self._record_failure(attempt, failure)
+            # A pause says when to come back, so the rejection is no sign of ill health.
+            if metadata.pause is None:
+                self._record_failure(attempt, failure)
             self._failure_reason = FailureReason.SHED
             self._on_failure(is_unsent=False)
             return
         self._run_count += 1
         if response.status >= FIRST_SERVER_ERROR:
-            self._record_failure(attempt, AttemptFailure.ERROR)
+            if metadata.pause is None:
+                self._record_failure(attempt, AttemptFailure.ERROR)
             self._failure_reason = FailureReason.ERROR
             self._failure_response = response
             self._on_failure(is_unsent=False)
@@ -401,13 +408,12 @@
         if self._is_over or self._running:
             return
         can_repeat = self.plan.route.idempotent or not self._run_count
-        if (
-            not can_repeat
-            or not self._may_send_again()
-            or not self._has_untried_searcher()
-        ):
+        if not can_repeat or not self._may_send_again():
             self._fail()
             return
+        if not self._has_untried_searcher():
+            self._fail_without_searcher()
+            return
         if not is_unsent and not self._take_extra():
             self._failure_reason = FailureReason.BUDGET
             self._fail()
@@ -455,17 +461,19 @@
 
     def _fail_without_searcher(self) -> None:
         """End the call because no searcher is left that takes it."""
-        usable = self.dispatcher.usable_searchers(self.plan.service)
-        is_limited = any(searcher.is_rate_limited for searcher in usable)
-        if is_limited and self._failure_reason is FailureReason.NO_SEARCHER:
-            self._failure_reason = FailureReason.RATE_LIMITED
+        if self._failure_reason in _REJECTED and not self.dispatcher.open_searchers(
+            self.plan.service
+        ):
+            reason = self.dispatcher.closed_reason(self.plan.service)
+            if reason is not FailureReason.NO_SEARCHER:
+                self._failure_reason = reason
         self._fail()
 
     def _retry_after(self) -> timedelta | None:
-        if self._failure_reason is not FailureReason.RATE_LIMITED:
+        if self._failure_reason not in _CLOSED:
             return None
-        wait = self.dispatcher.rate_limit_wait(self.plan.service)
-        return timedelta(seconds=clamp_retry_after(wait, MAX_RATE_LIMITED_RETRY_AFTER))
+        wait = self.dispatcher.closed_wait(self.plan.service)
+        return timedelta(seconds=clamp_retry_after(wait, MAX_KNOWN_RETRY_AFTER))
 
     def _fail(self) -> None:
         if self._is_over:
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -8,7 +8,9 @@
 from foxtailseam.catalogue import SearcherEntry
 from foxtailseam.clocks import Clock
 from foxtailseam.dispatch._budget import BudgetSettings, ExtraLoadBudget
+from foxtailseam.dispatch._gates import SearcherGates
 from foxtailseam.dispatch._latency import ResponseTimes
+from foxtailseam.dispatch._results import FailureReason
 from foxtailseam.dispatch._searcher import Searcher, SearcherPool
 from foxtailseam.dispatch._searcher_selection import Candidate, choose_searcher
 from foxtailseam.dispatch._shard_selection import ShardEstimate
@@ -16,12 +18,6 @@
 from foxtailseam.dispatch._wire_format import AnswerMetadata, AnswerReader
 from foxtailseam.http import HttpRequest
 from foxtailseam.metrics import Metrics
-from foxtailseam.rate_limits import (
-    HostGroup,
-    LimitNotice,
-    LimitObservations,
-    RequestPacer,
-)
 from foxtailseam.routing import Route, Service
 
 # Fraction of a searcher's connection limit that all hosts together may use.
@@ -96,21 +92,14 @@
         self.on_ejected: Callable[[Searcher], None] = lambda searcher: None
         # Called with a searcher that crashed and the request it was running.
         self.on_crash: Callable[[Searcher, HttpRequest], None] = lambda *_: None
-        # Called with a searcher whose limit changed, and with one that named a limit
-        # that cannot be read.
-        self.on_limit_change: Callable[[Searcher], None] = lambda searcher: None
-        self.on_malformed_limit: Callable[[Searcher], None] = lambda searcher: None
-        # What the hosts know of the limits of searchers.
-        self.limit_observations = LimitObservations(clock, generator)
-        self.limit_observations.on_notice = self._apply_limit_notice
+        # When this host may send to the searchers that have reported conditions.
+        self.gates = SearcherGates(clock, generator, self._find_searcher)
+        self.gates.on_gate_change = self.admit_waiting
         self._hosts = ASSUMED_HOSTS
-        self._host_group = HostGroup()
         self._searchers: dict[str, Searcher] = {}
         self._by_service: dict[str, dict[str, Searcher]] = {}
         # Searchers of each service that are not draining.
         self._usable: dict[str, tuple[Searcher, ...]] = {}
-        # Identifiers of the searchers of each service that name a limit.
-        self._limited: dict[str, set[str]] = {}
         self._max_connections: dict[str, int] = {}
         self._budgets: dict[str, ExtraLoadBudget] = {}
         self._wait_queues: dict[str, WaitQueue] = {}
@@ -129,13 +118,6 @@
         for searcher in self._searchers.values():
             searcher.pool.limit = self._connection_limit(searcher.entry.service)
 
-    def set_host_group(self, group: HostGroup) -> None:
-        """Set the hosts that share the limits of searchers."""
-        self._host_group = group
-        for searcher in self._searchers.values():
-            if searcher.pacer is not None:
-                self._update_pacer(searcher)
-
     @property
     def searchers(self) -> tuple[Searcher, ...]:
         """Return all registered searchers, draining ones included."""
@@ -165,8 +147,7 @@
             self._searchers[entry.identifier] = searcher
             searchers = self._by_service.setdefault(entry.service, {})
             searchers[entry.identifier] = searcher
-            limit = self.limit_observations.limit(entry.identifier, entry.started_ms)
-            self._set_limit(searcher, limit)
+            self.gates.update(searcher)
         self.admit_waiting(entry.service)
 
     def set_lapsed(self, identifier: str, is_lapsed: bool) -> None:
@@ -183,7 +164,7 @@
         searcher = self._searchers.pop(identifier, None)
         if searcher is not None:
             self._usable.pop(searcher.entry.service, None)
-            self._limited.get(searcher.entry.service, set()).discard(identifier)
+            self.gates.remove(searcher)
             del self._by_service[searcher.entry.service][identifier]
             searcher.pool.retire()
 
@@ -199,21 +180,50 @@
     def open_searchers(self, service: str) -> tuple[Searcher, ...]:
         """Return the searchers of a service that take requests of this host now.
 
-        A searcher whose slots are full counts, one that is draining or for whose limit
-        this host has to wait does not.
+        A searcher whose slots are full counts. One that drains, has asked for a pause
+        or for whose limit this host has to wait does not. One that is leaving, or has
+        asked another host for a pause, counts only if no other one can serve.
         """
         usable = self.usable_searchers(service)
-        if not self._limited.get(service):
+        if not self.gates.has_gates(service):
             return usable
-        return tuple([item for item in usable if not item.is_rate_limited])
+        now = self.clock.monotonic()
+        preferred, avoided = [], []
+        for searcher in usable:
+            gate = searcher.gate
+            if gate is None or gate.wait(now) <= 0.0:
+                is_avoided = gate is not None and gate.is_avoided(now)
+                (avoided if is_avoided else preferred).append(searcher)
+        if any(not searcher.health.is_ejected_at(now) for searcher in preferred):
+            return tuple(preferred)
+        return (*preferred, *avoided)
 
-    def rate_limit_wait(self, service: str) -> float:
-        """Return the seconds until a searcher of a service takes some host's request.
+    def closed_wait(self, service: str) -> float:
+        """Return the seconds until a closed searcher takes some host's request.
 
-        0 without searchers.
+        Infinite if no searcher of the service is only closed for a time.
+
+        Parameters
+        ----------
+        service : str
+            Service whose searchers reported conditions.
         """
-        waits = [item.rate_limit_wait for item in self.usable_searchers(service)]
-        return min(waits, default=0.0)
+        now = self.clock.monotonic()
+        waits = [
+            item.gate.shortest_wait(now)
+            for item in self.usable_searchers(service)
+            if item.gate is not None and not item.is_open
+        ]
+        return min(waits, default=math.inf)
+
+    def closed_reason(self, service: str) -> FailureReason:
+        """Return why no searcher of a service takes a request of this host."""
+        now = self.clock.monotonic()
+        gates = [item.gate for item in self.usable_searchers(service) if item.gate]
+        if any(gate.is_paused(now) for gate in gates):
+            return FailureReason.PAUSED
+        is_limited = any(gate.pacer and gate.pacer.wait(now) > 0.0 for gate in gates)
+        return FailureReason.RATE_LIMITED if is_limited else FailureReason.NO_SEARCHER
 
     def choose_searcher(
         self, service: str, median_time: float, excluded: Iterable[str] = ()
@@ -259,7 +269,7 @@
     ) -> Candidate | None:
         candidates = [
             searcher.candidate(self.failure_domain, now)
-            for searcher in self.usable_searchers(service)
+            for searcher in self.open_searchers(service)
             if searcher.entry.identifier not in excluded and searcher.has_capacity
         ]
         return choose_searcher(candidates, median_time, self.generator.random())
@@ -273,54 +283,24 @@
 
         searcher.pool.probe(on_probed)
 
-    def record_limit(self, searcher: Searcher, metadata: AnswerMetadata) -> None:
-        """Update the limit of a searcher from its answer.
+    def record_conditions(self, searcher: Searcher, metadata: AnswerMetadata) -> None:
+        """Apply the conditions that a searcher's answer reports.
 
-        The previous limit holds if the answer is another searcher's or names one that
-        cannot be read, and if it is a rejection that names none.
+        Parameters
+        ----------
+        searcher : Searcher
+            Searcher to which the request was sent.
+        metadata : AnswerMetadata
+            What its answer says.
         """
-        if self._searchers.get(searcher.entry.identifier) is not searcher:
-            return
-        names_limit = metadata.rate_limit is not None
-        if metadata.is_misdirected or (metadata.not_run and not names_limit):
-            return
-        if metadata.is_limit_malformed:
-            self.on_malformed_limit(searcher)
-            return
-        entry = searcher.entry
-        self.limit_observations.record(
-            entry.identifier, entry.started_ms, metadata.rate_limit
-        )
-        self._set_limit(searcher, metadata.rate_limit)
+        self.gates.record(searcher, metadata)
+        if metadata.pause is not None and searcher.gate is not None:
+            delay = searcher.gate.pause_ends_at - self.clock.monotonic()
+            service = searcher.entry.service
+            self.timers.call_later(max(0.0, delay), self.admit_waiting, service)
 
-    def _apply_limit_notice(self, notice: LimitNotice) -> None:
-        searcher = self._searchers.get(notice.searcher)
-        if searcher is None or searcher.entry.started_ms != notice.started_ms:
-            return
-        self._set_limit(searcher, notice.limit)
-        self.admit_waiting(searcher.entry.service)
-
-    def _set_limit(self, searcher: Searcher, limit: float | None) -> None:
-        if limit != searcher.rate_limit:
-            searcher.rate_limit = limit
-            self._update_pacer(searcher)
-            self.on_limit_change(searcher)
-
-    def _update_pacer(self, searcher: Searcher) -> None:
-        limited = self._limited.setdefault(searcher.entry.service, set())
-        if searcher.rate_limit is None:
-            searcher.pacer = None
-            limited.discard(searcher.entry.identifier)
-            return
-        limited.add(searcher.entry.identifier)
-        now = self.clock.monotonic()
-        share = self._host_group.rate_share(
-            searcher.entry.identifier, searcher.rate_limit
-        )
-        if searcher.pacer is None:
-            searcher.pacer = RequestPacer(share, now, self.generator.random())
-        else:
-            searcher.pacer.set_share(share, now)
+    def _find_searcher(self, identifier: str) -> Searcher | None:
+        return self._searchers.get(identifier)
 
     def budget(self, service: str) -> ExtraLoadBudget:
         """Return the budget of hedges and retries of a service."""
@@ -364,7 +344,7 @@
     def admit_waiting(self, service: str) -> None:
         """Admit waiting requests of a service while a searcher has spare capacity.
 
-        All are admitted, to be refused, if limits leave no searcher that takes them.
+        All are admitted, to be refused, if no searcher is open.
         """
         queue = self._wait_queues.get(service)
         if not queue:
@@ -376,7 +356,7 @@
         # Bounded because a request that has already tried every searcher with
         # spare capacity is queued again at once.
         for _ in range(MAX_ADMISSIONS):
-            if not any(item.has_capacity for item in self.usable_searchers(service)):
+            if not any(item.has_capacity for item in self.open_searchers(service)):
                 return
             if not queue.admit_next():
                 return
--- /dev/null
+++ b/foxtailseam/dispatch/_gates.py
@@ -0,0 +1,151 @@
+"""The gates of all searchers of this host, kept up to date with their conditions."""
+
+import random
+from collections.abc import Callable
+
+from foxtailseam.clocks import Clock
+from foxtailseam.conditions import (
+    Condition,
+    ConditionRegistry,
+    Leaving,
+    Pause,
+    RateLimit,
+    SearcherConditions,
+)
+from foxtailseam.dispatch._gate import GateContext, SearcherGate, changed_conditions
+from foxtailseam.dispatch._searcher import Searcher
+from foxtailseam.dispatch._wire_format import AnswerMetadata
+from foxtailseam.rate_limits import HostGroup
+
+# Drain time of searchers until the settings name one, in seconds.
+DEFAULT_DRAIN_SECONDS = 3.0
+
+
+class SearcherGates:
+    """Opens and closes the gates of searchers as they report conditions.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    generator : random.Random
+        Spreads the first requests to a limited searcher.
+    find : callable
+        Returns the registered searcher with an identifier, or None.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        generator: random.Random,
+        find: Callable[[str], Searcher | None],
+    ):
+        self.clock = clock
+        self.generator = generator
+        self.find = find
+        self.drain_seconds = DEFAULT_DRAIN_SECONDS
+        # What the hosts know of the conditions of searchers.
+        self.conditions = ConditionRegistry(clock, generator)
+        self.conditions.on_notice = self._on_notice
+        # Called with a searcher and a condition of it that changed.
+        self.on_change: Callable[[Searcher, Condition], None] = lambda *_: None
+        # Called with a searcher and the name of a condition that cannot be read.
+        self.on_malformed: Callable[[Searcher, str], None] = lambda *_: None
+        # Called with the service of a searcher whose gate changed by another host's
+        # notice.
+        self.on_gate_change: Callable[[str], None] = lambda service: None
+        self._hosts = HostGroup()
+        # Identifiers of the searchers of each service that have a gate.
+        self._gated: dict[str, set[str]] = {}
+
+    def has_gates(self, service: str) -> bool:
+        """Return whether any searcher of a service has reported conditions."""
+        return bool(self._gated.get(service))
+
+    @property
+    def gated(self) -> tuple[Searcher, ...]:
+        """Return all searchers that have reported conditions."""
+        found = [self.find(name) for names in self._gated.values() for name in names]
+        return tuple(searcher for searcher in found if searcher is not None)
+
+    def set_hosts(self, hosts: HostGroup) -> None:
+        """Set the hosts that share the searchers."""
+        self._hosts = hosts
+        for searcher in self.gated:
+            self.update(searcher)
+
+    def remove(self, searcher: Searcher) -> None:
+        """Forget a searcher that is no longer registered."""
+        gated = self._gated.get(searcher.entry.service)
+        if gated:
+            gated.discard(searcher.entry.identifier)
+
+    def update(self, searcher: Searcher) -> None:
+        """Make the gate of a searcher match its conditions; report what changed."""
+        entry = searcher.entry
+        known = self.conditions.get(entry.identifier, entry.started_ms)
+        gate = searcher.gate
+        if known is None:
+            if gate is not None:
+                searcher.gate = None
+                self.remove(searcher)
+            return
+        context = GateContext(
+            entry.identifier, entry.slots, self._hosts, self.drain_seconds
+        )
+        now = self.clock.monotonic()
+        before = gate.conditions if gate is not None else None
+        if gate is None:
+            searcher.gate = SearcherGate(context, known, now, self.generator.random())
+            self._gated.setdefault(entry.service, set()).add(entry.identifier)
+        else:
+            gate.update(context, known, now)
+        for condition in changed_conditions(before, known):
+            self.on_change(searcher, condition)
+
+    def record(self, searcher: Searcher, metadata: AnswerMetadata) -> None:
+        """Apply the conditions that a searcher's answer reports.
+
+        The previous limit holds if the answer names one that cannot be read, and if it
+        is a rejection that names none. An answer that says nothing of a pause or of
+        leaving ends neither. One from another searcher changes nothing.
+
+        Parameters
+        ----------
+        searcher : Searcher
+            Searcher to which the request was sent.
+        metadata : AnswerMetadata
+            What its answer says.
+        """
+        entry = searcher.entry
+        if self.find(entry.identifier) is not searcher or metadata.is_misdirected:
+            return
+        if metadata.malformed:
+            self.on_malformed(searcher, metadata.malformed)
+        now = self.clock.monotonic()
+        conditions = SearcherConditions(
+            entry.started_ms,
+            rate_limit=_rate_limit(searcher, metadata, now),
+            leaving=Leaving(now) if metadata.is_leaving else None,
+            pause=None
+            if metadata.pause is None
+            else Pause(now + metadata.pause.total_seconds()),
+        )
+        if self.conditions.record(entry.identifier, conditions):
+            self.update(searcher)
+
+    def _on_notice(self, identifier: str) -> None:
+        searcher = self.find(identifier)
+        if searcher is not None:
+            self.update(searcher)
+            self.on_gate_change(searcher.entry.service)
+
+
+def _rate_limit(
+    searcher: Searcher, metadata: AnswerMetadata, now: float
+) -> RateLimit | None:
+    if metadata.rate_limit is not None:
+        return RateLimit(metadata.rate_limit, now)
+    has_limit = searcher.gate is not None and searcher.gate.rate is not None
+    names_none = not metadata.not_run and not metadata.is_limit_malformed
+    return RateLimit(None, now) if has_limit and names_none else None
--- a/foxtailseam/dispatch/_query.py
+++ b/foxtailseam/dispatch/_query.py
@@ -1,5 +1,6 @@
 """Base class and values common to single-service and all-shard queries."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -8,7 +9,7 @@
 from foxtailseam.dispatch._dispatcher import Dispatcher, TimerHandle
 from foxtailseam.dispatch._results import FailureReason
 from foxtailseam.dispatch._wait_queue import (
-    MAX_RATE_LIMITED_RETRY_AFTER,
+    MAX_KNOWN_RETRY_AFTER,
     clamp_retry_after,
 )
 
@@ -131,17 +132,18 @@
         lacking : int
             Number of plans that need a searcher.
         """
-        limit_waits = [
-            wait
+        dispatcher = self.dispatcher
+        closed = sorted(
+            (dispatcher.closed_wait(plan.service), plan.service)
             for plan in plans
-            if (wait := self.dispatcher.rate_limit_wait(plan.service)) > 0.0
-        ]
-        if len(limit_waits) < lacking:
+            if not dispatcher.open_searchers(plan.service)
+        )
+        wait, service = closed[lacking - 1]
+        if wait == math.inf:
             return _refused(FailureReason.NO_SEARCHER, NO_SEARCHER_RETRY_AFTER)
-        wait = sorted(limit_waits)[lacking - 1]
         return _refused(
-            FailureReason.RATE_LIMITED,
-            clamp_retry_after(wait, MAX_RATE_LIMITED_RETRY_AFTER),
+            dispatcher.closed_reason(service),
+            clamp_retry_after(wait, MAX_KNOWN_RETRY_AFTER),
         )
 
 
--- a/foxtailseam/dispatch/_results.py
+++ b/foxtailseam/dispatch/_results.py
@@ -13,6 +13,7 @@
     NO_SEARCHER = "no-searcher"
     SHED = "shed"
     RATE_LIMITED = "rate-limited"
+    PAUSED = "paused"
     LOST = "lost"
     ERROR = "error"
     DEADLINE = "deadline"
--- a/foxtailseam/dispatch/_searcher.py
+++ b/foxtailseam/dispatch/_searcher.py
@@ -1,15 +1,14 @@
 """State of one searcher on this host."""
 
-import math
 from collections.abc import Callable
 from typing import Protocol
 
 from foxtailseam.catalogue import SearcherEntry
 from foxtailseam.clocks import Clock
+from foxtailseam.dispatch._gate import SearcherGate
 from foxtailseam.dispatch._health import SearcherHealth
 from foxtailseam.dispatch._searcher_selection import Candidate
 from foxtailseam.http import ExchangeResult
-from foxtailseam.rate_limits import RequestPacer
 
 # Number of requests beyond its slots that one host sends to a searcher, so that the
 # slots stay busy while requests and answers are in transit.
@@ -88,11 +87,8 @@
         self.health = SearcherHealth(clock)
         # Whether the published entry is missing.
         self.is_lapsed = False
-        # Requests per second that the searcher accepts from all hosts together, as its
-        # latest answer says; None if that names no limit.
-        self.rate_limit: float | None = None
-        # Keeps this host within its part of the limit; None without a limit.
-        self.pacer: RequestPacer | None = None
+        # None if the searcher has reported no conditions.
+        self.gate: SearcherGate | None = None
         self._warmup_ends_at = clock.monotonic() + entry.warmup.total_seconds()
         # Requests in flight by number, oldest first: time of sending and median
         # response time of the route.
@@ -111,24 +107,13 @@
         return (
             len(self._in_flight) < max_in_flight
             and self.pool.has_capacity
-            and (self.pacer is None or not self.is_rate_limited)
+            and self.is_open
         )
 
     @property
-    def is_rate_limited(self) -> bool:
-        """Return whether this host has used up its part of the searcher's limit."""
-        return self.pacer is not None and self.pacer.wait(self.clock.monotonic()) > 0.0
-
-    @property
-    def rate_limit_wait(self) -> float:
-        """Return the seconds until the searcher takes a request of some host.
-
-        0 without a limit.
-        """
-        if self.pacer is None:
-            return 0.0
-        any_host = 1.0 / self.rate_limit if self.rate_limit else math.inf
-        return min(any_host, self.pacer.wait(self.clock.monotonic()))
+    def is_open(self) -> bool:
+        """Return whether the conditions that the searcher reported allow a request."""
+        return self.gate is None or self.gate.wait(self.clock.monotonic()) <= 0.0
 
     def update(self, entry: SearcherEntry) -> None:
         """Replace the entry by a newer one of the same process run."""
@@ -145,8 +130,8 @@
         now : float
             Current monotonic time in seconds.
         """
-        if self.pacer is not None:
-            self.pacer.take(now)
+        if self.gate is not None:
+            self.gate.take(now)
         self._last_number += 1
         self._in_flight[self._last_number] = (now, median_time)
         return self._last_number
--- a/foxtailseam/dispatch/_wait_queue.py
+++ b/foxtailseam/dispatch/_wait_queue.py
@@ -7,8 +7,9 @@
 # Bounds of the retry delay given to a refused caller, in seconds.
 MIN_RETRY_AFTER = 0.05
 MAX_RETRY_AFTER = 2.0
-# Upper bound if a searcher's limit decides, which is known, unlike a queue's length.
-MAX_RATE_LIMITED_RETRY_AFTER = 30.0
+# Upper bound if a searcher has said when it takes requests again. That is known, unlike
+# the length of a queue.
+MAX_KNOWN_RETRY_AFTER = 30.0
 
 
 class WaitEntry:
--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -8,6 +8,7 @@
 
 from foxtailseam.catalogue import Catalogue
 from foxtailseam.clocks import Clock
+from foxtailseam.conditions import ConditionRegistry
 from foxtailseam.fleet._membership import HostRecord, Membership
 from foxtailseam.fleet._messages import (
     FollowRequest,
@@ -19,7 +20,6 @@
 from foxtailseam.fleet._tree import TreePosition, compute_position
 from foxtailseam.logs import EventCode, LogWriter
 from foxtailseam.quarantine import QuarantineController
-from foxtailseam.rate_limits import LimitObservations
 from foxtailseam.store import Item, Listing, Position, StoreFollower, StoreReplica
 
 # Age sent to followers by a host that was never in sync, in milliseconds.
@@ -104,8 +104,8 @@
         Called with the addresses of the alive hosts when the membership changes.
     quarantine : QuarantineController
         Suspicion states of requests, which the hosts share.
-    limits : LimitObservations
-        Limits of searchers, which the hosts share.
+    conditions : ConditionRegistry
+        Conditions of searchers, which the hosts share.
     """
 
     def __init__(
@@ -121,7 +121,7 @@
         generator: random.Random,
         on_members: Callable[[frozenset[str]], None],
         quarantine: QuarantineController,
-        limits: LimitObservations,
+        conditions: ConditionRegistry,
     ):
         self.seeds = seeds
         self.replica = replica
@@ -133,7 +133,7 @@
         self.generator = generator
         self.on_members = on_members
         self.quarantine = quarantine
-        self.limits = limits
+        self.conditions = conditions
         self.membership = Membership(own_record, clock, generator)
         self._position = TreePosition(True, ())
         self._parents: dict[str, _Parent] = {}
@@ -325,15 +325,18 @@
             channel.close()
 
     def _build_exchange(self) -> MemberExchange:
+        conditions = self.conditions.notices()
         return MemberExchange(
             self.membership.gossip_records(),
             self.quarantine.notices(),
-            self.limits.notices(),
+            conditions.limits,
+            conditions.leaving,
+            conditions.pauses,
         )
 
     def _merge_exchange(self, message: MemberExchange) -> None:
         self._merge_records(message.records)
-        self.limits.merge(message.limits)
+        self.conditions.merge(message.conditions)
         if self.quarantine.merge(message.notices):
             self.gossip_now()
 
--- a/foxtailseam/fleet/_messages.py
+++ b/foxtailseam/fleet/_messages.py
@@ -6,9 +6,14 @@
 
 import msgspec
 
+from foxtailseam.conditions import (
+    ConditionNotices,
+    LeavingNotice,
+    LimitNotice,
+    PauseNotice,
+)
 from foxtailseam.fleet._membership import HostRecord
 from foxtailseam.quarantine import SuspicionNotice
-from foxtailseam.rate_limits import LimitNotice
 from foxtailseam.store import Change, Item, Position, Removal
 
 
@@ -24,11 +29,22 @@
         Suspicion states of requests that are known to the sender.
     limits : tuple of LimitNotice
         Limits of searchers that are known to the sender.
+    leaving : tuple of LeavingNotice
+        Searchers of which the sender knows that they are about to stop.
+    pauses : tuple of PauseNotice
+        Searchers that asked the sender, or a host that told it so, for a pause.
     """
 
     records: tuple[HostRecord, ...]
     notices: tuple[SuspicionNotice, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
+    leaving: tuple[LeavingNotice, ...] = ()
+    pauses: tuple[PauseNotice, ...] = ()
+
+    @property
+    def conditions(self) -> ConditionNotices:
+        """Return the notices of the conditions of searchers."""
+        return ConditionNotices(self.limits, self.leaving, self.pauses)
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailseam/fleet/tests/test_controller.py
+++ b/foxtailseam/fleet/tests/test_controller.py
@@ -14,6 +14,16 @@
 
 from foxtailseam.catalogue import Catalogue
 from foxtailseam.clocks import HybridClock, SystemClock
+from foxtailseam.conditions import (
+    ConditionRegistry,
+    Leaving,
+    LeavingNotice,
+    LimitNotice,
+    Pause,
+    PauseNotice,
+    RateLimit,
+    SearcherConditions,
+)
 from foxtailseam.fleet import FleetController, FleetSettings, HostRecord
 from foxtailseam.fleet._controller import _Parent
 from foxtailseam.fleet._messages import (
@@ -24,7 +34,6 @@
     decompress_changes,
 )
 from foxtailseam.quarantine import QuarantineController
-from foxtailseam.rate_limits import LimitNotice, LimitObservations
 from foxtailseam.store import (
     FollowerSettings,
     HistoryCompacted,
@@ -151,7 +160,7 @@
             generator,
             lambda hosts: None,
             QuarantineController(clock, HybridClock(clock)),
-            LimitObservations(clock, generator),
+            ConditionRegistry(clock, generator),
         )
 
 
@@ -216,12 +225,25 @@
 
         run_scenario(scenario)
 
-    def test_limits_of_searchers_reach_all_hosts(self):
+    def test_conditions_of_searchers_reach_all_hosts(self):
+        def is_known(host):
+            known = host.fleet.conditions.get("i-1", 7)
+            return (
+                known is not None
+                and known.rate_limit.rate == 2.5
+                and known.leaving is not None
+                and (known.pause or known.peer_pause) is not None
+            )
+
         async def scenario(service, hosts):
-            hosts[0].fleet.limits.record("i-1", 7, 2.5)
-            await eventually(
-                lambda: all(h.fleet.limits.limit("i-1", 7) == 2.5 for h in hosts)
+            now = asyncio.get_running_loop().time()
+            hosts[0].fleet.conditions.record(
+                "i-1",
+                SearcherConditions(
+                    7, RateLimit(2.5, now), Leaving(now), Pause(now + 9)
+                ),
             )
+            await eventually(lambda: all(map(is_known, hosts)))
 
         run_scenario(scenario)
 
@@ -229,7 +251,14 @@
         record = HostRecord("10.0.0.1:1", "d1", 1)
         old = msgspec.msgpack.encode({"records": [record], "notices": []})
         assert msgspec.msgpack.decode(old, type=MemberExchange).limits == ()
-        new = MemberExchange((record,), (), (LimitNotice("i-1", 7, None, 5),))
+        assert msgspec.msgpack.decode(old, type=MemberExchange).leaving == ()
+        new = MemberExchange(
+            (record,),
+            (),
+            (LimitNotice("i-1", 7, None, 5),),
+            (LeavingNotice("i-1", 7, 5),),
+            (PauseNotice("i-1", 7, 5),),
+        )
         decoded = msgspec.msgpack.decode(
             msgspec.msgpack.encode(new), type=MemberExchange
         )
--- /dev/null
+++ b/foxtailseam/front/_condition_log.py
@@ -0,0 +1,80 @@
+"""Log events and metrics on the conditions that searchers report."""
+
+from foxtailseam.conditions import Condition, Leaving, Pause, RateLimit
+from foxtailseam.dispatch import MALFORMED_LIMIT, MALFORMED_PAUSE, Dispatcher, Searcher
+from foxtailseam.logs import EventCode, LogWriter
+from foxtailseam.metrics import Metrics
+
+_MALFORMED_EVENTS = {
+    MALFORMED_LIMIT: EventCode.SEARCHER_LIMIT_INVALID,
+    MALFORMED_PAUSE: EventCode.SEARCHER_PAUSE_INVALID,
+}
+
+
+class ConditionLog:
+    """Writes an event for each change of a searcher's conditions.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Dispatcher whose searchers report conditions.
+    log : LogWriter
+        Log that receives the events.
+    metrics : Metrics
+        Registry of the counters and gauges.
+    """
+
+    def __init__(self, dispatcher: Dispatcher, log: LogWriter, metrics: Metrics):
+        self.dispatcher = dispatcher
+        self.log = log
+        self.metrics = metrics
+
+    def record_change(self, searcher: Searcher, condition: Condition) -> None:
+        """Write the event of a new or changed condition."""
+        match condition:
+            case RateLimit(rate=rate):
+                self.metrics.add("searcher_limit_changes")
+                pacer = searcher.gate.pacer
+                interval_ms = pacer and round(pacer.share.interval * 1000)
+                self._write(
+                    EventCode.SEARCHER_LIMITED,
+                    searcher,
+                    limit=rate,
+                    interval_ms=interval_ms,
+                    hosts=self.dispatcher.hosts,
+                )
+            case Leaving(since=since):
+                self.metrics.add("searcher_leaving_notices")
+                self._write(
+                    EventCode.SEARCHER_LEAVING_SOON,
+                    searcher,
+                    age_ms=self._milliseconds_since(since),
+                )
+            case Pause(ends_at=ends_at):
+                self.metrics.add("searcher_pauses")
+                self._write(
+                    EventCode.SEARCHER_PAUSED,
+                    searcher,
+                    pause_ms=-self._milliseconds_since(ends_at),
+                )
+
+    def record_malformed(self, searcher: Searcher, condition: str) -> None:
+        """Write the event of a condition that cannot be read."""
+        rate = searcher.gate.rate if searcher.gate is not None else None
+        self._write(_MALFORMED_EVENTS[condition], searcher, limit=rate)
+
+    def set_gauges(self) -> None:
+        """Set the numbers of searchers that are limited, leaving or pausing now."""
+        now = self.dispatcher.clock.monotonic()
+        gates = [searcher.gate for searcher in self.dispatcher.gates.gated]
+        limited = sum(gate.rate is not None for gate in gates)
+        self.metrics.set("searchers_limited_now", limited)
+        self.metrics.set("searchers_leaving_now", sum(g.is_leaving for g in gates))
+        self.metrics.set("searchers_paused_now", sum(g.is_paused(now) for g in gates))
+
+    def _write(self, code: EventCode, searcher: Searcher, **fields: object) -> None:
+        entry = searcher.entry
+        self.log.write(code, searcher=entry.identifier, service=entry.service, **fields)
+
+    def _milliseconds_since(self, at: float) -> int:
+        return round((self.dispatcher.clock.monotonic() - at) * 1000)
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -16,8 +16,9 @@
 from result import Result
 
 from foxtailseam.clocks import HybridClock, SuspendAwareClock
-from foxtailseam.dispatch import BudgetSettings, Dispatcher, Searcher
+from foxtailseam.dispatch import BudgetSettings, Dispatcher
 from foxtailseam.fleet import FleetController, FleetSettings, HostRecord
+from foxtailseam.front._condition_log import ConditionLog
 from foxtailseam.front._configuration import ConfigurationManager
 from foxtailseam.front._front import FrontEnd
 from foxtailseam.front._overload_guard import OverloadGuard
@@ -129,8 +130,11 @@
             self._generator,
         )
         self.dispatcher.on_ejected = self._on_ejected
-        self.dispatcher.on_limit_change = self._on_limit_change
-        self.dispatcher.on_malformed_limit = self._on_malformed_limit
+        self._condition_log = ConditionLog(self.dispatcher, self.log, self.metrics)
+        gates = self.dispatcher.gates
+        gates.drain_seconds = bounds.searcher_drain.total_seconds()
+        gates.on_change = self._condition_log.record_change
+        gates.on_malformed = self._condition_log.record_malformed
         self.configuration_manager = ConfigurationManager(
             self.dispatcher,
             self.clock,
@@ -176,7 +180,7 @@
             self._generator,
             self._on_members,
             quarantine,
-            self.dispatcher.limit_observations,
+            self.dispatcher.gates.conditions,
         )
         self._quarantine_guard.on_update = self._fleet.gossip_now
         self._caller_listener = Listener(
@@ -293,7 +297,7 @@
     def _on_members(self, addresses: frozenset[str]) -> None:
         # A host that has just started may not know all the others yet.
         self.dispatcher.hosts = max(len(addresses), MIN_HOSTS)
-        self.dispatcher.set_host_group(HostGroup(self.settings.peers, addresses))
+        self.dispatcher.gates.set_hosts(HostGroup(self.settings.peers, addresses))
         self.metrics.set("hosts", len(addresses))
 
     def _on_configuration(self, configuration: Configuration) -> None:
@@ -351,24 +355,6 @@
             revision=self._replica.position.revision,
         )
 
-    def _on_limit_change(self, searcher: Searcher) -> None:
-        self.metrics.add("searcher_limit_changes")
-        self.log.write(
-            EventCode.SEARCHER_LIMITED,
-            searcher=searcher.entry.identifier,
-            service=searcher.entry.service,
-            limit=searcher.rate_limit,
-            interval_ms=searcher.pacer and round(searcher.pacer.share.interval * 1000),
-            hosts=self.dispatcher.hosts,
-        )
-
-    def _on_malformed_limit(self, searcher: Searcher) -> None:
-        self.log.write(
-            EventCode.SEARCHER_LIMIT_INVALID,
-            searcher=searcher.entry.identifier,
-            limit=searcher.rate_limit,
-        )
-
     def _on_ejected(self, searcher) -> None:
         self.metrics.add("searchers_ejected")
         self.log.write(
@@ -408,6 +394,7 @@
         metrics.set("buffered_body_bytes", self._caller_listener.buffered_bytes)
         searchers = self.dispatcher.searchers
         metrics.set("searchers", len(searchers))
+        self._condition_log.set_gauges()
         ejected = sum(item.health.is_ejected for item in searchers)
         metrics.set("searchers_ejected_now", ejected)
 
--- a/foxtailseam/front/_responses.py
+++ b/foxtailseam/front/_responses.py
@@ -29,6 +29,7 @@
     FailureReason.NO_SEARCHER: timedelta(milliseconds=500),
     FailureReason.SHED: timedelta(milliseconds=100),
     FailureReason.RATE_LIMITED: timedelta(milliseconds=500),
+    FailureReason.PAUSED: timedelta(milliseconds=500),
     FailureReason.BUDGET: timedelta(milliseconds=200),
     FailureReason.LOST: timedelta(milliseconds=100),
     FailureReason.ERROR: timedelta(milliseconds=100),
--- a/foxtailseam/front/tests/test_rate_limits.py
+++ b/foxtailseam/front/tests/test_rate_limits.py
@@ -57,8 +57,8 @@
 def exchange_limits(tiers, generator):
     """Let each host exchange what it knows of limits with another one, repeatedly."""
     for tier in tiers:
-        own = tier.dispatcher.limit_observations
-        other = generator.choice(tiers).dispatcher.limit_observations
+        own = tier.dispatcher.gates.conditions
+        other = generator.choice(tiers).dispatcher.gates.conditions
         notices = own.notices()
         own.merge(other.notices())
         other.merge(notices)
--- a/foxtailseam/hosts/__init__.py
+++ b/foxtailseam/hosts/__init__.py
@@ -3,6 +3,7 @@
 from foxtailseam.hosts._hosts import HostList, HostState, ListedHost, parse_hosts
 from foxtailseam.hosts._rendezvous import (
     balanced_orders,
+    rendezvous_draw,
     rendezvous_order,
     rendezvous_subset,
 )
@@ -13,6 +14,7 @@
     "ListedHost",
     "balanced_orders",
     "parse_hosts",
+    "rendezvous_draw",
     "rendezvous_order",
     "rendezvous_subset",
 ]
--- a/foxtailseam/hosts/_rendezvous.py
+++ b/foxtailseam/hosts/_rendezvous.py
@@ -41,6 +41,19 @@
     return tuple(ranked)
 
 
+def rendezvous_draw(key: str, node: str) -> float:
+    """Return the number from 0 to 1 by which a node is ranked for a key.
+
+    Parameters
+    ----------
+    key : str
+        Name of the item to assign.
+    node : str
+        The candidate.
+    """
+    return _weight(key, node) / 2**32
+
+
 def rendezvous_subset(key: str, nodes: Iterable[str], size: int) -> frozenset[str]:
     """Return the most preferred nodes for a key.
 
--- a/foxtailseam/platform/_headers.py
+++ b/foxtailseam/platform/_headers.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from foxtailseam.dispatch import AnswerMetadata
+from foxtailseam.dispatch import MALFORMED_LIMIT, MALFORMED_PAUSE, AnswerMetadata
 from foxtailseam.http import Headers, HttpRequest, render_request_head, strip_hop_by_hop
 
 _REQUEST_ID = b"foxtailseam-request-id"
@@ -13,6 +13,10 @@
 _STAMP = b"foxtailseam-server-stamp"
 _NOT_EXECUTED = b"foxtailseam-not-executed"
 _RATE_LIMIT = b"server-limit"
+# Value 1: the searcher is about to stop.
+_LEAVING = b"server-leaving"
+# In a rejection: seconds in which the searcher wants no request from this host.
+_RETRY_AFTER = b"retry-after"
 _INSTANCE = b"foxtailseam-instance-id"
 
 # Searchers echo the identifier of the request in this response header.
@@ -20,6 +24,10 @@
 
 _REPLACED_HEADERS = frozenset({_DEADLINE, _EXPECT_INSTANCE})
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+_TRUE = b"1"
+# Longest pause of a searcher that is believed; a longer one counts as this.
+_MAX_PAUSE = timedelta(hours=1)
 # Greatest limit of a searcher that is believed, in requests per second.
 _MAX_RATE = 1e9
 _RETRY_AFTER_FORMAT = b"%.3f"
@@ -60,12 +68,13 @@
     """Return the metadata in the status and headers of a searcher's response.
 
     Status 421 means that another searcher now has the address, so the request was not
-    run.
+    run. A pause is a number of seconds; dates are not read, since clocks differ.
     """
     stamp = b""
     not_run = status == _MISDIRECTED
-    rate_limit = None
-    is_limit_malformed = False
+    rate_limit = pause = None
+    is_leaving = False
+    malformed = ""
     for name, value in headers:
         lower = name.lower()
         if lower == _STAMP:
@@ -74,9 +83,20 @@
             not_run = True
         elif lower == _RATE_LIMIT:
             rate_limit = _parse_rate(value)
-            is_limit_malformed = rate_limit is None
+            malformed = malformed if rate_limit is not None else MALFORMED_LIMIT
+        elif lower == _LEAVING:
+            is_leaving = value.strip() == _TRUE
+        elif lower == _RETRY_AFTER and status == _UNAVAILABLE:
+            pause = _parse_pause(value)
+            malformed = malformed if pause is not None else MALFORMED_PAUSE
     return AnswerMetadata(
-        stamp, not_run, status == _MISDIRECTED, rate_limit, is_limit_malformed
+        stamp,
+        not_run,
+        status == _MISDIRECTED,
+        rate_limit,
+        is_leaving,
+        pause,
+        malformed,
     )
 
 
@@ -181,6 +201,16 @@
     return value if 0 <= value < _MAX_RATE else None
 
 
+def _parse_pause(text: bytes) -> timedelta | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    if not value >= 0:
+        return None
+    return timedelta(seconds=min(value, _MAX_PAUSE.total_seconds()))
+
+
 def _parse_milliseconds(text: bytes) -> timedelta | None:
     try:
         value = float(text)
--- a/foxtailseam/platform/_settings.py
+++ b/foxtailseam/platform/_settings.py
@@ -20,6 +20,8 @@
     ----------
     shutdown_grace : timedelta
         Time from SIGTERM to SIGKILL.
+    searcher_drain : timedelta
+        Time after a searcher's notice that it leaves in which it still serves.
     configuration_delay : timedelta
         Longest time from the acceptance of a configuration until all hosts use it.
     retry_ratio : float
@@ -33,6 +35,7 @@
     """
 
     shutdown_grace: timedelta
+    searcher_drain: timedelta
     configuration_delay: timedelta
     retry_ratio: float
     retry_window: timedelta
@@ -108,6 +111,7 @@
 @dataclass(frozen=True)
 class _Bounds:
     grace_s: float = 6
+    drain_ms: float = 3000
     config_apply_ms: float = 3000
     # Extra requests allowed in a window: the ratio times the requests, plus the slack.
     retry_budget_ratio: float = 0.2
@@ -166,6 +170,7 @@
             limits=HostLimits(int(document.limits.memory_mb), document.limits.max_fds),
             bounds=Bounds(
                 shutdown_grace=timedelta(seconds=bounds.grace_s),
+                searcher_drain=timedelta(milliseconds=bounds.drain_ms),
                 configuration_delay=timedelta(milliseconds=bounds.config_apply_ms),
                 retry_ratio=bounds.retry_budget_ratio,
                 retry_window=timedelta(seconds=bounds.retry_window_s),
--- a/foxtailseam/platform/tests/test_decoding.py
+++ b/foxtailseam/platform/tests/test_decoding.py
@@ -254,6 +254,40 @@
         answer = parse_response_headers(200, ())
         assert answer.rate_limit is None
         assert not answer.is_limit_malformed
+        assert not answer.has_conditions
+
+    @pytest.mark.parametrize(
+        ("text", "is_leaving"), [(b"1", True), (b" 1 ", True), (b"0", False)]
+    )
+    def test_searcher_that_says_that_it_leaves(self, text, is_leaving):
+        for status in (200, 500, 503):
+            answer = parse_response_headers(status, ((b"Server-Leaving", text),))
+            assert answer.is_leaving is is_leaving
+
+    @pytest.mark.parametrize(
+        ("text", "seconds"),
+        [
+            (b"2", 2.0),
+            (b"0.25", 0.25),
+            (b"0", 0.0),
+            (b"1e12", 3600.0),
+            (b"inf", 3600.0),
+            (b"-1", None),
+            (b"nan", None),
+            (b"soon", None),
+            (b"", None),
+            (b"Fri, 04 Dec 2026 12:00:00 GMT", None),
+        ],
+    )
+    def test_pause_that_a_searcher_asks_for(self, text, seconds):
+        answer = parse_response_headers(503, ((b"retry-after", text),))
+        assert answer.pause == (None if seconds is None else timedelta(seconds=seconds))
+        assert bool(answer.malformed) is (seconds is None)
+
+    @pytest.mark.parametrize("status", [200, 429, 500, 502])
+    def test_only_status_503_asks_for_a_pause(self, status):
+        answer = parse_response_headers(status, ((b"Retry-After", b"2"),))
+        assert answer.pause is None
 
     def test_headers_of_responses_to_the_caller(self):
         merged = dict(merged_response_headers(b"0a", [b"x", b"y"], 3))
--- a/foxtailseam/rate_limits/__init__.py
+++ b/foxtailseam/rate_limits/__init__.py
@@ -1,12 +1,5 @@
-"""Request limits that searchers name, and how the hosts share them."""
+"""How the hosts share the request rate that a searcher accepts."""
 
-from foxtailseam.rate_limits._observations import LimitNotice, LimitObservations
 from foxtailseam.rate_limits._sharing import HostGroup, RateShare, RequestPacer
 
-__all__ = [
-    "HostGroup",
-    "LimitNotice",
-    "LimitObservations",
-    "RateShare",
-    "RequestPacer",
-]
+__all__ = ["HostGroup", "RateShare", "RequestPacer"]
--- a/foxtailseam/rate_limits/_sharing.py
+++ b/foxtailseam/rate_limits/_sharing.py
@@ -8,7 +8,7 @@
 import math
 from dataclasses import dataclass, field
 
-from foxtailseam.hosts import rendezvous_subset
+from foxtailseam.hosts import rendezvous_draw, rendezvous_subset
 
 # Hosts that send to a limited searcher for each request per second of its limit, beside
 # the first one.
@@ -20,6 +20,10 @@
 # Mean time between two requests of all other hosts together to a limited searcher, in
 # seconds.
 PROBE_SPACING = 8.0
+# Hosts return to a searcher after a pause in groups of one more than it has slots, this
+# many seconds apart, the last ones after the maximum.
+RETURN_STEP_SECONDS = 0.1
+MAX_RETURN_SECONDS = 2.0
 # Number of hosts assumed at least: one that has just started may not know the others.
 MIN_ASSUMED_HOSTS = 4
 
@@ -79,6 +83,22 @@
             return RateShare(senders / limit, max(1.0, burst), True)
         return RateShare(PROBE_SPACING * max(1, hosts - senders), 1.0, False)
 
+    def return_delay(self, searcher: str, slots: int) -> float:
+        """Return the seconds that this host waits after the end of a pause.
+
+        Few hosts return to a searcher at the same time.
+
+        Parameters
+        ----------
+        searcher : str
+            Identifier of the searcher.
+        slots : int
+            Number of requests that the searcher runs concurrently.
+        """
+        draw = rendezvous_draw(searcher, self.own_address)
+        group = int(draw * len(self.addresses) / (slots + 1))
+        return min(MAX_RETURN_SECONDS, group * RETURN_STEP_SECONDS)
+
 
 class RequestPacer:
     """Token bucket that keeps the requests of this host within its `RateShare`.
--- a/foxtailseam_bench/simulation/_searcher.py
+++ b/foxtailseam_bench/simulation/_searcher.py
@@ -18,6 +18,10 @@
 SHED_STATUS = 503
 # Names the limit of a searcher in its responses.
 LIMIT_HEADER = b"limit"
+# Says in its responses that a searcher is leaving.
+LEAVING_HEADER = b"leaving"
+# In a rejection: seconds for which a searcher wants no request from the host.
+PAUSE_HEADER = b"pause"
 # Time after which a searcher that crashed accepts requests again.
 RESTART_SECONDS = 2.0
 
@@ -72,6 +76,14 @@
     rate_limit : float or None
         Requests per second that the searcher accepts from all hosts together, named in
         each response; None to name none. It does not reject what exceeds the limit.
+    is_leaving : bool
+        Whether each response says that the searcher is leaving. It serves as before.
+    pause_seconds : float or None
+        Pause that it asks for in each rejection; None to ask for none.
+    turns_away : bool
+        Whether it rejects every request.
+    leaving_answers, pause_answers : list of tuple of float, bytes
+        Time and request identifier of each response that said so.
     limit_answers : list of tuple of float, bytes
         Time and request identifier of each response that named a limit.
     loss_probability : float
@@ -106,6 +118,11 @@
         self.crashes = 0
         self.rate_limit: float | None = None
         self.limit_answers: list[tuple[float, bytes]] = []
+        self.is_leaving = False
+        self.pause_seconds: float | None = None
+        self.turns_away = False
+        self.leaving_answers: list[tuple[float, bytes]] = []
+        self.pause_answers: list[tuple[float, bytes]] = []
         self.loss_probability = 0.0
         self.arrivals: list[tuple[float, bytes]] = []
         self.sheds = 0
@@ -159,14 +176,22 @@
         if self.is_unresponsive:
             return
         self.arrivals.append((self.time.monotonic(), exchange.identifier))
-        if self._running < self.slots:
+        if self.turns_away:
+            self._reject(exchange)
+        elif self._running < self.slots:
             self._run(exchange)
         elif len(self._waiting) < self.queue_limit:
             self._waiting.append(exchange)
         else:
-            self.sheds += 1
-            shed = Received(HttpResponse(SHED_STATUS, self._limit_headers()))
-            self.time.call_later(NETWORK_SECONDS, self._reply, exchange, shed)
+            self._reject(exchange)
+
+    def _reject(self, exchange: SimulatedExchange) -> None:
+        self.sheds += 1
+        headers = self._condition_headers()
+        if self.pause_seconds is not None:
+            headers += ((PAUSE_HEADER, b"%g" % self.pause_seconds),)
+        shed = Received(HttpResponse(SHED_STATUS, headers))
+        self.time.call_later(NETWORK_SECONDS, self._reply, exchange, shed)
 
     def _crash(self, exchange: SimulatedExchange) -> None:
         self.crashes += 1
@@ -204,14 +229,17 @@
             waiting = self._waiting.pop(0)
             if waiting.done is not None:
                 self._run(waiting)
-        headers = ((b"stamp", b"s"), *self._limit_headers())
+        headers = ((b"stamp", b"s"), *self._condition_headers())
         response = HttpResponse(200, headers, b"0123456789abcdef")
         self.time.call_later(NETWORK_SECONDS, self._reply, exchange, Received(response))
 
-    def _limit_headers(self) -> Headers:
-        if self.rate_limit is None:
-            return ()
-        return ((LIMIT_HEADER, b"%g" % self.rate_limit),)
+    def _condition_headers(self) -> Headers:
+        headers = ()
+        if self.rate_limit is not None:
+            headers += ((LIMIT_HEADER, b"%g" % self.rate_limit),)
+        if self.is_leaving:
+            headers += ((LEAVING_HEADER, b"1"),)
+        return headers
 
     def _reply(self, exchange: SimulatedExchange, result: object) -> None:
         done, exchange.done = exchange.done, None
@@ -219,7 +247,12 @@
             return
         match result:
             case Received(response=response):
-                if find_header(response.headers, LIMIT_HEADER) is not None:
-                    now = self.time.monotonic()
-                    self.limit_answers.append((now, exchange.identifier))
+                answer = (self.time.monotonic(), exchange.identifier)
+                for header, answers in (
+                    (LIMIT_HEADER, self.limit_answers),
+                    (LEAVING_HEADER, self.leaving_answers),
+                    (PAUSE_HEADER, self.pause_answers),
+                ):
+                    if find_header(response.headers, header) is not None:
+                        answers.append(answer)
         done(result)
--- a/foxtailseam_bench/simulation/_tier.py
+++ b/foxtailseam_bench/simulation/_tier.py
@@ -25,7 +25,9 @@
 from foxtailseam.routing import Configuration
 from foxtailseam.store import Item, Position, Removal
 from foxtailseam_bench.simulation._searcher import (
+    LEAVING_HEADER,
     LIMIT_HEADER,
+    PAUSE_HEADER,
     SHED_STATUS,
     SimulatedSearcher,
 )
@@ -88,8 +90,15 @@
     """Return the metadata of a simulated searcher's response."""
     stamp = find_header(headers, b"stamp") or b""
     limit = find_header(headers, LIMIT_HEADER)
-    rate_limit = None if limit is None else float(limit)
-    return AnswerMetadata(stamp, status == SHED_STATUS, False, rate_limit)
+    pause = find_header(headers, PAUSE_HEADER)
+    return AnswerMetadata(
+        stamp,
+        not_run=status == SHED_STATUS,
+        is_misdirected=False,
+        rate_limit=None if limit is None else float(limit),
+        is_leaving=find_header(headers, LEAVING_HEADER) is not None,
+        pause=None if pause is None else timedelta(seconds=float(pause)),
+    )
 
 
 def tier_number(identifier: bytes) -> int:
@@ -151,7 +160,7 @@
         )
         self.dispatcher.hosts = hosts
         addresses = frozenset(f"host-{index}" for index in range(hosts))
-        self.dispatcher.set_host_group(HostGroup(f"host-{number}", addresses))
+        self.dispatcher.gates.set_hosts(HostGroup(f"host-{number}", addresses))
         self._overload_guard = OverloadGuard(time, generator)
         log = self.log
         quarantine = QuarantineController(time, HybridClock(time))
@@ -207,7 +216,9 @@
             if call.response is not None and path in call.path:
                 yield call
 
-    def publish(self, service: str, number: int, state: str = "ready") -> None:
+    def publish(
+        self, service: str, number: int, state: str = "ready", started_ms: int = 0
+    ) -> None:
         """Publish the entry of searcher `number` of a service."""
         searcher = self.searchers[service][number]
         entry = {
@@ -216,6 +227,7 @@
             "zone": f"d{number + 1}",
             "max_concurrency": searcher.slots,
             "state": state,
+            "born": started_ms,
         }
         key = f"servers/{service}-{number}"
         self.configuration_manager.apply_change(
