Let the seeds read the service until the members are known

Hypothesis: hosts lose their source since the tree's readers are not settled when the seeds stop. The seeds now read for the first seconds whatever their position is.

Kept, since a joint start needs a reader.

--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -125,27 +125,6 @@
         """
         return min(self.follower.age, self._followed_age())
 
-    @property
-    def _is_settled(self) -> bool:
-        """Return whether the members are known well enough to go by the tree."""
-        elapsed = self.clock.monotonic() - self._started_at
-        return (
-            self._gossip.is_converged
-            or self._is_seed
-            or elapsed >= self.settings.settle_time.total_seconds()
-        )
-
-    @property
-    def _is_seed(self) -> bool:
-        return self.membership.own_record.address in self.seeds or not self.seeds
-
-    @property
-    def _waits_for_others(self) -> bool:
-        """Return whether this host expects a copy from others after a joint start."""
-        elapsed = self.clock.monotonic() - self._started_at
-        patience = self.settings.start_patience.total_seconds()
-        return not self._is_seed and elapsed < patience
-
     @property
     def is_reading(self) -> bool:
         """Return whether this host currently reads the configuration service."""
@@ -345,10 +324,10 @@
     def _update_read_task(self) -> None:
         now = self.clock.monotonic()
         is_fresh = self._followed_age() < self.settings.max_staleness.total_seconds()
-        is_reader = self._position.is_reader and self._is_settled
-        if is_reader or not (is_fresh or self._waits_for_others):
+        is_reader = self._is_reader()
+        if is_reader or not (is_fresh or self._waits_for_others()):
             self._read_until = now + self.settings.read_hold_time.total_seconds()
-        elif is_fresh and not self._is_settled:
+        elif is_fresh and not self._is_settled():
             # The first listing was needed, but no further reads are.
             self._read_until = now
         must_read = now < self._read_until
@@ -361,6 +340,36 @@
             self._read_task = None
             self.log.write(EventCode.READING_STOPPED)
 
+    def _is_reader(self) -> bool:
+        """Return whether this host reads the service for others.
+
+        Soon after the start the members are not known well enough to go by the tree:
+        the seeds read then.
+        """
+        if self._is_settled():
+            return self._position.is_reader
+        return self._is_seed() and (self._read_task is not None or self._joint_start())
+
+    def _joint_start(self) -> bool:
+        return bool(self.settings.start_patience)
+
+    def _is_settled(self) -> bool:
+        settings = self.settings
+        elapsed = self.clock.monotonic() - self._started_at
+        if elapsed >= settings.settle_time.total_seconds():
+            return True
+        is_early = elapsed < settings.settle_time.total_seconds() / 2
+        return self._gossip.is_converged and not is_early
+
+    def _is_seed(self) -> bool:
+        return self.membership.own_record.address in self.seeds or not self.seeds
+
+    def _waits_for_others(self) -> bool:
+        """Return whether this host expects a copy from others after a joint start."""
+        elapsed = self.clock.monotonic() - self._started_at
+        patience = self.settings.start_patience.total_seconds()
+        return not self._is_seed() and elapsed < patience
+
     def _spawn(self, coroutine) -> None:
         self._tasks.add(asyncio.create_task(coroutine))
 
--- a/foxtailseam/fleet/tests/test_controller.py
+++ b/foxtailseam/fleet/tests/test_controller.py
@@ -55,6 +55,7 @@
     timeout=timedelta(milliseconds=150),
     max_staleness=timedelta(milliseconds=250),
     read_hold_time=timedelta(milliseconds=200),
+    settle_time=timedelta(milliseconds=400),
 )
 
 
