Put the seeds first in the tree while few members are known

Hosts that know different members compute different readers, so that some tree had a root that did not read.

--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -109,7 +109,11 @@
         self._parents: dict[str, _Parent] = {}
         self._read_task: asyncio.Task | None = None
         self._read_until = float("-inf")
-        self._member_addresses: frozenset[str] = frozenset()
+        # Members and preferred hosts from which the position was computed.
+        self._position_inputs: tuple[frozenset[str], tuple[str, ...]] = (
+            frozenset(),
+            (),
+        )
         self._extra_parent: str | None = None
         self._extra_parent_until = float("-inf")
         self._tasks: set[asyncio.Task] = set()
@@ -205,12 +209,15 @@
 
     def _update_position(self) -> None:
         members = self.membership.addresses
-        if members != self._member_addresses:
-            self._member_addresses = members
+        first = () if self._is_settled() else self.seeds
+        if (members, first) != self._position_inputs:
+            has_changed = members != self._position_inputs[0]
+            self._position_inputs = (members, first)
             self._position = compute_position(
-                self.membership.own_record.address, members
+                self.membership.own_record.address, members, first
             )
-            self.on_members(members)
+            if has_changed:
+                self.on_members(members)
         wanted = {*self._position.parents, *self._extra_parents(members)}
         for address in list(self._parents):
             if address not in wanted:
--- a/foxtailseam/fleet/_tree.py
+++ b/foxtailseam/fleet/_tree.py
@@ -36,7 +36,9 @@
     parents: tuple[str, ...]
 
 
-def compute_position(own_address: str, members: Iterable[str]) -> TreePosition:
+def compute_position(
+    own_address: str, members: Iterable[str], first: Iterable[str] = ()
+) -> TreePosition:
     """Return the position of a host in the tree over all alive hosts.
 
     Parameters
@@ -45,8 +47,13 @@
         ``IP:PORT`` of the host whose position is returned.
     members : iterable of str
         Addresses of all alive hosts. `own_address` is added if it is missing.
+    first : iterable of str
+        Addresses of hosts that come before all others if they are members. Hosts that
+        do not know most members yet agree on these.
     """
     order = rendezvous_order(_ORDER_KEY, {own_address, *members})
+    preferred = set(first)
+    order = tuple(sorted(order, key=lambda address: address not in preferred))
     index = order.index(own_address)
     if index < READER_COUNT:
         # A reader that the service refuses still gets changes from the other reader.
