Follow the earlier parents until the new ones have sent something

Cause of the calls: when the members change, a host's place in the tree changes and with it both parents. It dropped the old ones at once, had no source for some 0.1 s, and so started to read the service, with a listing and watches for two seconds. Seen in the debug lines of a start of 73 hosts: `settled` turns true, both parents `inf`, reading started.

--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -30,6 +30,10 @@
     age: float = float("inf")
     updated_at: float = float("-inf")
 
+    def age_at(self, now: float) -> float:
+        """Return the age of what this parent has sent, at a monotonic time."""
+        return self.age + now - self.updated_at
+
 
 class FleetController:
     """Keeps a replica of the configuration service in sync on one host.
@@ -219,13 +223,31 @@
             if has_changed:
                 self.on_members(members)
         wanted = {*self._position.parents, *self._extra_parents(members)}
-        for address in list(self._parents):
-            if address not in wanted:
-                self._parents.pop(address).task.cancel()
         for address in wanted:
             if address not in self._parents:
                 task = asyncio.create_task(self._follow_parent(address))
                 self._parents[address] = _Parent(task)
+        self._drop_parents(wanted)
+
+    def _drop_parents(self, wanted: set[str]) -> None:
+        """Stop following hosts other than the wanted ones.
+
+        While none of these has sent an update yet, the others are still followed, so
+        that a change of the members does not leave this host without a source.
+        """
+        now = self.clock.monotonic()
+        max_age = self.settings.max_staleness.total_seconds()
+        if wanted and not any(
+            self._parents[address].age_at(now) < max_age for address in wanted
+        ):
+            wanted = wanted | {
+                address
+                for address, parent in self._parents.items()
+                if parent.age_at(now) < max_age
+            }
+        for address in list(self._parents):
+            if address not in wanted:
+                self._parents.pop(address).task.cancel()
 
     def _extra_parents(self, members: frozenset[str]) -> tuple[str, ...]:
         """Return a random host to follow in addition, if the replica is too old."""
@@ -317,9 +339,7 @@
 
     def _followed_age(self) -> float:
         now = self.clock.monotonic()
-        ages = (
-            parent.age + now - parent.updated_at for parent in self._parents.values()
-        )
+        ages = (parent.age_at(now) for parent in self._parents.values())
         return min(ages, default=float("inf"))
 
     # Reading.
