Spread suspicions and their refutations within a second or two

Simulated fleets showed what the first version lacked: with 195 hosts a dead one was in some view for more than 15 s; a host that froze for 2 s was out of 45 of 59 views for 5 s, since its refutation came after the suspicion had run out; two halves that were cut apart for 20 s did not meet within 12 s, since nobody told the other half that it was suspected; the news of a joint start was sent for minutes.

Change: while a host holds urgent news (a suspicion, a refutation, a departure) it makes an exchange each 0.25 s, three times; a suspicion carries its age; who hears that others consider a failed host alive says again that it is suspected; news is sent 4 log10(n) times.

--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -225,10 +225,20 @@
         wanted = {*self._position.parents, *self._extra_parents(members)}
         for address in wanted:
             if address not in self._parents:
-                task = asyncio.create_task(self._follow_parent(address))
+                delay = self._listing_delay()
+                task = asyncio.create_task(self._follow_parent(address, delay))
                 self._parents[address] = _Parent(task)
         self._drop_parents(wanted)
 
+    def _listing_delay(self) -> float:
+        """Return the seconds to wait before following one more host.
+
+        A host that has no copy yet asks one host for it before it asks another one.
+        """
+        has_parent = bool(self._parents)
+        is_first_copy = self.replica.is_empty and has_parent
+        return self.settings.timeout.total_seconds() if is_first_copy else 0.0
+
     def _drop_parents(self, wanted: set[str]) -> None:
         """Stop following hosts other than the wanted ones.
 
@@ -265,7 +275,8 @@
             )
         return (self._extra_parent,) if self._extra_parent in members else ()
 
-    async def _follow_parent(self, address: str) -> None:
+    async def _follow_parent(self, address: str, delay: float) -> None:
+        await asyncio.sleep(delay)
         while True:
             channel = self._rpc.FleetChannel(
                 address, self.settings.timeout.total_seconds()
--- a/foxtailseam/fleet/_gossip.py
+++ b/foxtailseam/fleet/_gossip.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from foxtailseam.conditions import ConditionRegistry
-from foxtailseam.fleet._membership import Membership
+from foxtailseam.fleet._membership import HostRecord, Membership
 from foxtailseam.fleet._messages import (
     MemberExchange,
     compress_records,
@@ -16,8 +16,8 @@
 
 # Shortest time between two complete views that a host asks for, for each member, in
 # seconds, and at least. It bounds the bytes of views at any number of hosts.
-VIEW_SECONDS_PER_MEMBER = 0.01
-MIN_VIEW_SECONDS = 2.0
+VIEW_SECONDS_PER_MEMBER = 0.005
+MIN_VIEW_SECONDS = 1.0
 
 
 class Gossip:
@@ -77,7 +77,7 @@
         view = b""
         if request.wants_view and request.digest != self.membership.digest:
             view = compress_records(self.membership.alive)
-        return self._message(view=view)
+        return self._message(view=view, peer_digest=request.digest)
 
     def finish(self, response: MemberExchange) -> None:
         """Merge the response to a message of this host.
@@ -104,7 +104,12 @@
         return members == 1 or elapsed >= interval
 
     def _message(
-        self, *, wants_view: bool = False, view: bytes = b"", records: tuple = ()
+        self,
+        *,
+        wants_view: bool = False,
+        view: bytes = b"",
+        records: tuple[HostRecord, ...] = (),
+        peer_digest: int = 0,
     ) -> MemberExchange:
         conditions = self.conditions.notices()
         return MemberExchange(
@@ -113,7 +118,7 @@
             conditions.limits,
             conditions.leaving,
             conditions.pauses,
-            self.membership.news(),
+            self.membership.news(peer_digest),
             self.membership.digest,
             wants_view,
             view,
--- a/foxtailseam/fleet/_gossip_loop.py
+++ b/foxtailseam/fleet/_gossip_loop.py
@@ -1,6 +1,7 @@
 """Exchanges gossip with other hosts in the background."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 from datetime import timedelta
@@ -11,6 +12,8 @@
 
 # Number of hosts to which urgent news is sent at once.
 GOSSIP_FANOUT = 4
+# Mean pause between exchanges while there is urgent news, as a part of the usual one.
+URGENT_SHARE = 1 / 6
 # While no other host is known, the seeds are asked this many times as often.
 LONELY_FACTOR = 8
 
@@ -46,12 +49,14 @@
         self.log = log
         self.generator = generator
         self._tasks: set[asyncio.Task] = set()
+        self._urgent = asyncio.Event()
+        gossip.membership.on_urgent_news = self._urgent.set
 
     async def run(self) -> None:
         """Exchange messages with one random host after the other, without end."""
         membership = self.gossip.membership
         while True:
-            await self._pause(self.settings.exchange_interval)
+            await self._pause_unless_urgent()
             membership.remove_expired()
             address = membership.random_peer()
             if address is not None:
@@ -100,6 +105,19 @@
         finally:
             channel.close()
 
+    async def _pause_unless_urgent(self) -> None:
+        interval = self.settings.exchange_interval
+        if not self.gossip.membership.has_urgent_news:
+            self._urgent.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._jittered(interval)):
+                    await self._urgent.wait()
+                    await self._pause(interval * URGENT_SHARE)
+            return
+        await self._pause(interval * URGENT_SHARE)
+
     async def _pause(self, interval: timedelta) -> None:
-        seconds = interval.total_seconds() * self.generator.uniform(0.7, 1.3)
-        await asyncio.sleep(seconds)
+        await asyncio.sleep(self._jittered(interval))
+
+    def _jittered(self, interval: timedelta) -> float:
+        return interval.total_seconds() * self.generator.uniform(0.7, 1.3)
--- a/foxtailseam/fleet/_membership.py
+++ b/foxtailseam/fleet/_membership.py
@@ -12,7 +12,7 @@
 
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from zlib import crc32
 
@@ -23,8 +23,13 @@
 # Time for which a host that failed or left is remembered. Until then, outdated records
 # from other hosts cannot bring it back.
 RECORD_RETENTION_SECONDS = 30.0
-# News is sent this many times the logarithm of the number of hosts, by each host.
+# Each host sends news this many times the decimal logarithm of the number of hosts.
 NEWS_FACTOR = 4
+# News of a host that is suspected, refutes a suspicion or leaves is urgent until it was
+# sent this many times.
+URGENT_SENDS = 3
+# A host that hears late of a suspicion leaves the suspected one this much time.
+MIN_SUSPICION_SECONDS = 1.5
 # Maximum number of news items in one message.
 MAX_NEWS = 16
 # Maximum number of records for a host of an earlier release, besides the sender's own.
@@ -91,10 +96,13 @@
         Newest record of the host that is known to the sender.
     is_suspected : bool
         Whether the host could not be reached.
+    suspected_ms : int
+        Milliseconds since the suspicion arose.
     """
 
     record: HostRecord
     is_suspected: bool = False
+    suspected_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -148,6 +156,8 @@
         self._others: dict[str, _Member] = {}
         # Number of times that the news of a host was sent, by its address.
         self._news: dict[str, int] = {}
+        # Called when there is urgent news.
+        self.on_urgent_news: Callable[[], None] = lambda: None
         # Failure domain of a host that could not be reached: others there may be down.
         self._suspected_domain: str | None = None
 
@@ -199,7 +209,7 @@
             is_leaving=True,
             incarnation=self._own_record.incarnation + 1,
         )
-        self._news[self._own_record.address] = 0
+        self._add_news(self._own_record.address)
 
     def merge(self, records: Iterable[HostRecord]) -> bool:
         """Merge records of hosts; return whether `addresses` changed.
@@ -230,9 +240,9 @@
                 self._merge_own_news(item)
                 continue
             if self._merge_record(item.record):
-                self._news[item.record.address] = 0
+                self._add_news(item.record.address)
             if item.is_suspected:
-                self._suspect(item.record)
+                self._suspect(item.record, item.suspected_ms / 1000)
         return before != self.addresses
 
     def mark_reached(self, record: HostRecord) -> None:
@@ -250,7 +260,7 @@
             # A host that lives has to hear of a suspicion to refute it.
             is_news = is_news or member.suspected_at is not None
         if is_news:
-            self._news[record.address] = 0
+            self._add_news(record.address)
         if record.failure_domain == self._suspected_domain:
             self._suspected_domain = None
 
@@ -267,11 +277,32 @@
         self._suspected_domain = member.record.failure_domain
         self._suspect(member.record)
 
-    def news(self) -> tuple[MemberNews, ...]:
-        """Return news for another host, the least often sent first, and count it."""
-        limit = NEWS_FACTOR * math.ceil(math.log2(len(self._others) + 2))
+    @property
+    def has_urgent_news(self) -> bool:
+        """Return whether there is urgent news."""
+        return any(
+            sent < URGENT_SENDS and self._is_urgent(address)
+            for address, sent in self._news.items()
+        )
+
+    def news(self, peer_digest: int = 0) -> tuple[MemberNews, ...]:
+        """Return news for another host, the least often sent first, and count it.
+
+        Parameters
+        ----------
+        peer_digest : int
+            Digest of the other host, if known. If it equals that of this host, only
+            urgent news is returned, since the other one knows the rest.
+        """
+        limit = NEWS_FACTOR * math.ceil(math.log10(len(self._others) + 2))
         chosen = sorted(self._news, key=self._news.__getitem__)[:MAX_NEWS]
-        items = [item for item in map(self._news_of, chosen) if item is not None]
+        is_same = peer_digest == self.digest
+        items = [
+            item
+            for address in chosen
+            if (item := self._news_of(address)) is not None
+            and (self._is_urgent(address) or not is_same)
+        ]
         for address in chosen:
             self._news[address] += 1
             if self._news[address] >= limit:
@@ -325,11 +356,14 @@
         now = self.clock.monotonic()
         member = self._others.get(record.address)
         if member is None:
-            if record.is_leaving:
-                return False
             self._others[record.address] = _Member(record, record.digest, now)
-            return True
+            return not record.is_leaving
         if record.version_key <= member.record.version_key:
+            is_same_run = record.run_key == member.record.run_key
+            if is_same_run and member.is_failed(now) and not record.is_leaving:
+                # Others consider it alive, so it has to hear that it was suspected.
+                self._news.setdefault(record.address, 0)
+                self.on_urgent_news()
             return False
         is_new_run = record.run_key > member.record.run_key
         has_heartbeats = not record.incarnation
@@ -348,15 +382,31 @@
             incarnation = max(own.incarnation, item.record.incarnation + 1)
             if incarnation > own.incarnation:
                 self._own_record = replace(own, incarnation=incarnation)
-                self._news[own.address] = 0
+                self._add_news(own.address)
 
-    def _suspect(self, record: HostRecord) -> None:
+    def _suspect(self, record: HostRecord, age: float = 0.0) -> None:
         member = self._others.get(record.address)
         if member is None or member.suspected_at is not None:
             return
         if record.run_key >= member.record.run_key:
-            member.suspected_at = self.clock.monotonic()
-            self._news[record.address] = 0
+            age = min(age, SUSPICION_SECONDS - MIN_SUSPICION_SECONDS)
+            member.suspected_at = self.clock.monotonic() - age
+            self._add_news(record.address)
+
+    def _add_news(self, address: str) -> None:
+        self._news[address] = 0
+        if self._is_urgent(address):
+            self.on_urgent_news()
+
+    def _is_urgent(self, address: str) -> bool:
+        if address == self._own_record.address:
+            record, is_suspected = self._own_record, False
+        else:
+            member = self._others.get(address)
+            if member is None:
+                return False
+            record, is_suspected = member.record, member.suspected_at is not None
+        return is_suspected or record.is_leaving or record.incarnation > 1
 
     def _news_of(self, address: str) -> MemberNews | None:
         if address == self._own_record.address:
@@ -364,4 +414,9 @@
         member = self._others.get(address)
         if member is None:
             return None
-        return MemberNews(member.record, member.suspected_at is not None)
+        if member.suspected_at is None:
+            return MemberNews(member.record)
+        now = self.clock.monotonic()
+        # One that has failed for this host may be alive for others, and may refute it.
+        elapsed = 0.0 if member.is_failed(now) else now - member.suspected_at
+        return MemberNews(member.record, True, int(elapsed * 1000))
--- a/foxtailseam_bench/simulation/__init__.py
+++ b/foxtailseam_bench/simulation/__init__.py
@@ -1,5 +1,6 @@
 """Simulation of a host in virtual time: the real front end with simulated searchers."""
 
+from foxtailseam_bench.simulation._fleet import SimulatedFleet, SimulatedHost
 from foxtailseam_bench.simulation._searcher import SimulatedSearcher
 from foxtailseam_bench.simulation._tier import (
     SimulatedCall,
@@ -13,6 +14,8 @@
 
 __all__ = [
     "SimulatedCall",
+    "SimulatedFleet",
+    "SimulatedHost",
     "SimulatedSearcher",
     "SimulatedTier",
     "VirtualTime",
