Count the bytes that hosts send each other and exchange with searchers

By kind (exchange, changes, heartbeat, requests, answers, unused answers) and by whether they leave the failure domain, on the metrics address.

--- a/foxtailseam/codecs/_message_pack.py
+++ b/foxtailseam/codecs/_message_pack.py
@@ -24,7 +24,12 @@
         self._encoder = msgspec.msgpack.Encoder()
 
     def encode(self, message: Any, message_type: type) -> bytes:
-        """Return `message` encoded as MessagePack; `message_type` is not used."""
+        """Return `message` encoded as MessagePack; `message_type` is not used.
+
+        Bytes are taken as a message that is already encoded.
+        """
+        if isinstance(message, bytes):
+            return message
         return self._encoder.encode(message)
 
     def decode(self, data: bytes, message_type: type) -> Any:
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -317,15 +317,20 @@
     def _render(self, attempt: Attempt) -> bytes:
         now = self.dispatcher.clock.monotonic()
         attempt.written_at = now
-        return self.plan.template.render(
+        payload = self.plan.template.render(
             self.plan.deadline_at - now, attempt.searcher.entry.identifier
         )
+        self.dispatcher.traffic.add_request(attempt.searcher, len(payload))
+        return payload
 
     def _on_exchange(self, attempt: Attempt, result: ExchangeResult) -> None:
         del self._running[id(attempt)]
         seconds = attempt.searcher.end_request(attempt.number)
         match result:
             case Received(response=response):
+                self.dispatcher.traffic.add_answer(
+                    attempt.searcher, len(response.body), self._is_over
+                )
                 self._on_response(attempt, seconds, response)
             case ExchangeFailure(kind=kind, sent=sent):
                 attempt.outcome = kind
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -14,6 +14,7 @@
 from foxtailseam.dispatch._searcher import Searcher, SearcherPool
 from foxtailseam.dispatch._searcher_selection import Candidate, choose_searcher
 from foxtailseam.dispatch._shard_selection import ShardEstimate
+from foxtailseam.dispatch._traffic import TrafficCounter
 from foxtailseam.dispatch._wait_queue import WaitQueue, expected_wait
 from foxtailseam.dispatch._wire_format import AnswerMetadata, AnswerReader
 from foxtailseam.http import HttpRequest
@@ -92,6 +93,8 @@
         self.on_ejected: Callable[[Searcher], None] = lambda searcher: None
         # Called with a searcher that crashed and the request it was running.
         self.on_crash: Callable[[Searcher, HttpRequest], None] = lambda *_: None
+        # Bytes exchanged with searchers.
+        self.traffic = TrafficCounter(failure_domain)
         # When this host may send to the searchers that have reported conditions.
         self.gates = SearcherGates(clock, generator, self._find_searcher)
         self.gates.on_gate_change = self.admit_waiting
--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -17,6 +17,7 @@
 from foxtailseam.fleet._settings import FleetSettings
 from foxtailseam.fleet._tree import TreePosition, compute_position
 from foxtailseam.logs import EventCode, LogWriter
+from foxtailseam.metrics import Metrics
 from foxtailseam.quarantine import QuarantineController
 from foxtailseam.store import Item, Listing, StoreFollower, StoreReplica
 
@@ -67,6 +68,9 @@
         Suspicion states of requests, which the hosts share.
     conditions : ConditionRegistry
         Conditions of searchers, which the hosts share.
+    metrics : Metrics
+        Registry of the counters of bytes sent to other hosts, by kind of message and
+        by whether these are in the failure domain of this host (near) or not (far).
     """
 
     def __init__(
@@ -83,6 +87,7 @@
         on_members: Callable[[frozenset[str]], None],
         quarantine: QuarantineController,
         conditions: ConditionRegistry,
+        metrics: Metrics,
     ):
         self.seeds = seeds
         self.replica = replica
@@ -94,7 +99,7 @@
         self.generator = generator
         self.on_members = on_members
         self.quarantine = quarantine
-        self.conditions = conditions
+        self.metrics = metrics
         self.membership = Membership(own_record, clock, generator)
         self._gossip = Gossip(
             self.membership,
@@ -155,7 +160,9 @@
         from foxtailseam.fleet import _rpc
 
         self._rpc = _rpc
-        self._stop_server = await _rpc.serve(self.membership.own_record.address, self)
+        self._stop_server = await _rpc.serve(
+            self.membership.own_record.address, self, self._count_sent
+        )
         self._spawn(self._tick_loop())
         self._spawn(self._gossip_loop.run())
         self._spawn(self._gossip_loop.run_seeds())
@@ -209,6 +216,11 @@
         self.membership.mark_reached(request.sender)
         return self._relay.updates(request)
 
+    def _count_sent(self, kind: str, failure_domain: str, size: int) -> None:
+        is_near = failure_domain == self.membership.own_record.failure_domain
+        place = "near" if is_near else "far"
+        self.metrics.add(f"bytes_{kind}_{place}", size)
+
     # Following.
 
     def _update_position(self) -> None:
--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
+from enum import StrEnum
 from typing import Protocol
 
 import msgspec
@@ -19,6 +20,7 @@
     decompress_changes,
 )
 
+_ENCODER = msgspec.msgpack.Encoder()
 EXCHANGE_PATH = "/foxtailseam.Fleet/Exchange"
 FOLLOW_PATH = "/foxtailseam.Fleet/Follow"
 # Exceptions of a call if the other host is unreachable, too slow or misbehaving.
@@ -48,9 +50,22 @@
         """Yield updates until the caller ends the stream."""
 
 
+class MessageKind(StrEnum):
+    """Kind of message in the metrics on bytes sent to other hosts."""
+
+    EXCHANGE = "exchange"
+    CHANGES = "changes"
+    HEARTBEAT = "heartbeat"
+
+
+# Called with the kind of a message, the failure domain of its receiver and its bytes.
+SentCallback = Callable[[MessageKind, str, int], None]
+
+
 class _Handlers:
-    def __init__(self, servicer: FleetServicer):
+    def __init__(self, servicer: FleetServicer, on_sent: SentCallback):
         self.servicer = servicer
+        self.on_sent = on_sent
 
     def __mapping__(self) -> dict[str, Handler]:
         return {
@@ -65,17 +80,27 @@
     async def _exchange(self, stream: Stream) -> None:
         message = await stream.recv_message()
         if message is not None:
-            await stream.send_message(self.servicer.exchange(message))
+            response = _ENCODER.encode(self.servicer.exchange(message))
+            domain = message.records[0].failure_domain if message.records else ""
+            self.on_sent(MessageKind.EXCHANGE, domain, len(response))
+            await stream.send_message(response)
 
     async def _follow(self, stream: Stream) -> None:
         request = await stream.recv_message()
         if request is None:
             return
+        domain = request.sender.failure_domain
         async for update in self.servicer.follow(request):
-            await stream.send_message(update)
+            message = _ENCODER.encode(update)
+            has_changes = bool(update.changes or update.compressed_changes)
+            kind = MessageKind.CHANGES if has_changes else MessageKind.HEARTBEAT
+            self.on_sent(kind, domain, len(message))
+            await stream.send_message(message)
 
 
-async def serve(address: str, servicer: FleetServicer) -> Callable[[], Awaitable[None]]:
+async def serve(
+    address: str, servicer: FleetServicer, on_sent: SentCallback
+) -> Callable[[], Awaitable[None]]:
     """Start a server for other hosts.
 
     Parameters
@@ -84,13 +109,16 @@
         ``IP:PORT`` to listen on.
     servicer : FleetServicer
         Handles the calls.
+    on_sent : callable
+        Called with the kind, the receiver's failure domain and the bytes of each
+        message that is sent.
 
     Returns
     -------
     callable
         Coroutine function that closes the server.
     """
-    server = Server([_Handlers(servicer)], codec=MessagePackCodec())
+    server = Server([_Handlers(servicer, on_sent)], codec=MessagePackCodec())
     host, _, port = address.rpartition(":")
     await server.start(host, int(port))
 
--- a/foxtailseam/fleet/tests/test_controller.py
+++ b/foxtailseam/fleet/tests/test_controller.py
@@ -33,6 +33,7 @@
     compress_changes,
     decompress_changes,
 )
+from foxtailseam.metrics import Metrics
 from foxtailseam.quarantine import QuarantineController
 from foxtailseam.store import (
     FollowerSettings,
@@ -135,6 +136,7 @@
 class Host:
     def __init__(self, address, seeds, service):
         clock, generator = SystemClock(), random.Random(address)
+        self.conditions = ConditionRegistry(clock, generator)
         self.address = address
         self.replica = StoreReplica(lambda _: self.fleet.notify_followers())
         follower = StoreFollower(
@@ -161,7 +163,8 @@
             generator,
             lambda hosts: None,
             QuarantineController(clock, HybridClock(clock)),
-            ConditionRegistry(clock, generator),
+            self.conditions,
+            Metrics(),
         )
 
 
@@ -228,7 +231,7 @@
 
     def test_conditions_of_searchers_reach_all_hosts(self):
         def is_known(host):
-            known = host.fleet.conditions.get("i-1", 7)
+            known = host.conditions.get("i-1", 7)
             return (
                 known is not None
                 and known.rate_limit.rate == 2.5
@@ -238,7 +241,7 @@
 
         async def scenario(service, hosts):
             now = asyncio.get_running_loop().time()
-            hosts[0].fleet.conditions.record(
+            hosts[0].conditions.record(
                 "i-1",
                 SearcherConditions(
                     7, RateLimit(2.5, now), Leaving(now), Pause(now + 9)
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -188,6 +188,7 @@
             self._on_members,
             quarantine,
             self.dispatcher.gates.conditions,
+            self.metrics,
         )
         self._quarantine_guard.on_update = self._fleet.gossip_now
         self._caller_listener = Listener(
@@ -399,6 +400,8 @@
         metrics.set("requests_in_flight", self.front.in_flight)
         metrics.set("processor_seconds", time.process_time())
         metrics.set("buffered_body_bytes", self._caller_listener.buffered_bytes)
+        for name, size in self.dispatcher.traffic.totals.items():
+            metrics.set(f"bytes_{name}", size)
         searchers = self.dispatcher.searchers
         metrics.set("searchers", len(searchers))
         self._condition_log.set_gauges()
