Compress a single large change on its way to the followers

A configuration is one change, of 60 KB and more here, and went to each of 73 hosts twice as it was; at 73 hosts with links from 7 Mbit/s a host that relays to 24 others filled its own link with one version for over a second.

--- a/foxtailseam/fleet/_relay.py
+++ b/foxtailseam/fleet/_relay.py
@@ -19,8 +19,8 @@
 UNKNOWN_AGE_MS = 1_000_000_000
 # Part of the update interval after which followers are told a newer age at once.
 REFRESH_SHARE = 0.7
-# Fewer changes than this are sent as they are.
-MIN_COMPRESSED_CHANGES = 4
+# Changes whose values have fewer bytes than this together are sent as they are.
+MIN_COMPRESSED_BYTES = 1_000
 
 
 class Relay:
@@ -119,7 +119,8 @@
         )
 
     def _compressed(self, update: FollowUpdate) -> FollowUpdate:
-        if len(update.changes) < MIN_COMPRESSED_CHANGES:
+        size = sum([len(change.value or b"") for change in update.changes])
+        if size < MIN_COMPRESSED_BYTES:
             return update
         # Most followers have the same revision and get the same changes.
         if self._uncompressed_changes != update.changes:
