--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -400,9 +400,11 @@
         """
         if self._is_settled():
             return self._position.is_reader
-        return self._is_seed() and (self._read_task is not None or self._joint_start())
+        return self._is_seed() and (
+            self._read_task is not None or self._is_joint_start()
+        )
 
-    def _joint_start(self) -> bool:
+    def _is_joint_start(self) -> bool:
         return bool(self.settings.start_patience)
 
     def _is_settled(self) -> bool:
--- a/foxtailseam/fleet/_membership.py
+++ b/foxtailseam/fleet/_membership.py
@@ -107,20 +107,37 @@
 
 @dataclass(slots=True)
 class _Member:
+    """What is known of another host.
+
+    Parameters
+    ----------
+    record : HostRecord
+        Newest record of the host.
+    digest : int
+        Digest of the record, kept because it is summed up for each message.
+    changed_at : float
+        Monotonic time at which this run of the host became known, or that it leaves.
+    suspected_at : float or None
+        Monotonic time of the suspicion that has not been refuted; None without one.
+    is_unreachable : bool
+        Whether this host itself could not reach it.
+    """
+
     record: HostRecord
     digest: int
     changed_at: float
     suspected_at: float | None = None
-    # Whether this host itself could not reach it.
     is_unreachable: bool = False
 
     def is_failed(self, now: float) -> bool:
+        """Return whether it was suspected and did not refute that in time."""
         return (
             self.suspected_at is not None
             and now - self.suspected_at >= SUSPICION_SECONDS
         )
 
     def is_alive(self, now: float) -> bool:
+        """Return whether this host counts it as a member."""
         return not (
             self.record.is_leaving or self.is_unreachable or self.is_failed(now)
         )
@@ -226,15 +243,14 @@
             self._merge_record(record)
         return before != self.addresses
 
-    def merge_news(self, news: Iterable[MemberNews]) -> bool:
-        """Merge news and relay what was new; return whether `addresses` changed.
+    def merge_news(self, news: Iterable[MemberNews]) -> None:
+        """Merge news and relay what was new.
 
         Parameters
         ----------
         news : iterable of MemberNews
             News from another host.
         """
-        before = self.addresses
         for item in news:
             if item.record.address == self._own_record.address:
                 self._merge_own_news(item)
@@ -243,7 +259,6 @@
                 self._add_news(item.record.address)
             if item.is_suspected:
                 self._suspect(item.record, item.suspected_ms / 1000)
-        return before != self.addresses
 
     def mark_reached(self, record: HostRecord) -> None:
         """Merge the record that a host sent itself.
