--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -188,7 +188,7 @@
         asked another host for a pause, counts only if no other one can serve.
         """
         usable = self.usable_searchers(service)
-        if not self.gates.has_gates(service):
+        if not self.gates.by_service.get(service):
             return usable
         now = self.clock.monotonic()
         preferred, avoided = [], []
--- a/foxtailseam/dispatch/_gates.py
+++ b/foxtailseam/dispatch/_gates.py
@@ -56,16 +56,14 @@
         self.on_gate_change: Callable[[str], None] = lambda service: None
         self._hosts = HostGroup()
         # Identifiers of the searchers of each service that have a gate.
-        self._gated: dict[str, set[str]] = {}
-
-    def has_gates(self, service: str) -> bool:
-        """Return whether any searcher of a service has reported conditions."""
-        return bool(self._gated.get(service))
+        self.by_service: dict[str, set[str]] = {}
 
     @property
     def gated(self) -> tuple[Searcher, ...]:
         """Return all searchers that have reported conditions."""
-        found = [self.find(name) for names in self._gated.values() for name in names]
+        found = [
+            self.find(name) for names in self.by_service.values() for name in names
+        ]
         return tuple(searcher for searcher in found if searcher is not None)
 
     def set_hosts(self, hosts: HostGroup) -> None:
@@ -76,7 +74,7 @@
 
     def remove(self, searcher: Searcher) -> None:
         """Forget a searcher that is no longer registered."""
-        gated = self._gated.get(searcher.entry.service)
+        gated = self.by_service.get(searcher.entry.service)
         if gated:
             gated.discard(searcher.entry.identifier)
 
@@ -97,7 +95,7 @@
         before = gate.conditions if gate is not None else None
         if gate is None:
             searcher.gate = SearcherGate(context, known, now, self.generator.random())
-            self._gated.setdefault(entry.service, set()).add(entry.identifier)
+            self.by_service.setdefault(entry.service, set()).add(entry.identifier)
         else:
             gate.update(context, known, now)
         for condition in changed_conditions(before, known):
--- a/foxtailseam/dispatch/_searcher.py
+++ b/foxtailseam/dispatch/_searcher.py
@@ -107,7 +107,7 @@
         return (
             len(self._in_flight) < max_in_flight
             and self.pool.has_capacity
-            and self.is_open
+            and (self.gate is None or self.is_open)
         )
 
     @property
--- a/foxtailseam/dispatch/_traffic.py
+++ b/foxtailseam/dispatch/_traffic.py
@@ -44,7 +44,8 @@
         size : int
             Bytes of head and body.
         """
-        self._requests[self._is_far(searcher)] += size
+        is_far = searcher.entry.failure_domain != self.failure_domain
+        self._requests[is_far] += size
 
     def add_answer(self, searcher: Searcher, size: int, is_unused: bool) -> None:
         """Count an answer that was received.
@@ -59,7 +60,5 @@
             Whether the request has already got another answer.
         """
         sizes = self._unused_answers if is_unused else self._answers
-        sizes[self._is_far(searcher)] += size
-
-    def _is_far(self, searcher: Searcher) -> bool:
-        return searcher.entry.failure_domain != self.failure_domain
+        is_far = searcher.entry.failure_domain != self.failure_domain
+        sizes[is_far] += size
