--- a/foxtailseam/fleet/tests/test_controller.py
+++ b/foxtailseam/fleet/tests/test_controller.py
@@ -8,6 +8,7 @@
 import json
 import random
 import socket
+from dataclasses import replace
 from datetime import timedelta
 
 import msgspec
@@ -135,7 +136,7 @@
 
 
 class Host:
-    def __init__(self, address, seeds, service):
+    def __init__(self, address, seeds, service, settings=FAST):
         clock, generator = SystemClock(), random.Random(address)
         self.conditions = ConditionRegistry(clock, generator)
         self.address = address
@@ -159,7 +160,7 @@
             follower,
             Catalogue(clock, NullListener()),
             clock,
-            FAST,
+            settings,
             NullListener(),
             generator,
             lambda hosts: None,
@@ -186,7 +187,7 @@
         await asyncio.sleep(0.01)
 
 
-def run_scenario(scenario, size=6):
+def run_scenario(scenario, size=6, settings=FAST):
     """Run a scenario on a fleet with a complete membership and two readers."""
 
     async def main():
@@ -194,7 +195,7 @@
         service.put("a", b"1")
         addresses = free_addresses(size)
         seeds = (addresses[0], addresses[1], "127.0.0.1:9")
-        hosts = [Host(address, seeds, service) for address in addresses]
+        hosts = [Host(address, seeds, service, settings) for address in addresses]
         for host in hosts:
             await host.fleet.start()
 
@@ -377,6 +378,37 @@
         run_scenario(scenario)
 
 
+class TestJointStart:
+    def test_most_hosts_take_their_copy_from_others(self):
+        settings = replace(FAST, start_patience=timedelta(seconds=5))
+
+        async def scenario(service, hosts):
+            await eventually(lambda: all_have(hosts, "a", b"1"))
+            # The seeds and the readers list once and watch; 12 hosts on their own
+            # would make 24 calls at least.
+            assert service.calls <= 12
+
+        run_scenario(scenario, 12, settings)
+
+    def test_a_host_that_finds_no_seed_reads_after_its_patience(self):
+        settings = replace(FAST, start_patience=timedelta(milliseconds=300))
+
+        async def main():
+            service = FakeService()
+            service.put("a", b"1")
+            (address,) = free_addresses(1)
+            host = Host(address, ("127.0.0.1:9",), service, settings)
+            await host.fleet.start()
+            try:
+                await asyncio.sleep(0.1)
+                assert service.calls == 0
+                await eventually(lambda: all_have([host], "a", b"1"))
+            finally:
+                await host.fleet.stop()
+
+        asyncio.run(main())
+
+
 class TestManyChangesAtOnce:
     @staticmethod
     def put_entries(service):
