Test on a real process that a searcher's own word is kept; the stand-in can leave and pause

With the two headers ignored, both fail: the leaving searcher gets requests while the service is down, and the pausing one is asked again.

--- a/foxtailseam/front/tests/test_host.py
+++ b/foxtailseam/front/tests/test_host.py
@@ -268,6 +268,39 @@
 
         run_scenario(scenario)
 
+    def test_a_searcher_that_says_that_it_leaves_gets_no_requests(self, run_scenario):
+        async def scenario(deployment):
+            host = await deployment.start_host()
+            await host.wait_until_ready()
+            deployment.store.is_unavailable = True
+            leaving = deployment.searchers["i-single-x"]
+            leaving.is_leaving = True
+            while not leaving.runs:
+                assert (await host.get("/read/x"))[0] == 200
+            before = len(leaving.runs)
+            for _ in range(12):
+                assert (await host.get("/read/x"))[0] == 200
+            assert len(leaving.runs) == before
+
+        run_scenario(scenario)
+
+    def test_a_searcher_that_asks_for_a_pause_gets_no_requests_in_it(
+        self, run_scenario
+    ):
+        async def scenario(deployment):
+            host = await deployment.start_host()
+            await host.wait_until_ready()
+            pausing = deployment.searchers["i-single-x"]
+            pausing.sheds = True
+            pausing.pause_seconds = 20.0
+            while not pausing.rejections:
+                assert (await host.get("/read/x"))[0] == 200
+            for _ in range(12):
+                assert (await host.get("/read/x"))[0] == 200
+            assert pausing.rejections == 1
+
+        run_scenario(scenario)
+
 
 class TestServiceFromAnOlderCopy:
     async def start_hosts(self, deployment, count=3):
--- a/foxtailseam/front/tests/test_searcher_conditions.py
+++ b/foxtailseam/front/tests/test_searcher_conditions.py
@@ -286,7 +286,7 @@
 
 
 class TestAnyTrouble:
-    """Conditions in a random order, with hosts that restart and a silent service."""
+    """Conditions that come and go in a random order; no listing tells of them."""
 
     @pytest.mark.parametrize("seed", range(6))
     def test_each_condition_holds_for_each_host(self, seed):
--- a/foxtailseam_bench/platform_stand_in.py
+++ b/foxtailseam_bench/platform_stand_in.py
@@ -195,8 +195,14 @@
         Whether each request is run and its connection then reset without a response.
     sheds : bool
         Whether every request is refused with 503 without being run.
+    is_leaving : bool
+        Whether each response says that the searcher is about to stop.
+    pause_seconds : float or None
+        Pause that a rejection asks for; None to ask for none.
     runs : list of tuple of str, str, bytes
         Method, target and body of each request that was run.
+    rejections : int
+        Number of requests that were refused because of `sheds`.
     cancelled : int
         Number of requests whose caller closed the connection during the run.
     address : str
@@ -208,6 +214,9 @@
     seconds: float = 0.0
     loses_answers: bool = False
     sheds: bool = False
+    is_leaving: bool = False
+    pause_seconds: float | None = None
+    rejections: int = 0
     runs: list[tuple[str, str, bytes]] = field(default_factory=list)
     cancelled: int = 0
     address: str = ""
@@ -220,10 +229,15 @@
                 response_headers = {
                     "Foxtailseam-Request-Id": headers["foxtailseam-request-id"]
                 }
+                if self.is_leaving:
+                    response_headers["Server-Leaving"] = "1"
                 if headers["foxtailseam-expect-instance"] != self.identifier:
                     writer.write(render(421, response_headers, b""))
                 elif self.sheds:
+                    self.rejections += 1
                     response_headers["Foxtailseam-Not-Executed"] = "1"
+                    if self.pause_seconds is not None:
+                        response_headers["Retry-After"] = f"{self.pause_seconds:g}"
                     writer.write(render(503, response_headers, b""))
                 else:
                     await self._run(
