--- a/foxtailseam/conditions/_registry.py
+++ b/foxtailseam/conditions/_registry.py
@@ -18,6 +18,9 @@
 # Seconds for which hosts tell one another that a searcher is leaving.
 LEAVING_NOTICE_SECONDS = 30.0
 
+# Returns the notice of one kind on a searcher's conditions at a time, if there is one.
+NoticeBuilder = Callable[[str, SearcherConditions, float], ConditionNotice | None]
+
 
 class ConditionRegistry:
     """Conditions that searchers reported to this host or, by gossip, to others.
@@ -94,7 +97,9 @@
             if self.record(notice.searcher, conditions):
                 self.on_notice(notice.searcher)
 
-    def _select(self, build_notice, now: float) -> tuple[ConditionNotice, ...]:
+    def _select(
+        self, build_notice: NoticeBuilder, now: float
+    ) -> tuple[ConditionNotice, ...]:
         """Return the notices of one kind, a random choice if there are too many."""
         notices = [
             notice
--- a/foxtailseam/fleet/_gossip_loop.py
+++ b/foxtailseam/fleet/_gossip_loop.py
@@ -74,7 +74,13 @@
             await self._pause(self.settings.seed_interval / factor)
 
     def exchange_with_some(self) -> asyncio.Future:
-        """Start exchanges with up to `GOSSIP_FANOUT` random hosts."""
+        """Start exchanges with up to `GOSSIP_FANOUT` random hosts.
+
+        Returns
+        -------
+        asyncio.Future
+            Done when all of them have ended.
+        """
         others = [record.address for record in self.gossip.membership.alive[1:]]
         count = min(GOSSIP_FANOUT, len(others))
         chosen = self.generator.sample(others, count)
