--- a/foxtailseam/dispatch/_searcher.py
+++ b/foxtailseam/dispatch/_searcher.py
@@ -102,13 +102,9 @@
 
     @property
     def has_capacity(self) -> bool:
-        """Return whether one more request can be sent."""
+        """Return whether there is room for one more request; see also `is_open`."""
         max_in_flight = self.entry.slots + EXTRA_IN_TRANSIT
-        return (
-            len(self._in_flight) < max_in_flight
-            and self.pool.has_capacity
-            and (self.gate is None or self.is_open)
-        )
+        return len(self._in_flight) < max_in_flight and self.pool.has_capacity
 
     @property
     def is_open(self) -> bool:
--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -14,7 +14,7 @@
 from foxtailseam.fleet._membership import HostRecord, Membership
 from foxtailseam.fleet._messages import FollowRequest, FollowUpdate, MemberExchange
 from foxtailseam.fleet._relay import Relay
-from foxtailseam.fleet._settings import FleetSettings
+from foxtailseam.fleet._settings import FleetSettings, jittered
 from foxtailseam.fleet._tree import TreePosition, compute_position
 from foxtailseam.logs import EventCode, LogWriter
 from foxtailseam.metrics import Metrics
@@ -98,7 +98,6 @@
         self.log = log
         self.generator = generator
         self.on_members = on_members
-        self.quarantine = quarantine
         self.metrics = metrics
         self.membership = Membership(own_record, clock, generator)
         self._gossip = Gossip(
@@ -309,7 +308,7 @@
             finally:
                 channel.close()
             self._on_parent_lost(address, reason)
-            await self._sleep_with_jitter(self.settings.timeout)
+            await asyncio.sleep(jittered(self.settings.timeout, self.generator))
 
     def _apply_update(self, address: str, update: FollowUpdate) -> None:
         parent = self._parents.get(address)
@@ -426,7 +425,3 @@
 
     def _spawn(self, coroutine) -> None:
         self._tasks.add(asyncio.create_task(coroutine))
-
-    async def _sleep_with_jitter(self, interval: timedelta) -> None:
-        seconds = interval.total_seconds() * self.generator.uniform(0.7, 1.3)
-        await asyncio.sleep(seconds)
--- a/foxtailseam/fleet/_gossip.py
+++ b/foxtailseam/fleet/_gossip.py
@@ -113,15 +113,15 @@
     ) -> MemberExchange:
         conditions = self.conditions.notices()
         return MemberExchange(
-            records or (self.membership.own_record,),
-            self.quarantine.notices(),
-            conditions.limits,
-            conditions.leaving,
-            conditions.pauses,
-            self.membership.news(peer_digest),
-            self.membership.digest,
-            wants_view,
-            view,
+            records=records or (self.membership.own_record,),
+            notices=self.quarantine.notices(),
+            limits=conditions.limits,
+            leaving=conditions.leaving,
+            pauses=conditions.pauses,
+            news=self.membership.news(peer_digest),
+            digest=self.membership.digest,
+            wants_view=wants_view,
+            view=view,
         )
 
     def _merge(self, message: MemberExchange) -> None:
@@ -129,10 +129,12 @@
         before = membership.addresses
         if message.records:
             membership.mark_reached(message.records[0])
-            membership.merge(message.records[1:])
         membership.merge_news(message.news)
+        others = message.records[1:]
         if message.view:
-            membership.merge(decompress_records(message.view))
+            others += decompress_records(message.view)
+        if others:
+            membership.merge(others)
         if membership.addresses != before:
             self.on_members()
         self.conditions.merge(message.conditions)
--- a/foxtailseam/fleet/_gossip_loop.py
+++ b/foxtailseam/fleet/_gossip_loop.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 
 from foxtailseam.fleet._gossip import Gossip
-from foxtailseam.fleet._settings import FleetSettings
+from foxtailseam.fleet._settings import FleetSettings, jittered
 from foxtailseam.logs import EventCode, LogWriter
 
 # Number of hosts to which urgent news is sent at once.
@@ -116,14 +116,11 @@
         if not self.gossip.membership.has_urgent_news:
             self._urgent.clear()
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._jittered(interval)):
+                async with asyncio.timeout(jittered(interval, self.generator)):
                     await self._urgent.wait()
                     await self._pause(interval * URGENT_SHARE)
             return
         await self._pause(interval * URGENT_SHARE)
 
     async def _pause(self, interval: timedelta) -> None:
-        await asyncio.sleep(self._jittered(interval))
-
-    def _jittered(self, interval: timedelta) -> float:
-        return interval.total_seconds() * self.generator.uniform(0.7, 1.3)
+        await asyncio.sleep(jittered(interval, self.generator))
--- a/foxtailseam/fleet/_membership.py
+++ b/foxtailseam/fleet/_membership.py
@@ -296,7 +296,7 @@
     def has_urgent_news(self) -> bool:
         """Return whether there is urgent news."""
         return any(
-            sent < URGENT_SENDS and self._is_urgent(address)
+            sent < URGENT_SENDS and self._has_urgent_news_of(address)
             for address, sent in self._news.items()
         )
 
@@ -311,12 +311,12 @@
         """
         limit = NEWS_FACTOR * math.ceil(math.log10(len(self._others) + 2))
         chosen = sorted(self._news, key=self._news.__getitem__)[:MAX_NEWS]
-        is_same = peer_digest == self.digest
+        is_same = bool(peer_digest) and peer_digest == self.digest
         items = [
             item
             for address in chosen
             if (item := self._news_of(address)) is not None
-            and (self._is_urgent(address) or not is_same)
+            and (_is_urgent(item) or not is_same)
         ]
         for address in chosen:
             self._news[address] += 1
@@ -410,18 +410,12 @@
 
     def _add_news(self, address: str) -> None:
         self._news[address] = 0
-        if self._is_urgent(address):
+        if self._has_urgent_news_of(address):
             self.on_urgent_news()
 
-    def _is_urgent(self, address: str) -> bool:
-        if address == self._own_record.address:
-            record, is_suspected = self._own_record, False
-        else:
-            member = self._others.get(address)
-            if member is None:
-                return False
-            record, is_suspected = member.record, member.suspected_at is not None
-        return is_suspected or record.is_leaving or record.incarnation > 1
+    def _has_urgent_news_of(self, address: str) -> bool:
+        item = self._news_of(address)
+        return item is not None and _is_urgent(item)
 
     def _news_of(self, address: str) -> MemberNews | None:
         if address == self._own_record.address:
@@ -435,3 +429,7 @@
         # One that has failed for this host may be alive for others, and may refute it.
         elapsed = 0.0 if member.is_failed(now) else now - member.suspected_at
         return MemberNews(member.record, True, int(elapsed * 1000))
+
+
+def _is_urgent(item: MemberNews) -> bool:
+    return item.is_suspected or item.record.is_leaving or item.record.incarnation > 1
--- a/foxtailseam/fleet/_settings.py
+++ b/foxtailseam/fleet/_settings.py
@@ -1,5 +1,6 @@
 """Timing of gossip and of the replication between hosts."""
 
+import random
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -45,3 +46,16 @@
     read_hold_time: timedelta = timedelta(seconds=2)
     settle_time: timedelta = timedelta(seconds=6)
     start_patience: timedelta = timedelta()
+
+
+def jittered(interval: timedelta, generator: random.Random) -> float:
+    """Return an interval in seconds, randomly shortened or extended by up to 30 %.
+
+    Parameters
+    ----------
+    interval : timedelta
+        Mean interval.
+    generator : random.Random
+        Source of randomness.
+    """
+    return interval.total_seconds() * generator.uniform(0.7, 1.3)
--- a/foxtailseam/front/tests/test_rate_limits.py
+++ b/foxtailseam/front/tests/test_rate_limits.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from foxtailseam.front.tests._load import exchange_notices, first_by_host
 from foxtailseam_bench.simulation import (
     simulated_hosts,
     simulated_service,
@@ -26,9 +27,7 @@
 
     The searcher names its limit `until` that time, in seconds.
     """
-    known_at = {}
-    for at, identifier in searcher.limit_answers:
-        known_at.setdefault(tier_number(identifier), at)
+    known_at = first_by_host(searcher.limit_answers)
     if not known_at:
         return 0
     first_end = min(known_at.values()) + STABLE_SECONDS
@@ -51,20 +50,6 @@
     return FACTOR * limit * WINDOW + ADDED
 
 
-EXCHANGE_SECONDS = 1.5
-
-
-def exchange_limits(tiers, generator):
-    """Let each host exchange what it knows of limits with another one, repeatedly."""
-    for tier in tiers:
-        own = tier.dispatcher.gates.conditions
-        other = generator.choice(tiers).dispatcher.gates.conditions
-        notices = own.notices()
-        own.merge(other.notices())
-        other.merge(notices)
-    tiers[0].time.call_later(EXCHANGE_SECONDS, exchange_limits, tiers, generator)
-
-
 class TestSearcherLimit:
     """A limit binds the sum of all hosts, which decide each for itself."""
 
@@ -172,7 +157,7 @@
     def test_hosts_that_do_not_ask_a_searcher_hear_that_its_limit_is_gone(self, hosts):
         with simulated_hosts(hosts, 0.011, 92) as tiers:
             limited = tiers[0].searchers["shard3"]
-            exchange_limits(tiers, random.Random(1))
+            exchange_notices(tiers, random.Random(1))
             for searcher in limited:
                 searcher.rate_limit = 1.0
             for number, tier in enumerate(tiers):
--- a/foxtailseam/front/tests/test_searcher_conditions.py
+++ b/foxtailseam/front/tests/test_searcher_conditions.py
@@ -5,6 +5,11 @@
 
 import pytest
 
+from foxtailseam.front.tests._load import (
+    EXCHANGE_SECONDS,
+    exchange_notices,
+    first_by_host,
+)
 from foxtailseam.rate_limits._sharing import MAX_RETURN_SECONDS, RETURN_STEP_SECONDS
 from foxtailseam_bench.simulation import (
     simulated_hosts,
@@ -18,30 +23,10 @@
 REACTION_SECONDS = 0.5
 # Requests that may reach a searcher from one host in the rest of its pause.
 MAX_IN_PAUSE = 2
-EXCHANGE_SECONDS = 1.5
 # With more hosts, the part of one in the budget for retries is less than a request.
 FEW_HOSTS = 6
 
 
-def exchange_notices(tiers, generator):
-    """Let each host tell another one what it knows of searchers, repeatedly."""
-    for tier in tiers:
-        own = tier.dispatcher.gates.conditions
-        other = generator.choice(tiers).dispatcher.gates.conditions
-        notices = own.notices()
-        own.merge(other.notices())
-        other.merge(notices)
-    tiers[0].time.call_later(EXCHANGE_SECONDS, exchange_notices, tiers, generator)
-
-
-def first_by_host(answers):
-    """Return the time of the first of the answers to each host."""
-    first = {}
-    for at, identifier in answers:
-        first.setdefault(tier_number(identifier), at)
-    return first
-
-
 def requests_after_leaving(searcher, delay):
     """Return the requests of hosts that were told `delay` seconds ago, or longer."""
     told_at = first_by_host(searcher.leaving_answers)
--- a/foxtailseam_bench/simulation/_fleet.py
+++ b/foxtailseam_bench/simulation/_fleet.py
@@ -8,15 +8,22 @@
 
 from foxtailseam.clocks import HybridClock
 from foxtailseam.conditions import ConditionRegistry
-from foxtailseam.fleet import Gossip, HostRecord, MemberExchange, Membership
+from foxtailseam.fleet import (
+    FleetSettings,
+    Gossip,
+    HostRecord,
+    MemberExchange,
+    Membership,
+)
+from foxtailseam.fleet._gossip_loop import LONELY_FACTOR, URGENT_SHARE
 from foxtailseam.quarantine import QuarantineController
 from foxtailseam_bench.simulation._time import Timer, VirtualTime
 
-EXCHANGE_SECONDS = 1.5
-URGENT_SECONDS = 0.25
-SEED_SECONDS = 4.0
+SETTINGS = FleetSettings()
+EXCHANGE_SECONDS = SETTINGS.exchange_interval.total_seconds()
+SEED_SECONDS = SETTINGS.seed_interval.total_seconds()
 # Time after which a call to a host that does not answer has failed.
-CALL_TIMEOUT_SECONDS = 0.5
+CALL_TIMEOUT_SECONDS = SETTINGS.timeout.total_seconds()
 SEED_COUNT = 3
 
 
@@ -153,7 +160,7 @@
     def _schedule(self, host: SimulatedHost) -> None:
         """Plan the next exchange of a host, soon if it has urgent news."""
         is_urgent = host.gossip.membership.has_urgent_news
-        pause = URGENT_SECONDS if is_urgent else EXCHANGE_SECONDS
+        pause = EXCHANGE_SECONDS * (URGENT_SHARE if is_urgent else 1.0)
         pause *= self.generator.uniform(0.7, 1.3)
         if host.timer is not None:
             host.timer.cancel()
@@ -161,7 +168,7 @@
 
     def _ask_seeds(self, host: SimulatedHost, repeats: bool = True) -> None:
         if repeats:
-            factor = 1 if len(host.known) > 1 else 8
+            factor = 1 if len(host.known) > 1 else LONELY_FACTOR
             pause = SEED_SECONDS / factor * self.generator.uniform(0.7, 1.3)
             self.time.call_later(pause, self._ask_seeds, host)
         if host.is_running:
