Log how long ago any searcher was last heard from with each failed or refused request

No line told whether a host that fails its requests has lost its own links (hypothesis 1) or suffers from searchers or other hosts (hypothesis 3). The line of a failed or refused request now has contact_age_ms, silent and unconnectable; the metrics have the age. It decides nothing yet.

--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -47,6 +47,9 @@
 # Reasons of a call for which the searchers have said when they take requests again.
 _CLOSED = frozenset({FailureReason.RATE_LIMITED, FailureReason.PAUSED})
 _POSSIBLE_CRASHES = frozenset({FailureKind.RESET, FailureKind.CLOSED})
+_CONNECT_FAILURES = frozenset({FailureKind.REFUSED, FailureKind.CONNECT_TIMEOUT})
+# Failures after which nothing shows that the searcher has sent anything.
+_SILENT_FAILURES = frozenset({FailureKind.RESET, FailureKind.TIMEOUT})
 _ATTEMPT_FAILURES = {
     FailureKind.REFUSED: AttemptFailure.UNREACHABLE,
     FailureKind.CONNECT_TIMEOUT: AttemptFailure.UNREACHABLE,
@@ -317,6 +320,8 @@
     def _render(self, attempt: Attempt) -> bytes:
         now = self.dispatcher.clock.monotonic()
         attempt.written_at = now
+        if attempt.opens_connection:
+            self.dispatcher.contacts.record_connected()
         payload = self.plan.template.render(
             self.plan.deadline_at - now, attempt.searcher.entry.identifier
         )
@@ -326,6 +331,7 @@
     def _on_exchange(self, attempt: Attempt, result: ExchangeResult) -> None:
         del self._running[id(attempt)]
         seconds = attempt.searcher.end_request(attempt.number)
+        self._record_contact(attempt.searcher, result)
         match result:
             case Received(response=response):
                 self.dispatcher.traffic.add_answer(
@@ -349,6 +355,18 @@
         self._release_callbacks()
         self.dispatcher.admit_waiting(self.plan.service)
 
+    def _record_contact(self, searcher: Searcher, result: ExchangeResult) -> None:
+        contacts = self.dispatcher.contacts
+        match result:
+            case ExchangeFailure(kind=kind) if kind in _CONNECT_FAILURES:
+                contacts.record_connect_failure(searcher.entry.identifier)
+            case ExchangeFailure(kind=kind) if kind in _SILENT_FAILURES:
+                contacts.record_silence(searcher.entry.identifier)
+            case ExchangeFailure(kind=FailureKind.CANCELLED):
+                pass
+            case _:
+                contacts.record_response()
+
     def _release_callbacks(self) -> None:
         """Drop the callbacks of a call that has ended.
 
@@ -461,6 +479,7 @@
         attempt.outcome = "abandoned"
         if seconds > NO_RESPONSE_FACTOR * self._response_times.quantile(0.9):
             self._record_failure(attempt, AttemptFailure.NO_RESPONSE)
+            self.dispatcher.contacts.record_silence(attempt.searcher.entry.identifier)
         attempt.exchange.cancel()
         self.dispatcher.admit_waiting(self.plan.service)
 
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -19,6 +19,7 @@
 from foxtailseam.dispatch._wire_format import AnswerMetadata, AnswerReader
 from foxtailseam.http import HttpRequest
 from foxtailseam.metrics import Metrics
+from foxtailseam.reachability import ContactTracker
 from foxtailseam.routing import Route, Service
 
 # Fraction of a searcher's connection limit that all hosts together may use.
@@ -93,6 +94,8 @@
         self.on_ejected: Callable[[Searcher], None] = lambda searcher: None
         # Called with a searcher that crashed and the request it was running.
         self.on_crash: Callable[[Searcher, HttpRequest], None] = lambda *_: None
+        # When this host last heard from any searcher.
+        self.contacts = ContactTracker(clock)
         # Bytes exchanged with searchers.
         self.traffic = TrafficCounter(failure_domain)
         # When this host may send to the searchers that have reported conditions.
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -390,6 +390,7 @@
                 code = EventCode.REQUEST_FAILED
                 if not result.may_have_run:
                     code = EventCode.REQUEST_REFUSED
+                fields |= self._contact_fields()
                 self.metrics.add(f"failures_{result.reason.replace('-', '_')}")
         self.metrics.add(f"answers_{response.status}")
         self.log.write(code, routed.request_id, **fields)
@@ -410,6 +411,14 @@
             "denied": query.denied,
         }
 
+    def _contact_fields(self) -> dict[str, object]:
+        contacts = self.dispatcher.contacts
+        return {
+            "contact_age_ms": round(contacts.age * 1000),
+            "silent": contacts.silent,
+            "unconnectable": contacts.unconnectable,
+        }
+
     def _reject(
         self, call: Call, metadata: RequestMetadata, reason: str, response: HttpResponse
     ) -> None:
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -402,6 +402,7 @@
         metrics.set("buffered_body_bytes", self._caller_listener.buffered_bytes)
         for name, size in self.dispatcher.traffic.totals.items():
             metrics.set(f"bytes_{name}", size)
+        metrics.set("searcher_contact_age_seconds", self.dispatcher.contacts.age)
         searchers = self.dispatcher.searchers
         metrics.set("searchers", len(searchers))
         self._condition_log.set_gauges()
