Failing test: callers of hosts that are cut from all searchers are served by nobody

The bounds are the users': failed first tries at most 10 + 1 in 50, served at least two thirds as often as at the others.

--- /dev/null
+++ b/foxtailseam/front/tests/test_isolated_hosts.py
@@ -0,0 +1,70 @@
+"""Load tests of hosts that are cut from all searchers."""
+
+import pytest
+
+from foxtailseam_bench.simulation import LinkFault, simulated_hosts
+
+GOAL_MS = 183
+CUT_AT = 2.0
+# The users count the requests of this time after the start of a cut.
+STABLE_SECONDS = 4.0
+CUT_SECONDS = 12.0
+END = CUT_AT + CUT_SECONDS + 4.0
+RATE_PER_HOST = 8.0
+# Callers of cut hosts are to be served at least this share as often as the others.
+MIN_SERVED_RATIO = 2 / 3
+# Number and share of first tries that may fail at the cut hosts.
+MAX_FAILURES, MAX_FAILURE_SHARE = 10, 1 / 50
+
+
+def cut(tiers, fault):
+    """Cut the links of hosts for `CUT_SECONDS` from `CUT_AT`."""
+    time = tiers[0].time
+
+    def set_fault(value):
+        for tier in tiers:
+            tier.link.fault = value
+
+    time.call_later(CUT_AT, set_fault, fault)
+    time.call_later(CUT_AT + CUT_SECONDS, set_fault, LinkFault.NONE)
+
+
+def calls_between(tiers, start, end):
+    return [
+        call for tier in tiers for call in tier.calls if start <= call.sent_at < end
+    ]
+
+
+def is_served(call):
+    return call.response is not None and call.response.status == 200
+
+
+def served_share(calls):
+    return sum(map(is_served, calls)) / len(calls)
+
+
+def check_callers_are_served(tiers, isolated_count, fault, rate):
+    """Cut some hosts under a load and check what the callers of all hosts get."""
+    isolated, others = tiers[:isolated_count], tiers[isolated_count:]
+    cut(isolated, fault)
+    for number, tier in enumerate(tiers):
+        tier.load("/urgent/", rate, number / len(tiers) / rate, END)
+    tiers[0].time.run_until(END + 2.0)
+    start, end = CUT_AT + STABLE_SECONDS, CUT_AT + CUT_SECONDS
+    counted = calls_between(isolated, start, end)
+    failed = sum(not is_served(call) for call in counted)
+    reference = served_share(calls_between(others, start, end))
+    assert reference > 0.9
+    assert failed <= MAX_FAILURES + MAX_FAILURE_SHARE * len(counted)
+    assert served_share(counted) >= MIN_SERVED_RATIO * reference
+
+
+class TestHostsCutFromAllSearchers:
+    @pytest.mark.parametrize("fault", [LinkFault.SILENT, LinkFault.RESET])
+    def test_their_callers_are_served_like_those_of_the_others(self, fault):
+        with simulated_hosts(6, 0.03, GOAL_MS) as tiers:
+            check_callers_are_served(tiers, 4, fault, RATE_PER_HOST)
+
+    def test_callers_are_served_where_idle_connections_cannot_be_replaced(self):
+        with simulated_hosts(24, 0.03, GOAL_MS) as tiers:
+            check_callers_are_served(tiers, 16, LinkFault.REFUSE, 0.3)
--- a/foxtailseam_bench/simulation/__init__.py
+++ b/foxtailseam_bench/simulation/__init__.py
@@ -1,6 +1,7 @@
 """Simulation of a host in virtual time: the real front end with simulated searchers."""
 
 from foxtailseam_bench.simulation._fleet import SimulatedFleet, SimulatedHost
+from foxtailseam_bench.simulation._link import LinkFault, SimulatedLink
 from foxtailseam_bench.simulation._searcher import SimulatedSearcher
 from foxtailseam_bench.simulation._tier import (
     SimulatedCall,
@@ -13,9 +14,11 @@
 from foxtailseam_bench.simulation._time import VirtualTime
 
 __all__ = [
+    "LinkFault",
     "SimulatedCall",
     "SimulatedFleet",
     "SimulatedHost",
+    "SimulatedLink",
     "SimulatedSearcher",
     "SimulatedTier",
     "VirtualTime",
--- /dev/null
+++ b/foxtailseam_bench/simulation/_link.py
@@ -0,0 +1,156 @@
+"""Links between one host and the searchers, which can be cut, in virtual time."""
+
+from collections.abc import Callable
+from enum import Enum, auto
+
+from foxtailseam.http import ExchangeFailure, FailureKind
+from foxtailseam_bench.simulation._searcher import (
+    NETWORK_SECONDS,
+    SimulatedExchange,
+    SimulatedSearcher,
+)
+from foxtailseam_bench.simulation._time import VirtualTime
+
+# Time after which an unanswered connect attempt, and a connection with unacknowledged
+# data, fail.
+TIMEOUT_SECONDS = 1.0
+# Time after which an idle connection is closed.
+IDLE_SECONDS = 3.0
+
+
+class LinkFault(Enum):
+    """What happens to the connections of a host to all searchers."""
+
+    NONE = auto()
+    # Nothing arrives in either direction.
+    SILENT = auto()
+    # Open connections break at once, new ones are refused.
+    RESET = auto()
+    # Open connections live on, new ones are refused.
+    REFUSE = auto()
+
+
+_FAILURES = {
+    LinkFault.SILENT: (TIMEOUT_SECONDS, FailureKind.RESET, FailureKind.CONNECT_TIMEOUT),
+    LinkFault.RESET: (NETWORK_SECONDS, FailureKind.RESET, FailureKind.REFUSED),
+    LinkFault.REFUSE: (NETWORK_SECONDS, FailureKind.RESET, FailureKind.REFUSED),
+}
+
+
+class SimulatedLink:
+    """State of the links of one host; `fault` may be set at any time."""
+
+    def __init__(self):
+        self.fault = LinkFault.NONE
+
+
+class LinkedPool:
+    """Connections of one host to one searcher; implements `SearcherPool`.
+
+    Parameters
+    ----------
+    searcher : SimulatedSearcher
+        Searcher at the other end.
+    link : SimulatedLink
+        Links of the host.
+    time : VirtualTime
+        Clock and timers.
+    """
+
+    def __init__(
+        self, searcher: SimulatedSearcher, link: SimulatedLink, time: VirtualTime
+    ):
+        self.searcher = searcher
+        self.link = link
+        self.time = time
+        self.limit = 8
+        # Times at which the idle connections were last used.
+        self._idle: list[float] = []
+
+    @property
+    def has_idle(self) -> bool:
+        """Return whether a connection is idle that the searcher has not closed yet."""
+        if self.link.fault is LinkFault.NONE:
+            return self.searcher.has_idle
+        if self.link.fault is LinkFault.RESET:
+            self._idle.clear()
+        expired = self.time.monotonic() - IDLE_SECONDS
+        self._idle = [used_at for used_at in self._idle if used_at > expired]
+        return bool(self._idle)
+
+    @property
+    def has_capacity(self) -> bool:
+        """Return True: the number of connections is not limited in the simulation."""
+        return True
+
+    def probe(self, done: Callable[[bool], None]) -> None:
+        """Call `done` with whether a connection can be opened."""
+        if self.link.fault is LinkFault.NONE:
+            self.searcher.probe(done)
+        else:
+            self.time.call_later(self._failure_seconds(), done, False)
+
+    def connect(self, timeout: float, done: Callable[[bool], None]) -> None:
+        """Open a connection and call `done` with whether that succeeded.
+
+        Parameters
+        ----------
+        timeout : float
+            Longest time to wait, in virtual seconds.
+        done : callable
+            Called once with whether the connection was opened.
+        """
+        if self.link.fault is LinkFault.NONE:
+            self.searcher.probe(done)
+        else:
+            self.time.call_later(min(timeout, self._failure_seconds()), done, False)
+
+    def retire(self) -> None:
+        """Close the idle connections."""
+        self._idle.clear()
+
+    def send(
+        self,
+        payload: Callable[[], bytes],
+        identifier: bytes,
+        is_head: bool,
+        done: Callable[[object], None],
+    ) -> SimulatedExchange:
+        """Send a request unless the link is cut; `done` gets the result."""
+        had_idle = self.has_idle
+        if had_idle:
+            self._idle = self._idle[:-1]
+        elif self.link.fault is not LinkFault.NONE:
+            return self._fail(identifier, is_sent=False, done=done)
+        if self.link.fault in (LinkFault.SILENT, LinkFault.RESET):
+            payload()
+            return self._fail(identifier, is_sent=True, done=done)
+
+        def on_result(result: object) -> None:
+            if self.link.fault in (LinkFault.SILENT, LinkFault.RESET):
+                self._schedule_failure(done, is_sent=True)
+                return
+            self._idle.append(self.time.monotonic())
+            done(result)
+
+        return self.searcher.send(payload, identifier, is_head, on_result)
+
+    def _fail(
+        self, identifier: bytes, is_sent: bool, done: Callable[[object], None]
+    ) -> SimulatedExchange:
+        exchange = SimulatedExchange(done, identifier, b"", is_sent)
+
+        def deliver(result: object) -> None:
+            if exchange.done is not None:
+                exchange.done(result)
+
+        self._schedule_failure(deliver, is_sent)
+        return exchange
+
+    def _schedule_failure(self, done: Callable[[object], None], is_sent: bool) -> None:
+        _, sent_kind, unsent_kind = _FAILURES[self.link.fault]
+        failure = ExchangeFailure(sent_kind if is_sent else unsent_kind, is_sent)
+        self.time.call_later(self._failure_seconds(), done, failure)
+
+    def _failure_seconds(self) -> float:
+        return _FAILURES[self.link.fault][0]
--- a/foxtailseam_bench/simulation/_tier.py
+++ b/foxtailseam_bench/simulation/_tier.py
@@ -24,6 +24,7 @@
 from foxtailseam.rate_limits import HostGroup
 from foxtailseam.routing import Configuration
 from foxtailseam.store import Item, Position, Removal
+from foxtailseam_bench.simulation._link import LinkedPool, SimulatedLink
 from foxtailseam_bench.simulation._searcher import (
     LEAVING_HEADER,
     LIMIT_HEADER,
@@ -144,6 +145,8 @@
         self.searchers = searchers
         self.metrics = Metrics()
         self.log = RecordingLog()
+        # Links to the searchers.
+        self.link = SimulatedLink()
         self.calls: list[SimulatedCall] = []
         self._request_numbers = count(number * IDENTIFIERS_PER_TIER)
         generator = random.Random(seed)
@@ -151,7 +154,9 @@
         self.dispatcher = Dispatcher(
             time,
             LateTimers(time, timer_lag),
-            lambda address, limit: self._searchers_by_address[address],
+            lambda address, limit: LinkedPool(
+                self._searchers_by_address[address], self.link, time
+            ),
             read_simulated_answer,
             BudgetSettings(0.2, 50.0, timedelta(seconds=10)),
             "d1",
