Forward the requests of a host that is cut from all searchers to hosts that reach them

Cause: a host judged each searcher alone and had no notion of its own links. It tried searchers that it could not reach until each request's time was over, counted the silence as overload, and told the other hosts of crashes that never happened.

Change: - reachability: failing searchers raise a suspicion; a round of connection attempts to six searchers decides. Searchers that are slow, full or paused accept connections, so one that accepts shows that the links work. A host without requests checks after 1.5 s without contact. - forwarding: a host that reaches no searchers, or has no open connection to a shard while it can open none, sends the request to another host, which serves it as its own and never forwards it again. Requests that were waiting when the links were lost are forwarded too if they are idempotent or have not run. Without a host that can help, the refusal comes at once. - Failures found while the links are lost are not held against the searchers, and a crash is claimed only by a host that reaches others.

Why it works: the other hosts reach the searchers, so the work is the same and only a hop is added.

--- a/foxtailseam/clocks/__init__.py
+++ b/foxtailseam/clocks/__init__.py
@@ -8,6 +8,7 @@
 )
 from foxtailseam.clocks._hybrid_clock import HybridClock, HybridTimestamp
 from foxtailseam.clocks._pause import PauseDetector
+from foxtailseam.clocks._timers import TimerHandle, Timers
 
 __all__ = [
     "Clock",
@@ -17,4 +18,6 @@
     "PauseDetector",
     "SuspendAwareClock",
     "SystemClock",
+    "TimerHandle",
+    "Timers",
 ]
--- a/foxtailseam/dispatch/__init__.py
+++ b/foxtailseam/dispatch/__init__.py
@@ -8,7 +8,7 @@
 from foxtailseam.dispatch._budget import BudgetSettings, ExtraLoadBudget
 from foxtailseam.dispatch._call import ServiceCall
 from foxtailseam.dispatch._decision import QueryDecision, QueryProgress, decide_query
-from foxtailseam.dispatch._dispatcher import Dispatcher, TimerHandle, Timers
+from foxtailseam.dispatch._dispatcher import Dispatcher
 from foxtailseam.dispatch._gather import (
     GatherQuery,
     GatherResult,
@@ -79,8 +79,6 @@
     "ShardEstimate",
     "SingleQuery",
     "SingleResult",
-    "TimerHandle",
-    "Timers",
     "WaitQueue",
     "choose_searcher",
     "clamp_retry_after",
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -151,9 +151,16 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether a searcher may have started to run the request."""
-        return self._run_count > 0 or any(
-            attempt.exchange is not None and attempt.exchange.is_sent
-            for attempt in self._running.values()
+        return self.attempts_run > 0
+
+    @property
+    def attempts_run(self) -> int:
+        """Return the number of searchers that may have started to run the request."""
+        return self._run_count + sum(
+            [
+                attempt.exchange is not None and attempt.exchange.is_sent
+                for attempt in self._running.values()
+            ]
         )
 
     @property
@@ -240,6 +247,18 @@
         self._send(searcher)
         return True
 
+    def record_silence(self, now: float) -> None:
+        """Report the searchers whose answers are overdue to the contact tracker.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds of the dispatcher's clock.
+        """
+        for attempt in self._running.values():
+            if attempt.searcher.is_stalled(now):
+                self.dispatcher.contacts.record_silence(attempt.searcher.identifier)
+
     def cancel(self) -> None:
         """Cancel the call and close the connections of its attempts in progress."""
         self._is_over = True
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -3,10 +3,9 @@
 import math
 import random
 from collections.abc import Callable, Iterable
-from typing import Protocol
 
 from foxtailseam.catalogue import SearcherEntry
-from foxtailseam.clocks import Clock
+from foxtailseam.clocks import Clock, Timers
 from foxtailseam.dispatch._budget import BudgetSettings, ExtraLoadBudget
 from foxtailseam.dispatch._gates import SearcherGates
 from foxtailseam.dispatch._latency import ResponseTimes
@@ -19,7 +18,7 @@
 from foxtailseam.dispatch._wire_format import AnswerMetadata, AnswerReader
 from foxtailseam.http import HttpRequest
 from foxtailseam.metrics import Metrics
-from foxtailseam.reachability import ContactTracker
+from foxtailseam.reachability import ContactTracker, LinkMonitor, LinkState
 from foxtailseam.routing import Route, Service
 
 # Fraction of a searcher's connection limit that all hosts together may use.
@@ -31,22 +30,6 @@
 MAX_ADMISSIONS = 4
 
 
-class TimerHandle(Protocol):
-    """Handle of a scheduled call that can be cancelled."""
-
-    def cancel(self) -> None:
-        """Cancel the scheduled call."""
-
-
-class Timers(Protocol):
-    """Schedules delayed calls; an asyncio event loop satisfies this protocol."""
-
-    def call_later(
-        self, delay: float, callback: Callable[..., object], *args: object
-    ) -> TimerHandle:
-        """Call `callback` after `delay` seconds."""
-
-
 class Dispatcher:
     """State that all requests of this host share: searchers, budgets and queues.
 
@@ -94,8 +77,11 @@
         self.on_ejected: Callable[[Searcher], None] = lambda searcher: None
         # Called with a searcher that crashed and the request it was running.
         self.on_crash: Callable[[Searcher, HttpRequest], None] = lambda *_: None
-        # When this host last heard from any searcher.
+        # When this host last heard from any searcher, and whether it reaches them.
         self.contacts = ContactTracker(clock)
+        self.links = LinkMonitor(
+            clock, timers, generator, self.contacts, self._choose_probe_targets
+        )
         # Bytes exchanged with searchers.
         self.traffic = TrafficCounter(failure_domain)
         # When this host may send to the searchers that have reported conditions.
@@ -273,22 +259,73 @@
     def _best_candidate(
         self, service: str, median_time: float, now: float, excluded: Iterable[str]
     ) -> Candidate | None:
+        can_connect = self.links.is_connected
         candidates = [
             searcher.candidate(self.failure_domain, now)
             for searcher in self.open_searchers(service)
-            if searcher.entry.identifier not in excluded and searcher.has_capacity
+            if searcher.entry.identifier not in excluded
+            and searcher.has_capacity
+            and (can_connect or searcher.pool.has_idle)
         ]
         return choose_searcher(candidates, median_time, self.generator.random())
 
     def check_crash(self, searcher: Searcher, request: HttpRequest) -> None:
-        """Call `on_crash` if a searcher that lost a request accepts no connections."""
+        """Call `on_crash` if a searcher that lost a request accepts no connections.
+
+        Nothing is known of the searcher unless this host reaches others.
+        """
+        lost_at = self.clock.monotonic()
 
         def on_probed(accepts: bool) -> None:
             if not accepts:
+                self.links.confirm(lost_at, on_confirmed)
+
+        def on_confirmed(is_connected: bool) -> None:
+            if is_connected:
                 self.on_crash(searcher, request)
 
         searcher.pool.probe(on_probed)
 
+    def can_reach(self, services: Iterable[str]) -> bool:
+        """Return whether the links of this host allow a request to all services.
+
+        Parameters
+        ----------
+        services : iterable of str
+            Services that the request needs.
+        """
+        match self.links.state:
+            case LinkState.CONNECTED:
+                return True
+            case LinkState.NO_NEW_CONNECTIONS:
+                return all(map(self._has_idle_connection, services))
+            case LinkState.ISOLATED:
+                return False
+
+    def forgive_searchers(self) -> None:
+        """Forget the failures of all searchers, as this host itself was at fault."""
+        for searcher in self._searchers.values():
+            searcher.health.forgive()
+
+    def _has_idle_connection(self, service: str) -> bool:
+        return any(item.pool.has_idle for item in self.open_searchers(service))
+
+    def _choose_probe_targets(self, count: int) -> list[Searcher]:
+        """Return random searchers of different services, ejected ones last."""
+        services = [name for name in self._by_service if self.usable_searchers(name)]
+        self.generator.shuffle(services)
+        targets: list[Searcher] = []
+        spare: list[Searcher] = []
+        for service in services:
+            searchers = list(self.usable_searchers(service))
+            self.generator.shuffle(searchers)
+            searchers.sort(key=lambda item: item.health.is_ejected)
+            targets.append(searchers[0])
+            spare += searchers[1:]
+            if len(targets) == count:
+                break
+        return (targets + spare)[:count]
+
     def record_conditions(self, searcher: Searcher, metadata: AnswerMetadata) -> None:
         """Apply the conditions that a searcher's answer reports.
 
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -18,6 +18,7 @@
 from foxtailseam.dispatch._searcher import Searcher
 from foxtailseam.dispatch._shard_selection import select_shards
 from foxtailseam.outcomes import TopRecords
+from foxtailseam.reachability import MIN_SILENCE_SECONDS
 from foxtailseam.routing import AllShards
 
 # Minimum interval between two checks for shards that need a hedge, in seconds.
@@ -195,6 +196,24 @@
         """Return whether a searcher may have started to run the request."""
         return any(call.may_have_run for call in self._calls)
 
+    @property
+    def attempts_run(self) -> int:
+        """Return the largest number of searchers of a shard that may have run it."""
+        return max((call.attempts_run for call in self._calls), default=0)
+
+    def needs_other_host(self, is_isolated: bool) -> bool:
+        """Return whether too few shards can answer over the links that are left.
+
+        Parameters
+        ----------
+        is_isolated : bool
+            Whether open connections do not work either.
+        """
+        reachable = len(self._parts)
+        if not is_isolated:
+            reachable += sum([call.may_have_run for call in self._waiting])
+        return reachable < self._min_shards
+
     @property
     def sending(self) -> SendingStatistics | None:
         """Return how long the first attempts took to be written; None without any."""
@@ -291,6 +310,10 @@
     def _hedge(self) -> None:
         """Send the hedges that are due and schedule the next check."""
         now = self._now()
+        if not self._parts:
+            self._report_silence(now)
+            if self._is_over:
+                return
         next_at = self.times.late_answer_at
         # A query that missed its goal waits for more parts until `late_answer_at`.
         useful_until = (
@@ -314,6 +337,11 @@
         if next_at < self.times.late_answer_at:
             self._call_at(next_at, self._hedge)
 
+    def _report_silence(self, now: float) -> None:
+        if self.dispatcher.contacts.age >= MIN_SILENCE_SECONDS:
+            for call in list(self._waiting):
+                call.record_silence(now)
+
     def _on_goal(self) -> None:
         self._is_at_goal = True
         self._evaluate()
--- a/foxtailseam/dispatch/_health.py
+++ b/foxtailseam/dispatch/_health.py
@@ -164,6 +164,13 @@
         self._next_ejection_seconds = FIRST_EJECTION_SECONDS
         self._ejected_until = float("-inf")
 
+    def forgive(self) -> None:
+        """End any ejection and forget the failures."""
+        self._failure_share = 0.0
+        self._consecutive_failures = 0
+        self._next_ejection_seconds = FIRST_EJECTION_SECONDS
+        self._ejected_until = float("-inf")
+
     def _median_ratio(self, now: float) -> float:
         recent = self._recent_ratios
         while recent[0][0] < now - SAMPLE_SECONDS:
--- a/foxtailseam/dispatch/_query.py
+++ b/foxtailseam/dispatch/_query.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from foxtailseam.clocks import TimerHandle
 from foxtailseam.dispatch._attempts import CallPlan
-from foxtailseam.dispatch._dispatcher import Dispatcher, TimerHandle
+from foxtailseam.dispatch._dispatcher import Dispatcher
 from foxtailseam.dispatch._results import FailureReason
 from foxtailseam.dispatch._wait_queue import (
     MAX_KNOWN_RETRY_AFTER,
--- a/foxtailseam/dispatch/_results.py
+++ b/foxtailseam/dispatch/_results.py
@@ -20,6 +20,7 @@
     BUDGET = "budget"
     OVERLOADED = "overloaded"
     QUARANTINED = "quarantined"
+    ISOLATED = "isolated"
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailseam/dispatch/_searcher.py
+++ b/foxtailseam/dispatch/_searcher.py
@@ -63,6 +63,17 @@
     def probe(self, done: Callable[[bool], None]) -> None:
         """Call `done` with whether the searcher accepts connections."""
 
+    def connect(self, timeout: float, done: Callable[[bool], None]) -> None:
+        """Open a connection, which stays in the pool.
+
+        Parameters
+        ----------
+        timeout : float
+            Longest time to wait, in seconds.
+        done : callable
+            Called once with whether the connection was opened.
+        """
+
     def retire(self) -> None:
         """Close each connection as soon as it has no request in flight."""
 
@@ -95,6 +106,11 @@
         self._in_flight: dict[int, tuple[float, float]] = {}
         self._last_number = 0
 
+    @property
+    def identifier(self) -> str:
+        """Return the identifier of the searcher."""
+        return self.entry.identifier
+
     @property
     def in_flight(self) -> int:
         """Return the number of requests of this host in flight at the searcher."""
@@ -111,6 +127,10 @@
         """Return whether the conditions that the searcher reported allow a request."""
         return self.gate is None or self.gate.wait(self.clock.monotonic()) <= 0.0
 
+    def connect(self, timeout: float, done: Callable[[bool], None]) -> None:
+        """Open a connection; see `SearcherPool.connect`."""
+        self.pool.connect(timeout, done)
+
     def update(self, entry: SearcherEntry) -> None:
         """Replace the entry by a newer one of the same process run."""
         self.entry = entry
--- a/foxtailseam/fleet/__init__.py
+++ b/foxtailseam/fleet/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from foxtailseam.fleet._controller import FleetController
+from foxtailseam.fleet._forward_sender import ChannelForwardSender
 from foxtailseam.fleet._gossip import Gossip
 from foxtailseam.fleet._membership import HostRecord, MemberNews, Membership
 from foxtailseam.fleet._messages import (
@@ -17,6 +18,7 @@
 from foxtailseam.fleet._tree import TreePosition, compute_position
 
 __all__ = [
+    "ChannelForwardSender",
     "FleetController",
     "FleetSettings",
     "FollowRequest",
--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -16,6 +16,12 @@
 from foxtailseam.fleet._relay import Relay
 from foxtailseam.fleet._settings import FleetSettings, jittered
 from foxtailseam.fleet._tree import TreePosition, compute_position
+from foxtailseam.forwarding import (
+    ForwardedRequest,
+    ForwardedResponse,
+    PeerHost,
+    Unavailability,
+)
 from foxtailseam.logs import EventCode, LogWriter
 from foxtailseam.metrics import Metrics
 from foxtailseam.quarantine import QuarantineController
@@ -100,6 +106,12 @@
         self.on_members = on_members
         self.metrics = metrics
         self.membership = Membership(own_record, clock, generator)
+        # Serves a forwarded request; returns what cancels it.
+        self.serve_forwarded: Callable[
+            [ForwardedRequest, Callable[[ForwardedResponse], None]],
+            Callable[[], None],
+        ] = _refuse_forwarded
+        self._peer_hosts: tuple[PeerHost, ...] = ()
         self._gossip = Gossip(
             self.membership,
             quarantine,
@@ -137,6 +149,11 @@
         """
         return min(self.follower.age, self._followed_age())
 
+    @property
+    def peer_hosts(self) -> tuple[PeerHost, ...]:
+        """Return the other alive hosts, as of the last change of the members."""
+        return self._peer_hosts
+
     @property
     def is_reading(self) -> bool:
         """Return whether this host currently reads the configuration service."""
@@ -215,6 +232,27 @@
         self.membership.mark_reached(request.sender)
         return self._relay.updates(request)
 
+    async def forward(self, request: ForwardedRequest) -> ForwardedResponse:
+        """Serve a request that another host has forwarded.
+
+        Parameters
+        ----------
+        request : ForwardedRequest
+            Request to serve; cancelled if the other host cancels the call.
+        """
+        result: asyncio.Future[ForwardedResponse] = asyncio.Future()
+
+        def finish(response: ForwardedResponse) -> None:
+            if not result.done():
+                result.set_result(response)
+
+        cancel = self.serve_forwarded(request, finish)
+        try:
+            return await result
+        except asyncio.CancelledError:
+            cancel()
+            raise
+
     def _count_sent(self, kind: str, failure_domain: str, size: int) -> None:
         is_near = failure_domain == self.membership.own_record.failure_domain
         place = "near" if is_near else "far"
@@ -232,6 +270,10 @@
                 self.membership.own_record.address, members, first
             )
             if has_changed:
+                self._peer_hosts = tuple(
+                    PeerHost(record.address, record.failure_domain)
+                    for record in self.membership.alive[1:]
+                )
                 self.on_members(members)
         wanted = {*self._position.parents, *self._extra_parents(members)}
         for address in wanted:
@@ -425,3 +467,10 @@
 
     def _spawn(self, coroutine) -> None:
         self._tasks.add(asyncio.create_task(coroutine))
+
+
+def _refuse_forwarded(
+    _request: ForwardedRequest, done: Callable[[ForwardedResponse], None]
+) -> Callable[[], None]:
+    done(ForwardedResponse(unavailable=Unavailability.UNSUPPORTED))
+    return lambda: None
--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -8,7 +8,7 @@
 
 import msgspec
 from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
-from grpclib.const import Cardinality, Handler
+from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
@@ -19,10 +19,12 @@
     MemberExchange,
     decompress_changes,
 )
+from foxtailseam.forwarding import ForwardedRequest, ForwardedResponse
 
 _ENCODER = msgspec.msgpack.Encoder()
 EXCHANGE_PATH = "/foxtailseam.Fleet/Exchange"
 FOLLOW_PATH = "/foxtailseam.Fleet/Follow"
+FORWARD_PATH = "/foxtailseam.Fleet/Forward"
 # Exceptions of a call if the other host is unreachable, too slow or misbehaving.
 CALL_ERRORS = (
     OSError,
@@ -33,6 +35,11 @@
 )
 
 
+def is_unimplemented(error: Exception) -> bool:
+    """Return whether the other host does not know the call."""
+    return isinstance(error, GRPCError) and error.status is Status.UNIMPLEMENTED
+
+
 def _decompressed(update: FollowUpdate) -> FollowUpdate:
     if not update.compressed_changes:
         return update
@@ -49,6 +56,9 @@
     def follow(self, request: FollowRequest) -> AsyncIterator[FollowUpdate]:
         """Yield updates until the caller ends the stream."""
 
+    async def forward(self, request: ForwardedRequest) -> ForwardedResponse:
+        """Serve a request that another host has forwarded."""
+
 
 class MessageKind(StrEnum):
     """Kind of message in the metrics on bytes sent to other hosts."""
@@ -56,6 +66,7 @@
     EXCHANGE = "exchange"
     CHANGES = "changes"
     HEARTBEAT = "heartbeat"
+    FORWARD = "forward"
 
 
 # Called with the kind of a message, the failure domain of its receiver and its bytes.
@@ -75,6 +86,12 @@
             FOLLOW_PATH: Handler(
                 self._follow, Cardinality.UNARY_STREAM, FollowRequest, FollowUpdate
             ),
+            FORWARD_PATH: Handler(
+                self._forward,
+                Cardinality.UNARY_UNARY,
+                ForwardedRequest,
+                ForwardedResponse,
+            ),
         }
 
     async def _exchange(self, stream: Stream) -> None:
@@ -85,6 +102,13 @@
             self.on_sent(MessageKind.EXCHANGE, domain, len(response))
             await stream.send_message(response)
 
+    async def _forward(self, stream: Stream) -> None:
+        request = await stream.recv_message()
+        if request is not None:
+            response = _ENCODER.encode(await self.servicer.forward(request))
+            self.on_sent(MessageKind.FORWARD, request.failure_domain, len(response))
+            await stream.send_message(response)
+
     async def _follow(self, stream: Stream) -> None:
         request = await stream.recv_message()
         if request is None:
@@ -167,6 +191,36 @@
         async with asyncio.timeout(timeout):
             return await method(message)
 
+    async def connect(self) -> None:
+        """Open the connection unless it is open.
+
+        Raises
+        ------
+        Exception
+            One of `CALL_ERRORS`.
+        """
+        await self._connect()
+
+    async def forward(self, request: ForwardedRequest) -> ForwardedResponse:
+        """Ask the other host to serve a request and return the response.
+
+        Cancelling this cancels the request at the other host.
+
+        Parameters
+        ----------
+        request : ForwardedRequest
+            Request to serve.
+
+        Raises
+        ------
+        Exception
+            One of `CALL_ERRORS`.
+        """
+        method = UnaryUnaryMethod(
+            self._channel, FORWARD_PATH, ForwardedRequest, ForwardedResponse
+        )
+        return await method(request)
+
     async def follow(
         self, request: FollowRequest, update_timeout: float
     ) -> AsyncIterator[FollowUpdate]:
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -1,7 +1,7 @@
 """Serves callers' requests: route, check, dispatch and respond."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import replace
 from datetime import timedelta
 from functools import partial
 
@@ -15,15 +15,26 @@
     GatherResult,
     MergedAnswer,
     NotAnswered,
-    QueryTimes,
     ServiceAnswer,
     SingleQuery,
     SingleResult,
 )
+from foxtailseam.forwarding import (
+    Forward,
+    Forwarded,
+    ForwardedRequest,
+    ForwardedResponse,
+    Forwarder,
+    ForwardResult,
+    Unavailability,
+)
 from foxtailseam.front._configuration import ConfigurationManager
 from foxtailseam.front._overload_guard import OverloadGuard, QueryDuration
+from foxtailseam.front._peer_requests import to_call, to_failure, to_message
 from foxtailseam.front._quarantine_guard import QuarantineGuard
+from foxtailseam.front._request_log import AnyQuery, AnyResult, RequestLog
 from foxtailseam.front._responses import ResponseBuilder
+from foxtailseam.front._routed_request import RoutedRequest
 from foxtailseam.front._startup_queue import StartupQueue
 from foxtailseam.front._timing import TimingSettings, query_times
 from foxtailseam.http import Call, HttpResponse
@@ -35,6 +46,7 @@
     parse_request_headers,
 )
 from foxtailseam.quarantine import SuspicionState
+from foxtailseam.reachability import LinkChange, LinkState
 from foxtailseam.routing import AllShards, OneService, Route, WeightedServices
 
 # Retry-After of a request that arrived before the first configuration.
@@ -47,42 +59,10 @@
 _OVERLOAD_REASONS = frozenset(
     {FailureReason.SHED, FailureReason.BUDGET, FailureReason.DEADLINE}
 )
-
-
-@dataclass(frozen=True, slots=True)
-class _RoutedRequest:
-    """A request that has a route and at least one service to send it to.
-
-    Parameters
-    ----------
-    call : Call
-        The caller's request.
-    responses : ResponseBuilder
-        Builder of the responses to it.
-    route : Route
-        Route of the request.
-    services : tuple of str
-        The service to send it to, or one service for each shard.
-    times : QueryTimes
-        Points in time by which it must be answered.
-    metadata : RequestMetadata
-        Identifier and remaining time from the caller's headers.
-    version : int
-        Version of the configuration that routed the request.
-    """
-
-    call: Call
-    responses: ResponseBuilder
-    route: Route
-    services: tuple[str, ...]
-    times: QueryTimes
-    metadata: RequestMetadata
-    version: int
-
-    @property
-    def request_id(self) -> str:
-        """Return the identifier of the request as text for the log."""
-        return self.metadata.identifier.decode("latin-1")
+# Failure reasons that lost links of this host cause.
+_LINK_REASONS = frozenset({FailureReason.LOST, FailureReason.NO_SEARCHER})
+# Sample of a query that says nothing about the load of the searchers.
+_NO_DURATION = QueryDuration(None, None, 0.0)
 
 
 class FrontEnd:
@@ -126,14 +106,23 @@
         self.dispatcher = dispatcher
         self.clock = clock
         self.log = log
-        self.metrics = metrics
         self.is_current = is_current
         self.timing = timing
         self.overload_guard = overload_guard
         self.quarantine_guard = quarantine_guard
         self._answer_delay = AnswerDelay(timing.processing_time.total_seconds())
         self._startup_queue = StartupQueue(clock, dispatcher.timers)
-        self._running: dict[int, tuple[_RoutedRequest, GatherQuery | SingleQuery]] = {}
+        # None on a host that can forward no requests.
+        self.forwarder: Forwarder | None = None
+        # Address and failure domain of this host, as other hosts know it.
+        self.identity = ("", "")
+        # Whether the host accepts no more requests from other hosts.
+        self.is_stopping = False
+        self._request_log = RequestLog(
+            log, metrics, clock, configuration_manager, dispatcher.contacts
+        )
+        self._running: dict[int, tuple[RoutedRequest, AnyQuery]] = {}
+        dispatcher.links.on_change = self._on_link_change
 
     @property
     def in_flight(self) -> int:
@@ -141,7 +130,13 @@
         return len(self._running)
 
     def serve(self, call: Call) -> None:
-        """Handle a request; it is answered now or once searchers have answered."""
+        """Handle a request; it is answered now or once searchers have answered.
+
+        Parameters
+        ----------
+        call : Call
+            Request of a caller, or of another host that has forwarded it.
+        """
         metadata = parse_request_headers(call.request.headers)
         responses = ResponseBuilder(metadata.identifier)
         if not metadata.identifier:
@@ -167,13 +162,11 @@
 
     def abort_all(self) -> None:
         """Cancel and fail every running request, as the process must stop."""
-        for request_key, (routed, query) in list(self._running.items()):
+        for routed, query in list(self._running.values()):
             may_have_run = query.may_have_run
             query.cancel()
             result = NotAnswered(FailureReason.DEADLINE, may_have_run)
-            self._finish(
-                request_key, routed, routed.responses.failed(result), result, query
-            )
+            self._finish(routed, routed.responses.failed(result), result)
 
     def _reject_unconfigured(self, call: Call) -> None:
         metadata = parse_request_headers(call.request.headers)
@@ -208,13 +201,16 @@
             self.timing,
             self._answer_delay.seconds,
         )
+        if call.forward is not None:
+            attempts = min(route.max_attempts, call.forward.attempts)
+            route = replace(route, max_attempts=attempts)
         services = self._select_services(route)
         if services is None:
             refusal = responses.refused(RETRY_AFTER_STALE)
             self._reject(call, metadata, "no service has a positive weight", refusal)
             return
         version = self.configuration_manager.version
-        routed = _RoutedRequest(
+        routed = RoutedRequest(
             call, responses, route, services, times, metadata, version
         )
         if times.deadline_at <= self.clock.monotonic():
@@ -224,7 +220,7 @@
 
     def _refuse(
         self,
-        routed: _RoutedRequest,
+        routed: RoutedRequest,
         reason: FailureReason,
         retry_after: timedelta | None,
         inputs: dict[str, object] | None = None,
@@ -243,105 +239,101 @@
             case AllShards(shards=shards):
                 return shards
 
-    def _start(self, routed: _RoutedRequest) -> None:
-        request = routed.call.request
-        state = self.quarantine_guard.state(request)
+    def _start(self, routed: RoutedRequest) -> None:
+        state = self.quarantine_guard.state(routed.call.request)
         if state is SuspicionState.QUARANTINED:
             self._refuse(routed, FailureReason.QUARANTINED, None)
-            return
-        is_suspect = state is SuspicionState.SUSPECT
-        template = PlatformRequestTemplate(request)
-        call_plan = CallPlan(
+        elif self._must_forward(routed):
+            attempts = routed.route.max_attempts
+            self._forward(routed, attempts, False, self.dispatcher.links.state)
+        elif isinstance(routed.route.destination, AllShards):
+            self._start_gather(routed, state is SuspicionState.SUSPECT)
+        else:
+            self._start_single(routed, state is SuspicionState.SUSPECT)
+
+    def _call_plan(self, routed: RoutedRequest) -> CallPlan:
+        request = routed.call.request
+        return CallPlan(
             routed.services[0],
             routed.route,
             request,
-            template,
+            PlatformRequestTemplate(request),
             routed.metadata.identifier,
             routed.times.deadline_at,
         )
-        request_key = id(routed)
-        if isinstance(routed.route.destination, AllShards):
-            retry_after = self.overload_guard.admit(routed.route)
-            if retry_after is not None:
-                inputs = self.overload_guard.describe(routed.route)
-                self._refuse(routed, FailureReason.OVERLOADED, retry_after, inputs)
-                return
-            call_plans = call_plan.for_services(routed.services)
-            query = GatherQuery(
-                self.dispatcher,
-                call_plans,
-                routed.route.destination,
-                routed.times,
-                lambda result: self._on_gathered(request_key, routed, result),
-                partial(self.quarantine_guard.record_survival, request)
-                if is_suspect
-                else None,
-            )
-        else:
-            query = SingleQuery(
-                self.dispatcher,
-                call_plan,
-                routed.times,
-                lambda result: self._on_single(request_key, routed, result),
-                is_suspect,
-            )
-        self._running[request_key] = (routed, query)
-        routed.call.on_disconnect = lambda: self._on_disconnect(request_key, routed)
+
+    def _start_gather(self, routed: RoutedRequest, is_suspect: bool) -> None:
+        retry_after = self.overload_guard.admit(routed.route)
+        if retry_after is not None:
+            inputs = self.overload_guard.describe(routed.route)
+            self._refuse(routed, FailureReason.OVERLOADED, retry_after, inputs)
+            return
+        request = routed.call.request
+        query = GatherQuery(
+            self.dispatcher,
+            self._call_plan(routed).for_services(routed.services),
+            routed.route.destination,
+            routed.times,
+            lambda result: self._on_gathered(routed, result),
+            partial(self.quarantine_guard.record_survival, request)
+            if is_suspect
+            else None,
+        )
+        self._run(routed, query)
+
+    def _start_single(self, routed: RoutedRequest, is_suspect: bool) -> None:
+        query = SingleQuery(
+            self.dispatcher,
+            self._call_plan(routed),
+            routed.times,
+            lambda result: self._on_single(routed, result),
+            is_suspect,
+        )
+        self._run(routed, query)
+
+    def _run(self, routed: RoutedRequest, query: AnyQuery) -> None:
+        self._running[id(routed)] = (routed, query)
+        routed.call.on_disconnect = lambda: self._on_disconnect(routed)
         query.start()
 
-    def _on_gathered(
-        self, request_key: int, routed: _RoutedRequest, result: GatherResult
-    ) -> None:
+    def _on_gathered(self, routed: RoutedRequest, result: GatherResult) -> None:
+        if self._hand_over_failure(routed, result):
+            return
         match result:
             case MergedAnswer():
                 response = routed.responses.merged(result)
             case NotAnswered():
                 response = routed.responses.failed(result)
-        self._finish(
-            request_key, routed, response, result, self._running[request_key][1]
-        )
+        self._finish(routed, response, result)
 
-    def _on_single(
-        self, request_key: int, routed: _RoutedRequest, result: SingleResult
-    ) -> None:
+    def _on_single(self, routed: RoutedRequest, result: SingleResult) -> None:
+        if self._hand_over_failure(routed, result):
+            return
         match result:
             case ServiceAnswer():
                 self.quarantine_guard.record_survival(routed.call.request)
                 response = routed.responses.forwarded(result)
             case _:
                 response = routed.responses.failed(result)
-        self._finish(
-            request_key, routed, response, result, self._running[request_key][1]
-        )
+        self._finish(routed, response, result)
 
-    def _on_disconnect(self, request_key: int, routed: _RoutedRequest) -> None:
-        entry = self._running.pop(request_key, None)
+    def _on_disconnect(self, routed: RoutedRequest) -> None:
+        entry = self._running.pop(id(routed), None)
         if entry is None:
             return
         entry[1].cancel()
         self._release_admission(routed, entry[1], False)
-        self.metrics.add("requests_abandoned")
-        self.log.write(
-            EventCode.REQUEST_ABANDONED,
-            routed.request_id,
-            route=routed.route.name,
-            ms=self._elapsed_ms(routed),
-        )
+        self._request_log.record_abandoned(routed)
 
     def _finish(
-        self,
-        request_key: int,
-        routed: _RoutedRequest,
-        response: HttpResponse,
-        result: GatherResult | SingleResult,
-        query: GatherQuery | SingleQuery,
+        self, routed: RoutedRequest, response: HttpResponse, result: AnyResult
     ) -> None:
-        self._running.pop(request_key, None)
+        _, query = self._running.pop(id(routed))
         self._release_admission(routed, query, _is_overload(result))
         self._respond(routed, response, result, query)
 
     def _release_admission(
-        self, routed: _RoutedRequest, query: GatherQuery | SingleQuery, shed: bool
+        self, routed: RoutedRequest, query: AnyQuery, shed: bool
     ) -> None:
         if isinstance(query, GatherQuery):
             elapsed = self.clock.monotonic() - routed.times.started_at
@@ -350,96 +342,142 @@
 
     def _respond(
         self,
-        routed: _RoutedRequest,
+        routed: RoutedRequest,
         response: HttpResponse,
-        result: GatherResult | SingleResult,
-        query: GatherQuery | SingleQuery | None,
+        result: AnyResult,
+        query: AnyQuery | None,
         inputs: dict[str, object] | None = None,
     ) -> None:
         routed.call.respond(response)
-        now = self.clock.monotonic()
-        elapsed = timedelta(seconds=now - routed.times.started_at)
-        self.metrics.observe("request_latency", elapsed)
         if isinstance(query, GatherQuery) and query.is_answered_at_goal:
-            self._answer_delay.record(now - routed.times.goal_at)
-        fields = {
-            "route": routed.route.name,
-            "version": routed.version,
-            "version_age_ms": int(self.configuration_manager.age * 1000),
-            "status": response.status,
-            "ms": self._elapsed_ms(routed),
-        } | (inputs or {})
-        if query is not None:
-            fields["hedges"] = query.hedges
-            fields["tried"] = query.describe()
-            if query.late_shards:
-                fields["late_shards"] = query.late_shards
-            if isinstance(query, GatherQuery):
-                fields |= self._gather_fields(query)
-        match result:
-            case MergedAnswer(stamps=stamps, missing=missing):
-                fields["parts"] = len(stamps)
-                fields["missing"] = missing
-                code = EventCode.REQUEST_SERVED
-                self.metrics.add("requests_partial" if missing else "requests_complete")
-            case ServiceAnswer():
-                code = EventCode.REQUEST_SERVED
-                self.metrics.add("requests_forwarded")
-            case _:
-                fields["reason"] = result.reason
-                code = EventCode.REQUEST_FAILED
-                if not result.may_have_run:
-                    code = EventCode.REQUEST_REFUSED
-                fields |= self._contact_fields()
-                self.metrics.add(f"failures_{result.reason.replace('-', '_')}")
-        self.metrics.add(f"answers_{response.status}")
-        self.log.write(code, routed.request_id, **fields)
-
-    def _gather_fields(self, query: GatherQuery) -> dict[str, object]:
-        """Count the missing shards; return the fields on how the query was sent."""
-        sending = query.sending
-        if sending is None:
-            return {}
-        for cause, count in query.missing_causes.items():
-            self.metrics.add(f"missing_{cause.replace('-', '_')}", count)
-        self.metrics.observe("query_written", timedelta(seconds=sending.written))
-        return {
-            "started_ms": round(sending.started * 1000, 1),
-            "written_ms": round(sending.written * 1000, 1),
-            "unwritten": sending.unwritten,
-            "connections": sending.connections,
-            "denied": query.denied,
-        }
-
-    def _contact_fields(self) -> dict[str, object]:
-        contacts = self.dispatcher.contacts
-        return {
-            "contact_age_ms": round(contacts.age * 1000),
-            "silent": contacts.silent,
-            "unconnectable": contacts.unconnectable,
-        }
+            self._answer_delay.record(self.clock.monotonic() - routed.times.goal_at)
+        self._request_log.record_response(routed, response, result, query, inputs)
 
     def _reject(
         self, call: Call, metadata: RequestMetadata, reason: str, response: HttpResponse
     ) -> None:
         call.respond(response)
-        self.metrics.add(f"answers_{response.status}")
-        self.log.write(
-            EventCode.REQUEST_REFUSED,
-            metadata.identifier.decode("latin-1"),
-            reason=reason,
-            host_header=call.request.host,
-            path=call.request.path,
-            version=self.configuration_manager.version,
-            version_age_ms=int(self.configuration_manager.age * 1000),
-            status=response.status,
+        self._request_log.record_rejection(call, metadata, reason, response)
+
+    # Forwarding to other hosts.
+
+    def serve_forwarded(
+        self, message: ForwardedRequest, done: Callable[[ForwardedResponse], None]
+    ) -> Callable[[], None]:
+        """Serve a request that another host has forwarded.
+
+        Parameters
+        ----------
+        message : ForwardedRequest
+            The request.
+        done : callable
+            Called once with the response, unless the request is cancelled first.
+
+        Returns
+        -------
+        callable
+            Cancels the request.
+        """
+        unavailable = self._unavailability(message)
+        if unavailable is not None:
+            done(ForwardedResponse(unavailable=unavailable))
+            return lambda: None
+        call = to_call(message, self.clock, done)
+        self.serve(call)
+        return call.notify_disconnect
+
+    def _unavailability(self, message: ForwardedRequest) -> Unavailability | None:
+        if self.is_stopping:
+            return Unavailability.STOPPING
+        if not self.dispatcher.links.is_connected:
+            return Unavailability.ISOLATED
+        manager = self.configuration_manager
+        if manager.configuration is None or manager.version < message.version:
+            return Unavailability.OUTDATED
+        return None
+
+    def _must_forward(self, routed: RoutedRequest) -> bool:
+        may_forward = routed.call.forward is None and self.forwarder is not None
+        return may_forward and not self.dispatcher.can_reach(routed.services)
+
+    def _forward(
+        self, routed: RoutedRequest, attempts: int, may_have_run: bool, reason: str
+    ) -> None:
+        self._request_log.record_forwarding(routed, reason)
+        now = self.clock.monotonic()
+        goal = routed.route.latency_goal.total_seconds()
+        forward = Forward(
+            self.forwarder,
+            to_message(routed, *self.identity, attempts, now),
+            max(routed.times.goal_limit_at, now + goal),
+            routed.times.deadline_at,
+            lambda result: self._on_forwarded(routed, result, may_have_run),
         )
+        self._run(routed, forward)
 
-    def _elapsed_ms(self, routed: _RoutedRequest) -> float:
-        return round((self.clock.monotonic() - routed.times.started_at) * 1000, 1)
+    def _on_forwarded(
+        self, routed: RoutedRequest, result: ForwardResult, may_have_run: bool
+    ) -> None:
+        failure = to_failure(result, may_have_run)
+        if failure is not None:
+            self._finish(routed, routed.responses.failed(failure), failure)
+        elif isinstance(result, Forwarded):
+            self._finish(routed, result.response, result)
+
+    def _on_link_change(self, change: LinkChange) -> None:
+        self.log.write(
+            EventCode.LINKS_CHANGED,
+            state=change.state,
+            accepted=change.evidence.accepted,
+            probed=change.evidence.probed,
+            silent=change.evidence.is_silent,
+            responds=change.evidence.responds,
+            contact_age_ms=round(change.contact_age * 1000),
+            running=len(self._running),
+        )
+        self.dispatcher.forgive_searchers()
+        if change.state is LinkState.CONNECTED:
+            return
+        is_isolated = change.state is LinkState.ISOLATED
+        for routed, query in list(self._running.values()):
+            if not isinstance(query, Forward) and query.needs_other_host(is_isolated):
+                self._hand_over(routed, query, change.state)
+
+    def _hand_over_failure(
+        self, routed: RoutedRequest, result: GatherResult | SingleResult
+    ) -> bool:
+        """Forward a request that failed by lost links; return whether that was done."""
+        links = self.dispatcher.links
+        match result:
+            case MergedAnswer() | ServiceAnswer():
+                return False
+        if result.reason not in _LINK_REASONS:
+            return False
+        if links.is_connected and not links.is_suspect:
+            return False
+        return self._hand_over(routed, self._running[id(routed)][1], result.reason)
+
+    def _hand_over(
+        self, routed: RoutedRequest, query: GatherQuery | SingleQuery, reason: str
+    ) -> bool:
+        """Forward a request that was sent to searchers; return whether that was done.
+
+        One that may have run is forwarded only if it is idempotent.
+        """
+        may_have_run = query.may_have_run
+        attempts = routed.route.max_attempts - query.attempts_run
+        is_allowed = attempts > 0 and (routed.route.idempotent or not may_have_run)
+        if self.forwarder is None or routed.call.forward or not is_allowed:
+            return False
+        query.cancel()
+        del self._running[id(routed)]
+        if isinstance(query, GatherQuery):
+            self.overload_guard.record_end(routed.route, _NO_DURATION, False)
+        self._forward(routed, attempts, may_have_run, reason)
+        return True
 
 
-def _is_overload(result: GatherResult | SingleResult) -> bool:
+def _is_overload(result: AnyResult) -> bool:
     match result:
         case NotAnswered(reason=reason):
             return reason in _OVERLOAD_REASONS
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -17,7 +17,13 @@
 
 from foxtailseam.clocks import HybridClock, SuspendAwareClock
 from foxtailseam.dispatch import BudgetSettings, Dispatcher
-from foxtailseam.fleet import FleetController, FleetSettings, HostRecord
+from foxtailseam.fleet import (
+    ChannelForwardSender,
+    FleetController,
+    FleetSettings,
+    HostRecord,
+)
+from foxtailseam.forwarding import Forwarder, PeerSelector
 from foxtailseam.front._condition_log import ConditionLog
 from foxtailseam.front._configuration import ConfigurationManager
 from foxtailseam.front._front import FrontEnd
@@ -191,6 +197,16 @@
             self.metrics,
         )
         self._quarantine_guard.on_update = self._fleet.gossip_now
+        self._forward_sender = ChannelForwardSender(self.clock)
+        self.front.identity = (settings.peers, settings.failure_domain)
+        self.front.forwarder = Forwarder(
+            self._forward_sender,
+            PeerSelector(self.clock, self._generator, settings.failure_domain),
+            lambda: self._fleet.peer_hosts,
+            self.clock,
+            loop,
+        )
+        self._fleet.serve_forwarded = self.front.serve_forwarded
         self._caller_listener = Listener(
             self.front.serve, self.clock, self._on_rejected_request
         )
@@ -231,6 +247,7 @@
                 async with asyncio.timeout(FLEET_CHECK_SECONDS):
                     await stop.wait()
         await self._drain()
+        self._forward_sender.close()
         await self._fleet.stop()
         self.log.write(EventCode.PROCESS_STOPPED)
         self.log.flush()
@@ -245,6 +262,7 @@
     async def _drain(self) -> None:
         stopped_at = self.clock.monotonic()
         self._is_stopping = True
+        self.front.is_stopping = True
         self.log.write(EventCode.PROCESS_DRAINING, in_flight=self.front.in_flight)
         self._log_readiness_change()
         await self._fleet.leave()
@@ -256,9 +274,9 @@
         grace = (
             self.settings.bounds.shutdown_grace.total_seconds() - GRACE_MARGIN_SECONDS
         )
-        while self._caller_listener.in_flight:
+        while self._caller_listener.in_flight or self.front.in_flight:
             if self.clock.monotonic() - stopped_at > grace:
-                left = self._caller_listener.in_flight
+                left = max(self._caller_listener.in_flight, self.front.in_flight)
                 self.log.write(EventCode.DRAIN_BOUND_REACHED, in_flight=left)
                 self.front.abort_all()
                 break
@@ -275,6 +293,7 @@
 
     def _run_maintenance(self) -> None:
         self.configuration_manager.catalogue.remove_expired()
+        self.dispatcher.links.check_idle()
         self._log_readiness_change()
         self.log.flush()
         now = self.clock.monotonic()
@@ -403,6 +422,7 @@
         for name, size in self.dispatcher.traffic.totals.items():
             metrics.set(f"bytes_{name}", size)
         metrics.set("searcher_contact_age_seconds", self.dispatcher.contacts.age)
+        metrics.set("reaches_searchers", self.dispatcher.links.is_connected)
         searchers = self.dispatcher.searchers
         metrics.set("searchers", len(searchers))
         self._condition_log.set_gauges()
--- a/foxtailseam/front/_responses.py
+++ b/foxtailseam/front/_responses.py
@@ -36,6 +36,7 @@
     FailureReason.DEADLINE: timedelta(milliseconds=100),
     FailureReason.OVERLOADED: timedelta(milliseconds=200),
     FailureReason.QUARANTINED: timedelta(seconds=2),
+    FailureReason.ISOLATED: timedelta(milliseconds=300),
 }
 
 
--- a/foxtailseam/front/_startup_queue.py
+++ b/foxtailseam/front/_startup_queue.py
@@ -3,8 +3,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from foxtailseam.clocks import Clock
-from foxtailseam.dispatch import TimerHandle, Timers
+from foxtailseam.clocks import Clock, TimerHandle, Timers
 from foxtailseam.http import Call
 
 # The first configuration arrives within this time of the start unless the
--- a/foxtailseam/http/__init__.py
+++ b/foxtailseam/http/__init__.py
@@ -5,7 +5,7 @@
 decision whether a connection may be reused.
 """
 
-from foxtailseam.http._call import Call
+from foxtailseam.http._call import Call, ForwardContext
 from foxtailseam.http._caller_connection import ListenerLimits
 from foxtailseam.http._listener import Listener
 from foxtailseam.http._messages import (
@@ -33,6 +33,7 @@
     "ExchangeFailure",
     "ExchangeResult",
     "FailureKind",
+    "ForwardContext",
     "Headers",
     "HttpRequest",
     "HttpResponse",
--- a/foxtailseam/http/_call.py
+++ b/foxtailseam/http/_call.py
@@ -1,6 +1,7 @@
 """A caller's request together with the means to respond to it."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from foxtailseam.http._messages import HttpRequest, HttpResponse
@@ -13,6 +14,22 @@
         """Write the response to the current request."""
 
 
+@dataclass(frozen=True, slots=True)
+class ForwardContext:
+    """Where a request comes from that another host has forwarded.
+
+    Parameters
+    ----------
+    sender : str
+        ``IP:PORT`` of the host that got the request from its caller.
+    attempts : int
+        Largest number of searchers of each service that may be asked.
+    """
+
+    sender: str
+    attempts: int
+
+
 class Call:
     """Request of a caller that takes exactly one response.
 
@@ -22,12 +39,20 @@
         The complete request.
     connection : ResponseWriter
         Connection that the response is written to.
+    forward : ForwardContext or None
+        Set if another host has forwarded the request.
     """
 
-    __slots__ = ("_connection", "on_disconnect", "request")
+    __slots__ = ("_connection", "forward", "on_disconnect", "request")
 
-    def __init__(self, request: HttpRequest, connection: ResponseWriter):
+    def __init__(
+        self,
+        request: HttpRequest,
+        connection: ResponseWriter,
+        forward: ForwardContext | None = None,
+    ):
         self.request = request
+        self.forward = forward
         self.on_disconnect: Callable[[], None] | None = None
         self._connection: ResponseWriter | None = connection
 
--- a/foxtailseam/http/_pool.py
+++ b/foxtailseam/http/_pool.py
@@ -229,6 +229,26 @@
         timer = loop.call_later(PROBE_DELAY.total_seconds(), start)
         self._probe_timers.add(timer)
 
+    def connect(self, timeout: float, done: Callable[[bool], None]) -> None:
+        """Open a connection, which stays in the pool even above `limit`.
+
+        Parameters
+        ----------
+        timeout : float
+            Longest time to wait, in seconds.
+        done : callable
+            Called once with whether the connection was opened.
+        """
+
+        def on_opened(
+            connection: UpstreamConnection, failure: FailureKind | None
+        ) -> None:
+            if failure is None:
+                self._keep(connection)
+            done(failure is None)
+
+        self._open(on_opened, timedelta(seconds=timeout))
+
     def close_idle(self) -> None:
         """Close all connections that have no request in flight."""
         for connection in list(self._connections):
@@ -253,14 +273,7 @@
             done(True)
             return
 
-        def on_opened(
-            connection: UpstreamConnection, failure: FailureKind | None
-        ) -> None:
-            if failure is None:
-                self._keep(connection)
-            done(failure is None)
-
-        self._open(on_opened, PROBE_TIMEOUT)
+        self.connect(PROBE_TIMEOUT.total_seconds(), done)
 
     def _open(self, on_opened: OpenCallback, timeout: timedelta) -> None:
         connection = UpstreamConnection(
--- a/foxtailseam/reachability/_contacts.py
+++ b/foxtailseam/reachability/_contacts.py
@@ -1,5 +1,8 @@
 """When this host last heard from any searcher, and which have failed it since."""
 
+import math
+from collections.abc import Callable
+
 from foxtailseam.clocks import Clock
 
 
@@ -17,17 +20,15 @@
 
     def __init__(self, clock: Clock):
         self.clock = clock
+        # Called when one more searcher has failed.
+        self.on_failure: Callable[[], None] = lambda: None
         self._last_response_at = clock.monotonic()
         self._last_connected_at = clock.monotonic()
         # Searchers that have not answered since the last contact.
         self._silent: set[str] = set()
         # Searchers that could not be connected to since a connection was last opened.
         self._unconnectable: set[str] = set()
-
-    @property
-    def last_response_at(self) -> float:
-        """Return the monotonic time of the last response, or else of the start."""
-        return self._last_response_at
+        self._unconnectable_since = math.inf
 
     @property
     def last_contact_at(self) -> float:
@@ -49,6 +50,11 @@
         """Return the number of searchers that could not be connected to since then."""
         return len(self._unconnectable)
 
+    @property
+    def responds_without_connecting(self) -> bool:
+        """Return whether a response came after the first failed connection attempt."""
+        return self._last_response_at > self._unconnectable_since
+
     def record_response(self) -> None:
         """Record that a searcher has sent something."""
         self._last_response_at = self.clock.monotonic()
@@ -59,11 +65,16 @@
         self._last_connected_at = self.clock.monotonic()
         self._silent.clear()
         self._unconnectable.clear()
+        self._unconnectable_since = math.inf
 
     def record_silence(self, searcher: str) -> None:
         """Record that a searcher's answer is overdue or its connection broke."""
         self._silent.add(searcher)
+        self.on_failure()
 
     def record_connect_failure(self, searcher: str) -> None:
         """Record that no connection to a searcher could be opened."""
+        if not self._unconnectable:
+            self._unconnectable_since = self.clock.monotonic()
         self._unconnectable.add(searcher)
+        self.on_failure()
--- a/foxtailseam_bench/simulation/_link.py
+++ b/foxtailseam_bench/simulation/_link.py
@@ -101,7 +101,7 @@
             Called once with whether the connection was opened.
         """
         if self.link.fault is LinkFault.NONE:
-            self.searcher.probe(done)
+            self.searcher.connect(timeout, done)
         else:
             self.time.call_later(min(timeout, self._failure_seconds()), done, False)
 
--- a/foxtailseam_bench/simulation/_searcher.py
+++ b/foxtailseam_bench/simulation/_searcher.py
@@ -145,6 +145,21 @@
         is_accepting = not (self.is_refusing or self.is_unresponsive)
         self.time.call_later(2 * NETWORK_SECONDS, done, is_accepting)
 
+    def connect(self, timeout: float, done: Callable[[bool], None]) -> None:
+        """Call `done` with whether the searcher accepts connections.
+
+        Parameters
+        ----------
+        timeout : float
+            Longest time to wait, in virtual seconds.
+        done : callable
+            Called once with the result.
+        """
+        if self.is_unresponsive:
+            self.time.call_later(timeout, done, False)
+        else:
+            self.probe(done)
+
     def retire(self) -> None:
         """Do nothing, since the simulation has no connections."""
 
--- a/foxtailseam_bench/simulation/_tier.py
+++ b/foxtailseam_bench/simulation/_tier.py
@@ -25,6 +25,7 @@
 from foxtailseam.routing import Configuration
 from foxtailseam.store import Item, Position, Removal
 from foxtailseam_bench.simulation._link import LinkedPool, SimulatedLink
+from foxtailseam_bench.simulation._peers import SimulatedPeers
 from foxtailseam_bench.simulation._searcher import (
     LEAVING_HEADER,
     LIMIT_HEADER,
@@ -53,6 +54,7 @@
     response: HttpResponse | None = None
     answered_at: float = 0.0
     time: VirtualTime | None = None
+    forward: None = None
 
     def respond(self, response: HttpResponse) -> None:
         """Store the response and its time; a second response is an error."""
@@ -147,6 +149,8 @@
         self.log = RecordingLog()
         # Links to the searchers.
         self.link = SimulatedLink()
+        # Set if the host can forward requests to others.
+        self.peers: SimulatedPeers | None = None
         self.calls: list[SimulatedCall] = []
         self._request_numbers = count(number * IDENTIFIERS_PER_TIER)
         generator = random.Random(seed)
@@ -271,6 +275,7 @@
 
     def _expire_entries(self) -> None:
         self.configuration_manager.catalogue.remove_expired()
+        self.dispatcher.links.check_idle()
         self.time.call_later(EXPIRY_INTERVAL_SECONDS, self._expire_entries)
 
 
@@ -339,7 +344,9 @@
     shards: int = 20,
     seed: int = 1,
 ):
-    """Yield several tiers that share searchers but exchange no state.
+    """Yield several tiers that share searchers and forward requests to one another.
+
+    They exchange no other state.
 
     Parameters
     ----------
@@ -361,10 +368,13 @@
     time = VirtualTime()
     searchers = _searchers(time, shards, service_seconds, seed)
     routes = _routes(searchers, goal_ms)
-    yield [
-        SimulatedTier(routes, searchers, time, seed + number, hosts, number=number)
-        for number in range(hosts)
-    ]
+    yield _joined(
+        [
+            SimulatedTier(routes, searchers, time, seed + number, hosts, number=number)
+            for number in range(hosts)
+        ],
+        seed,
+    )
 
 
 @contextmanager
@@ -406,9 +416,21 @@
         "priority": 1,
         "service": "records",
     }
-    yield [
-        SimulatedTier(
-            [route], {"records": members}, time, seed + number, hosts, number=number
-        )
-        for number in range(hosts)
-    ]
+    yield _joined(
+        [
+            SimulatedTier(
+                [route], {"records": members}, time, seed + number, hosts, number=number
+            )
+            for number in range(hosts)
+        ],
+        seed,
+    )
+
+
+def _joined(tiers: list[SimulatedTier], seed: int) -> list[SimulatedTier]:
+    """Return the tiers after letting them forward requests to one another."""
+    peers = SimulatedPeers(tiers[0].time)
+    peers.join([tier.front for tier in tiers], seed)
+    for tier in tiers:
+        tier.peers = peers
+    return tiers
