Tests of links, choice of hosts and forwarding over loopback; hosts of an earlier release

A host of an earlier release has no handler for forwarded requests. grpclib's client reports that as UNKNOWN with a missing header, not as UNIMPLEMENTED, so its answer counted as a lost request that may have run. The test with the earlier handlers failed before.

--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -25,6 +25,9 @@
 EXCHANGE_PATH = "/foxtailseam.Fleet/Exchange"
 FOLLOW_PATH = "/foxtailseam.Fleet/Follow"
 FORWARD_PATH = "/foxtailseam.Fleet/Forward"
+# grpclib's server leaves this header out of its response to an unknown method, and its
+# client reports only that.
+_NO_HANDLER_MESSAGE = "Missing content-type header"
 # Exceptions of a call if the other host is unreachable, too slow or misbehaving.
 CALL_ERRORS = (
     OSError,
@@ -36,8 +39,14 @@
 
 
 def is_unimplemented(error: Exception) -> bool:
-    """Return whether the other host does not know the call."""
-    return isinstance(error, GRPCError) and error.status is Status.UNIMPLEMENTED
+    """Return whether the other host has no handler for the call, so that nothing ran."""
+    match error:
+        case GRPCError(status=Status.UNIMPLEMENTED):
+            return True
+        case GRPCError(status=Status.UNKNOWN, message=message):
+            return message == _NO_HANDLER_MESSAGE
+        case _:
+            return False
 
 
 def _decompressed(update: FollowUpdate) -> FollowUpdate:
--- /dev/null
+++ b/foxtailseam/fleet/tests/test_forward_sender.py
@@ -0,0 +1,152 @@
+"""Tests of forwarded requests between two hosts over loopback."""
+
+import asyncio
+import socket
+
+import pytest
+
+from foxtailseam.clocks import SystemClock
+from foxtailseam.fleet import ChannelForwardSender, _rpc
+from foxtailseam.forwarding import (
+    ForwardedRequest,
+    ForwardedResponse,
+    PeerAnswered,
+    PeerFailed,
+    Unavailability,
+)
+
+REQUEST = ForwardedRequest(
+    "127.0.0.1:1",
+    "d1",
+    b"POST",
+    b"/book/x?y=1",
+    ((b"Host", b"a.example"), (b"X-Bytes", b"\xff\x00")),
+    b"\x00body\xff",
+    elapsed_ms=2.5,
+    network_ms=6.0,
+    version=3,
+    attempts=2,
+)
+
+
+class Servicer:
+    """Serves forwarded requests after `seconds`; None to never answer."""
+
+    def __init__(self, seconds=0.0):
+        self.seconds = seconds
+        self.requests = []
+        self.cancelled = asyncio.Event()
+
+    async def forward(self, request):
+        self.requests.append(request)
+        try:
+            if self.seconds is None:
+                await asyncio.Event().wait()
+            await asyncio.sleep(self.seconds)
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+        return ForwardedResponse(200, ((b"Stamp", b"s"),), b"\x00records\xff")
+
+
+class OldHandlers(_rpc._Handlers):
+    """Handlers of a release that knows no forwarding."""
+
+    def __mapping__(self):
+        mapping = super().__mapping__()
+        del mapping[_rpc.FORWARD_PATH]
+        return mapping
+
+
+def free_address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+@pytest.fixture
+def run_scenario():
+    """Return a function that runs a scenario with a servicer and a sender."""
+
+    def run(scenario, seconds=0.0):
+        async def main():
+            servicer = Servicer(seconds)
+            address = free_address()
+            stop = await _rpc.serve(address, servicer, lambda *_: None)
+            sender = ChannelForwardSender(SystemClock())
+            try:
+                await asyncio.wait_for(scenario(servicer, sender, address, stop), 10)
+            finally:
+                sender.close()
+                await stop()
+
+        asyncio.run(main())
+
+    return run
+
+
+async def send(sender, address):
+    result = asyncio.Future()
+    sender.send(address, REQUEST, result.set_result)
+    return await result
+
+
+class TestChannelForwardSender:
+    def test_request_and_response_arrive_unchanged(self, run_scenario):
+        async def scenario(servicer, sender, address, stop):
+            result = await send(sender, address)
+            assert servicer.requests == [REQUEST]
+            assert result == PeerAnswered(
+                ForwardedResponse(200, ((b"Stamp", b"s"),), b"\x00records\xff")
+            )
+
+        run_scenario(scenario)
+
+    def test_many_requests_share_one_connection(self, run_scenario):
+        async def scenario(servicer, sender, address, stop):
+            results = await asyncio.gather(*(send(sender, address) for _ in range(20)))
+            assert all(isinstance(item, PeerAnswered) for item in results)
+            assert len(sender._channels) == 1
+
+        run_scenario(scenario, 0.02)
+
+    def test_cancelling_reaches_the_other_host(self, run_scenario):
+        async def scenario(servicer, sender, address, stop):
+            pending = sender.send(address, REQUEST, lambda result: None)
+            while not servicer.requests:
+                await asyncio.sleep(0.01)
+            pending.cancel()
+            async with asyncio.timeout(0.5):
+                await servicer.cancelled.wait()
+
+        run_scenario(scenario, None)
+
+    def test_a_host_that_is_not_there_has_not_run_the_request(self, run_scenario):
+        async def scenario(servicer, sender, address, stop):
+            result = await send(sender, free_address())
+            assert result == PeerFailed(Unavailability.UNREACHABLE, sent=False)
+
+        run_scenario(scenario)
+
+    def test_a_host_that_breaks_off_may_have_run_the_request(self, run_scenario):
+        async def scenario(servicer, sender, address, stop):
+            task = asyncio.create_task(send(sender, address))
+            while not servicer.requests:
+                await asyncio.sleep(0.01)
+            await stop()
+            channel = sender._channels[address]
+            channel._channel._protocol.processor.connection._transport.abort()
+            assert await task == PeerFailed(Unavailability.LOST, sent=True)
+
+        run_scenario(scenario, None)
+
+    def test_a_host_of_an_earlier_release_has_not_run_the_request(
+        self, run_scenario, monkeypatch
+    ):
+        monkeypatch.setattr(_rpc, "_Handlers", OldHandlers)
+
+        async def scenario(servicer, sender, address, stop):
+            result = await send(sender, address)
+            assert result == PeerFailed(Unavailability.UNSUPPORTED, sent=False)
+
+        run_scenario(scenario)
