--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -39,7 +39,7 @@
 
 
 def is_unimplemented(error: Exception) -> bool:
-    """Return whether the other host has no handler for the call, so that nothing ran."""
+    """Return whether the other host has no handler for the call; nothing ran then."""
     match error:
         case GRPCError(status=Status.UNIMPLEMENTED):
             return True
--- a/foxtailseam/front/__init__.py
+++ b/foxtailseam/front/__init__.py
@@ -2,7 +2,13 @@
 
 from foxtailseam.front._configuration import ConfigurationManager
 from foxtailseam.front._front import FrontEnd
-from foxtailseam.front._host import METRICS_PORT, METRICS_TARGET, Host, run_host
+from foxtailseam.front._host import (
+    METRICS_PORT,
+    METRICS_TARGET,
+    Host,
+    read_settings,
+    run_host,
+)
 from foxtailseam.front._overload_guard import OverloadGuard, QueryDuration
 from foxtailseam.front._quarantine_guard import QuarantineGuard
 from foxtailseam.front._responses import ResponseBuilder
@@ -20,5 +26,6 @@
     "QueryDuration",
     "TimingSettings",
     "query_times",
+    "read_settings",
     "run_host",
 ]
--- a/foxtailseam_bench/platform_deployment.py
+++ b/foxtailseam_bench/platform_deployment.py
@@ -12,6 +12,7 @@
 from foxtailseam.metrics import PREFIX
 from foxtailseam_bench._processes import free_ports
 from foxtailseam_bench.platform_stand_in import StandInSearcher, StandInStore
+from foxtailseam_bench.relay import TcpRelays
 
 ROOT = Path(__file__).parents[1]
 READY_SECONDS = 10.0
@@ -173,6 +174,7 @@
         number: int = 1,
         seeds: Iterable[str] = (),
         interpreter_options: Iterable[str] = (),
+        relays: TcpRelays | None = None,
     ) -> PlatformHost:
         """Start the process of a host; it need not be ready yet.
 
@@ -184,16 +186,22 @@
             ``IP:PORT`` addresses of other hosts.
         interpreter_options : iterable of str
             Options of the Python interpreter before the module to run.
+        relays : TcpRelays or None
+            Set if the host is to reach the searchers through relays, which are added.
         """
         settings = self.settings(number, seeds)
         listen = settings["listen_addrs"]
         path = self.directory / f"host-{number}.json"
         path.write_text(json.dumps(settings))
+        command = ("-m", "foxtailseam.launch", listen["frontend"])
+        if relays is not None:
+            names = self._add_relays(relays, self.directory / f"relays-{number}.json")
+            command = ("-m", "foxtailseam_bench.relayed_host", names)
         with (self.directory / f"host-{number}.log").open("wb") as log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 *interpreter_options,
-                *("-m", "foxtailseam.launch", listen["frontend"]),
+                *command,
                 cwd=ROOT,
                 env=os.environ | {"FOXTAILSEAM_CONFIG": str(path)},
                 stdout=log,
@@ -240,6 +248,19 @@
         """Return a new request identifier."""
         return f"{next(self._numbers):016x}"
 
+    def _add_relays(self, relays: TcpRelays, path: Path) -> str:
+        """Add a relay to each searcher; return the name of the file that lists them."""
+        targets = [searcher.address for searcher in self.searchers.values()]
+        ports = free_ports(len(targets))
+        relay_by_target = {
+            target: f"127.0.0.1:{port}"
+            for target, port in zip(targets, ports, strict=True)
+        }
+        for target, address in relay_by_target.items():
+            relays.add(address, target)
+        path.write_text(json.dumps(relay_by_target))
+        return str(path)
+
     async def _serve(self, stand_in: StandInStore | StandInSearcher) -> str:
         async def handle_connection(reader, writer) -> None:
             # asyncio logs an error for a handler that ends as cancelled, as those do
--- a/foxtailseam_bench/relay.py
+++ b/foxtailseam_bench/relay.py
@@ -17,6 +17,7 @@
         self._open = asyncio.Event()
         self._open.set()
         self._writers: set[asyncio.StreamWriter] = set()
+        self._servers: dict[tuple[str, str], asyncio.Server] = {}
 
     def add(self, address: str, target: str) -> None:
         """Relay connections to `address` on to `target`, both ``IP:PORT``."""
@@ -30,6 +31,14 @@
         """Reset all connections, dropping held bytes, and relay new ones again."""
         self._run(self._set_open(True))
 
+    def refuse(self, keeps_open: bool = False) -> None:
+        """Refuse new connections; reset those that are open unless `keeps_open`."""
+        self._run(self._refuse(keeps_open))
+
+    def accept(self) -> None:
+        """Accept new connections again."""
+        self._run(self._accept())
+
     def close(self) -> None:
         """Stop the thread and with it all relays."""
         self._loop.call_soon_threadsafe(self._loop.stop)
@@ -46,12 +55,24 @@
         else:
             self._open.clear()
 
+    async def _refuse(self, keeps_open: bool) -> None:
+        for server in self._servers.values():
+            server.close()
+        if not keeps_open:
+            for writer in list(self._writers):
+                writer.transport.abort()
+
+    async def _accept(self) -> None:
+        for address, target in list(self._servers):
+            await self._serve(address, target)
+
     async def _serve(self, address: str, target: str) -> None:
         async def relay(reader, writer):
             await self._relay(reader, writer, target)
 
         host, _, port = address.rpartition(":")
-        await asyncio.start_server(relay, host, int(port))
+        server = await asyncio.start_server(relay, host, int(port))
+        self._servers[address, target] = server
 
     async def _relay(self, reader, writer, target: str) -> None:
         self._writers.add(writer)
