--- a/foxtailseam/forwarding/_messages.py
+++ b/foxtailseam/forwarding/_messages.py
@@ -7,7 +7,7 @@
 
 
 class Unavailability(StrEnum):
-    """Why a host does not run requests of others; none of them was run."""
+    """Why a host has not served a request of another one."""
 
     # It does not reach the searchers either.
     ISOLATED = "isolated"
@@ -76,9 +76,17 @@
         Complete body of that response.
     unavailable : Unavailability or None
         Why the host does not serve the request.
+    attempts_run : int
+        Number of searchers of a service that may have run the request before the host
+        found out that it cannot serve it.
+    helpers : tuple of str
+        ``IP:PORT`` of hosts that have lately served requests of this host, if it is
+        isolated itself.
     """
 
     status: int = 0
     headers: Headers = ()
     body: bytes = b""
     unavailable: Unavailability | None = None
+    attempts_run: int = 0
+    helpers: tuple[str, ...] = ()
--- a/foxtailseam/forwarding/_selection.py
+++ b/foxtailseam/forwarding/_selection.py
@@ -19,6 +19,16 @@
     Unavailability.LOST: timedelta(seconds=1),
     Unavailability.BUSY: timedelta(milliseconds=300),
 }
+# How long a host that served a request counts as one that reaches the searchers.
+HELP_SECONDS = 5.0
+# With this many of them, no others are asked first.
+MIN_HELPERS = 3
+# After this many hosts in a row that could not be connected to, this host counts as cut
+# from the other hosts for a while.
+MAX_UNREACHABLE = 2
+ALONE_SECONDS = 0.5
+# Largest number of helpers named to another host.
+MAX_NAMED_HELPERS = 3
 # Largest number of random hosts among which one is chosen.
 MAX_CONSIDERED = 64
 
@@ -62,13 +72,26 @@
         self._avoided_until: dict[str, float] = {}
         self._domain_avoided_until = float("-inf")
         self._in_flight: Counter[str] = Counter()
+        self._unreachable_in_row = 0
+        self._alone_until = float("-inf")
+        # When each host last served a request, here or of a host that said so.
+        self._helped_at: dict[str, float] = {}
+
+    @property
+    def helpers(self) -> tuple[str, ...]:
+        """Return the addresses of hosts that have lately served requests."""
+        oldest = self.clock.monotonic() - HELP_SECONDS
+        known = [name for name, at in self._helped_at.items() if at >= oldest]
+        return tuple(known[-MAX_NAMED_HELPERS:])
 
     def choose(
         self, hosts: Sequence[PeerHost], tried: Collection[str]
     ) -> PeerHost | None:
         """Return the host to ask, or None if none is known that may help.
 
-        Of two random candidates, the one with fewer requests of this host is chosen.
+        Hosts that have lately helped are preferred if there are several, or after
+        another host could not help. Of two random candidates, the one with fewer
+        requests of this host is chosen.
 
         Parameters
         ----------
@@ -78,13 +101,16 @@
             Addresses of hosts that were already asked for the same request.
         """
         now = self.clock.monotonic()
+        if now < self._alone_until:
+            return None
+        helpers = self._usable(
+            [host for host in hosts if host.address in self._helped_at], tried, now
+        )
+        if len(helpers) >= MIN_HELPERS or (tried and helpers):
+            return self._least_busy(helpers)
         if len(hosts) > MAX_CONSIDERED:
             hosts = self.generator.sample(hosts, MAX_CONSIDERED)
-        candidates = [
-            host
-            for host in hosts
-            if host.address not in tried and not self._is_avoided(host.address, now)
-        ]
+        candidates = self._usable(hosts, tried, now)
         if now >= self._domain_avoided_until:
             near = [
                 host
@@ -92,10 +118,7 @@
                 if host.failure_domain == self.failure_domain
             ]
             candidates = near or candidates
-        if not candidates:
-            return None
-        pair = self.generator.sample(candidates, min(2, len(candidates)))
-        return min(pair, key=lambda host: self._in_flight[host.address])
+        return self._least_busy(candidates)
 
     def begin(self, host: PeerHost) -> None:
         """Count a request that is sent to a host."""
@@ -107,13 +130,33 @@
         if not self._in_flight[host.address]:
             del self._in_flight[host.address]
 
+    def record_help(self, addresses: Collection[str]) -> None:
+        """Record that hosts have served a request, here or of another host.
+
+        Parameters
+        ----------
+        addresses : collection of str
+            ``IP:PORT`` addresses of the hosts.
+        """
+        now = self.clock.monotonic()
+        self._unreachable_in_row = 0
+        oldest = now - HELP_SECONDS
+        for address in addresses:
+            self._helped_at.pop(address, None)
+            self._helped_at[address] = now
+        self._helped_at = {
+            name: at for name, at in self._helped_at.items() if at >= oldest
+        }
+
     def avoid(self, host: PeerHost, reason: Unavailability) -> None:
         """Send a host nothing for a while."""
         now = self.clock.monotonic()
+        self._count_unreachable(reason, now)
         until = now + AVOIDANCE[reason].total_seconds()
         self._avoided_until = {
             address: end for address, end in self._avoided_until.items() if end > now
         }
+        self._helped_at.pop(host.address, None)
         known = self._avoided_until.get(host.address, until)
         self._avoided_until[host.address] = max(known, until)
         is_near = host.failure_domain == self.failure_domain
@@ -123,8 +166,30 @@
     def wait(self) -> float:
         """Return the seconds until a host may be asked that is avoided now; else 0."""
         now = self.clock.monotonic()
-        waits = [until - now for until in self._avoided_until.values() if until > now]
+        ends = (self._alone_until, *self._avoided_until.values())
+        waits = [until - now for until in ends if until > now]
         return min(waits, default=0.0)
 
-    def _is_avoided(self, address: str, now: float) -> bool:
-        return now < self._avoided_until.get(address, now)
+    def _count_unreachable(self, reason: Unavailability, now: float) -> None:
+        if reason is not Unavailability.UNREACHABLE:
+            self._unreachable_in_row = 0
+            return
+        self._unreachable_in_row += 1
+        if self._unreachable_in_row >= MAX_UNREACHABLE:
+            self._alone_until = now + ALONE_SECONDS
+
+    def _usable(
+        self, hosts: Sequence[PeerHost], tried: Collection[str], now: float
+    ) -> list[PeerHost]:
+        return [
+            host
+            for host in hosts
+            if host.address not in tried
+            and now >= self._avoided_until.get(host.address, now)
+        ]
+
+    def _least_busy(self, candidates: Sequence[PeerHost]) -> PeerHost | None:
+        if not candidates:
+            return None
+        pair = self.generator.sample(candidates, min(2, len(candidates)))
+        return min(pair, key=lambda host: self._in_flight[host.address])
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -380,12 +380,24 @@
         """
         unavailable = self._unavailability(message)
         if unavailable is not None:
-            done(ForwardedResponse(unavailable=unavailable))
+            done(self._declined(unavailable))
             return lambda: None
-        call = to_call(message, self.clock, done)
+
+        def decline(attempts_run: int) -> None:
+            done(self._declined(Unavailability.ISOLATED, attempts_run))
+
+        call = to_call(message, self.clock, done, decline)
         self.serve(call)
         return call.notify_disconnect
 
+    def _declined(
+        self, reason: Unavailability, attempts_run: int = 0
+    ) -> ForwardedResponse:
+        helpers = self.forwarder.selector.helpers if self.forwarder else ()
+        return ForwardedResponse(
+            unavailable=reason, attempts_run=attempts_run, helpers=helpers
+        )
+
     def _unavailability(self, message: ForwardedRequest) -> Unavailability | None:
         if self.is_stopping:
             return Unavailability.STOPPING
@@ -412,6 +424,7 @@
             max(routed.times.goal_limit_at, now + goal),
             routed.times.deadline_at,
             lambda result: self._on_forwarded(routed, result, may_have_run),
+            routed.route.idempotent,
         )
         self._run(routed, forward)
 
@@ -462,18 +475,24 @@
     ) -> bool:
         """Forward a request that was sent to searchers; return whether that was done.
 
-        One that may have run is forwarded only if it is idempotent.
+        One that may have run is forwarded only if it is idempotent. One that another
+        host has forwarded goes back there.
         """
         may_have_run = query.may_have_run
-        attempts = routed.route.max_attempts - query.attempts_run
+        attempts_run = query.attempts_run
+        attempts = routed.route.max_attempts - attempts_run
         is_allowed = attempts > 0 and (routed.route.idempotent or not may_have_run)
-        if self.forwarder is None or routed.call.forward or not is_allowed:
+        if self.forwarder is None or not is_allowed:
             return False
         query.cancel()
         del self._running[id(routed)]
         if isinstance(query, GatherQuery):
             self.overload_guard.record_end(routed.route, _NO_DURATION, False)
-        self._forward(routed, attempts, may_have_run, reason)
+        if routed.call.forward is not None:
+            self._request_log.record_declined(routed, reason)
+            routed.call.forward.decline(attempts_run)
+        else:
+            self._forward(routed, attempts, may_have_run, reason)
         return True
 
 
--- a/foxtailseam/front/_peer_requests.py
+++ b/foxtailseam/front/_peer_requests.py
@@ -66,7 +66,10 @@
 
 
 def to_call(
-    message: ForwardedRequest, clock: Clock, done: Callable[[ForwardedResponse], None]
+    message: ForwardedRequest,
+    clock: Clock,
+    done: Callable[[ForwardedResponse], None],
+    decline: Callable[[int], None],
 ) -> Call:
     """Return the call that serves another host's request on this one.
 
@@ -78,6 +81,8 @@
         Source of monotonic time.
     done : callable
         Called with the response.
+    decline : callable
+        Gives the request back; see `ForwardContext`.
     """
     request = HttpRequest(
         message.method,
@@ -87,7 +92,7 @@
         clock.monotonic() - message.elapsed_ms / 1000,
         message.network_ms / 1000 + HOP_SECONDS,
     )
-    context = ForwardContext(message.sender, message.attempts)
+    context = ForwardContext(message.sender, message.attempts, decline)
     return Call(request, _ResponseSink(done), context)
 
 
--- a/foxtailseam/front/_request_log.py
+++ b/foxtailseam/front/_request_log.py
@@ -148,6 +148,27 @@
             **self._contact_fields(),
         )
 
+    def record_declined(self, routed: RoutedRequest, reason: str) -> None:
+        """Record that a forwarded request is given back to the host it came from.
+
+        Parameters
+        ----------
+        routed : RoutedRequest
+            The request.
+        reason : str
+            State of the links to the searchers, or how the request failed here.
+        """
+        self.metrics.add("forwards_declined")
+        self.log.write(
+            EventCode.FORWARD_DECLINED,
+            routed.request_id,
+            route=routed.route.name,
+            reason=reason,
+            ms=self._elapsed_ms(routed),
+            sender=routed.call.forward.sender,
+            **self._contact_fields(),
+        )
+
     @property
     def _version_age_ms(self) -> int:
         return int(self.configuration_manager.age * 1000)
--- a/foxtailseam/http/_call.py
+++ b/foxtailseam/http/_call.py
@@ -24,10 +24,14 @@
         ``IP:PORT`` of the host that got the request from its caller.
     attempts : int
         Largest number of searchers of each service that may be asked.
+    decline : callable
+        Gives the request back to that host; called with the number of searchers of a
+        service that may have run it.
     """
 
     sender: str
     attempts: int
+    decline: Callable[[int], None]
 
 
 class Call:
--- a/foxtailseam/logs/_catalogue.py
+++ b/foxtailseam/logs/_catalogue.py
@@ -55,6 +55,7 @@
     REQUEST_ABANDONED = (333, Severity.INFO, "a caller disconnected before its answer")
     REQUEST_UNREADABLE = (334, Severity.WARNING, "a request is invalid or over a limit")
     REQUEST_FORWARDED = (335, Severity.INFO, "a request was forwarded to another host")
+    FORWARD_DECLINED = (336, Severity.INFO, "a forwarded request was given back")
     SEARCHER_STATE = (400, Severity.INFO, "a searcher's state changed")
     SEARCHER_LOST = (401, Severity.WARNING, "a searcher was lost with work in flight")
     ANSWER_MISMATCHED = (402, Severity.ERROR, "a response was to another request")
--- a/foxtailseam/reachability/_links.py
+++ b/foxtailseam/reachability/_links.py
@@ -27,7 +27,9 @@
 RECHECK_JITTER = (0.5, 1.5)
 # A host without requests checks its links if it had no contact for this long, in
 # seconds, within the range of the jitter.
-IDLE_CHECK_SECONDS = 1.5
+IDLE_CHECK_SECONDS = 1.0
+# One silent searcher is enough for a check if there was no contact for this long.
+LONE_SILENCE_SECONDS = 0.4
 # Links that are lost again within this time must work in twice as many rounds as
 # before, up to the maximum, until they are used again.
 FLAP_SECONDS = 5.0
@@ -111,7 +113,7 @@
         # Called with each `LinkChange`.
         self.on_change: Callable[[LinkChange], None] = lambda change: None
         self._state = CONNECTED
-        self._is_probing = False
+        self._round: _Round | None = None
         self._round_ended_at = float("-inf")
         self._returned_at = float("-inf")
         self._good_rounds = 0
@@ -134,7 +136,7 @@
     @property
     def is_suspect(self) -> bool:
         """Return whether a round decides at the moment whether the links work."""
-        return self._is_probing
+        return self._round is not None
 
     def confirm(self, since: float, done: Callable[[bool], None]) -> None:
         """Call `done` with whether the links have worked after a moment.
@@ -161,11 +163,14 @@
             self._start_round(is_idle_check=True)
 
     def _on_failure(self) -> None:
-        if self._is_probing or not self._is_suspicious():
-            return
         elapsed = self.clock.monotonic() - self._round_ended_at
-        if self.is_connected and elapsed >= MIN_ROUND_INTERVAL_SECONDS:
+        if not self.is_connected or elapsed < MIN_ROUND_INTERVAL_SECONDS:
+            return
+        contacts = self.contacts
+        if self._is_suspicious():
             self._start_round()
+        elif contacts.silent and contacts.age >= LONE_SILENCE_SECONDS:
+            self._start_round(is_idle_check=True)
 
     def _is_suspicious(self) -> bool:
         contacts = self.contacts
@@ -175,15 +180,20 @@
         )
 
     def _start_round(self, is_idle_check: bool = False) -> None:
-        if self._is_probing:
-            return
+        if self._round is not None:
+            if is_idle_check or not self._round.is_idle_check:
+                return
+            # Replaces the check, whose probes may still prove that the links work.
+            self._round.has_ended = True
         targets = self.choose_targets(1 if is_idle_check else PROBES_PER_ROUND)
         if not targets:
+            self._round = None
             self._resolve_waiting()
+            self._schedule_recheck()
             return
-        self._is_probing = True
         now = self.clock.monotonic()
         probe_round = _Round(len(targets), now, self.contacts.age, is_idle_check)
+        self._round = probe_round
         for target in targets:
             on_probed = partial(self._on_probed, probe_round, target.identifier)
             target.connect(PROBE_TIMEOUT_SECONDS, on_probed)
@@ -214,8 +224,10 @@
         )
 
     def _end_round(self, probe_round: "_Round") -> None:
+        if probe_round is not self._round:
+            return
         probe_round.has_ended = True
-        self._is_probing = False
+        self._round = None
         self._round_ended_at = self.clock.monotonic()
         evidence = self._evidence(probe_round)
         verdict = judge_links(self._state, evidence)
@@ -229,6 +241,9 @@
         if verdict is not self._state and (not is_good or may_return):
             self._change(LinkChange(verdict, evidence, probe_round.contact_age))
         self._resolve_waiting()
+        self._schedule_recheck()
+
+    def _schedule_recheck(self) -> None:
         if not self.is_connected:
             delay = RECHECK_SECONDS * self._jitter()
             self.timers.call_later(delay, self._start_round)
