--- /dev/null
+++ b/foxtailseam/front/_forwarding.py
@@ -0,0 +1,132 @@
+"""Decides which requests are forwarded to other hosts, and accepts theirs."""
+
+from collections.abc import Callable
+
+from foxtailseam.dispatch import Dispatcher, GatherQuery, SingleQuery
+from foxtailseam.forwarding import (
+    Forward,
+    ForwardedRequest,
+    ForwardedResponse,
+    Forwarder,
+    ForwardResult,
+    Unavailability,
+)
+from foxtailseam.front._configuration import ConfigurationManager
+from foxtailseam.front._peer_requests import to_call, to_message
+from foxtailseam.front._routed_request import RoutedRequest
+from foxtailseam.http import Call
+
+
+class PeerForwarding:
+    """Both sides of forwarding on one host.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Knows what this host reaches of the searchers.
+    configuration_manager : ConfigurationManager
+        Source of the version in force.
+
+    Attributes
+    ----------
+    forwarder : Forwarder or None
+        Forwards requests; None on a host that knows no others.
+    address, failure_domain : str
+        Address and failure domain of this host, as other hosts know it.
+    is_stopping : bool
+        Whether the host accepts no more requests of other hosts.
+    """
+
+    def __init__(
+        self, dispatcher: Dispatcher, configuration_manager: ConfigurationManager
+    ):
+        self.dispatcher = dispatcher
+        self.configuration_manager = configuration_manager
+        self.forwarder: Forwarder | None = None
+        self.address = ""
+        self.failure_domain = ""
+        self.is_stopping = False
+
+    def must_forward(self, routed: RoutedRequest) -> bool:
+        """Return whether a new request needs a host with better links."""
+        may_forward = routed.call.forward is None and self.forwarder is not None
+        return may_forward and not self.dispatcher.can_reach(routed.services)
+
+    def may_hand_over(
+        self, routed: RoutedRequest, query: GatherQuery | SingleQuery
+    ) -> bool:
+        """Return whether a request that was sent to searchers may go to another host.
+
+        One that may have run has to be idempotent.
+        """
+        has_attempts = routed.route.max_attempts > query.attempts_run
+        may_repeat = routed.route.idempotent or not query.may_have_run
+        return self.forwarder is not None and has_attempts and may_repeat
+
+    def create(
+        self,
+        routed: RoutedRequest,
+        attempts: int,
+        on_result: Callable[[ForwardResult], None],
+    ) -> Forward:
+        """Return the forwarded request, which is not started yet.
+
+        Parameters
+        ----------
+        routed : RoutedRequest
+            The request.
+        attempts : int
+            Largest number of searchers of each service that may still be asked.
+        on_result : callable
+            Called once with the result.
+        """
+        now = self.dispatcher.clock.monotonic()
+        goal = routed.route.latency_goal.total_seconds()
+        return Forward(
+            self.forwarder,
+            to_message(routed, self.address, self.failure_domain, attempts, now),
+            max(routed.times.goal_limit_at, now + goal),
+            routed.times.deadline_at,
+            on_result,
+            routed.route.idempotent,
+        )
+
+    def accept(
+        self, message: ForwardedRequest, done: Callable[[ForwardedResponse], None]
+    ) -> Call | None:
+        """Return the call that serves another host's request; None if it is declined.
+
+        Parameters
+        ----------
+        message : ForwardedRequest
+            The request.
+        done : callable
+            Called once with the response, now if the request is declined.
+        """
+        unavailable = self._unavailability(message)
+        if unavailable is not None:
+            done(self._declined(unavailable))
+            return None
+
+        def decline(attempts_run: int) -> None:
+            done(self._declined(Unavailability.ISOLATED, attempts_run))
+
+        return to_call(message, self.dispatcher.clock, done, decline)
+
+    def _unavailability(self, message: ForwardedRequest) -> Unavailability | None:
+        if self.is_stopping:
+            return Unavailability.STOPPING
+        if not self.dispatcher.links.is_connected:
+            return Unavailability.ISOLATED
+        manager = self.configuration_manager
+        if manager.configuration is None or manager.version < message.version:
+            return Unavailability.OUTDATED
+        return None
+
+    def _declined(
+        self, reason: Unavailability, attempts_run: int = 0
+    ) -> ForwardedResponse:
+        helpers = self.forwarder.selector.helpers if self.forwarder else ()
+        return ForwardedResponse(
+            unavailable=reason, attempts_run=attempts_run, helpers=helpers
+        )
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -24,13 +24,12 @@
     Forwarded,
     ForwardedRequest,
     ForwardedResponse,
-    Forwarder,
     ForwardResult,
-    Unavailability,
 )
 from foxtailseam.front._configuration import ConfigurationManager
+from foxtailseam.front._forwarding import PeerForwarding
 from foxtailseam.front._overload_guard import OverloadGuard, QueryDuration
-from foxtailseam.front._peer_requests import to_call, to_failure, to_message
+from foxtailseam.front._peer_requests import to_failure
 from foxtailseam.front._quarantine_guard import QuarantineGuard
 from foxtailseam.front._request_log import AnyQuery, AnyResult, RequestLog
 from foxtailseam.front._responses import ResponseBuilder
@@ -88,6 +87,11 @@
         Refuses gather queries that exceed the capacity of the searchers.
     quarantine_guard : QuarantineGuard
         Tracks the requests that crash searchers.
+
+    Attributes
+    ----------
+    peers : PeerForwarding
+        Forwards requests to other hosts while this one does not reach the searchers.
     """
 
     def __init__(
@@ -112,12 +116,7 @@
         self.quarantine_guard = quarantine_guard
         self._answer_delay = AnswerDelay(timing.processing_time.total_seconds())
         self._startup_queue = StartupQueue(clock, dispatcher.timers)
-        # None on a host that can forward no requests.
-        self.forwarder: Forwarder | None = None
-        # Address and failure domain of this host, as other hosts know it.
-        self.identity = ("", "")
-        # Whether the host accepts no more requests from other hosts.
-        self.is_stopping = False
+        self.peers = PeerForwarding(dispatcher, configuration_manager)
         self._request_log = RequestLog(
             log, metrics, clock, configuration_manager, dispatcher.contacts
         )
@@ -243,7 +242,7 @@
         state = self.quarantine_guard.state(routed.call.request)
         if state is SuspicionState.QUARANTINED:
             self._refuse(routed, FailureReason.QUARANTINED, None)
-        elif self._must_forward(routed):
+        elif self.peers.must_forward(routed):
             attempts = routed.route.max_attempts
             self._forward(routed, attempts, False, self.dispatcher.links.state)
         elif isinstance(routed.route.destination, AllShards):
@@ -378,55 +377,21 @@
         callable
             Cancels the request.
         """
-        unavailable = self._unavailability(message)
-        if unavailable is not None:
-            done(self._declined(unavailable))
+        call = self.peers.accept(message, done)
+        if call is None:
             return lambda: None
-
-        def decline(attempts_run: int) -> None:
-            done(self._declined(Unavailability.ISOLATED, attempts_run))
-
-        call = to_call(message, self.clock, done, decline)
         self.serve(call)
         return call.notify_disconnect
 
-    def _declined(
-        self, reason: Unavailability, attempts_run: int = 0
-    ) -> ForwardedResponse:
-        helpers = self.forwarder.selector.helpers if self.forwarder else ()
-        return ForwardedResponse(
-            unavailable=reason, attempts_run=attempts_run, helpers=helpers
-        )
-
-    def _unavailability(self, message: ForwardedRequest) -> Unavailability | None:
-        if self.is_stopping:
-            return Unavailability.STOPPING
-        if not self.dispatcher.links.is_connected:
-            return Unavailability.ISOLATED
-        manager = self.configuration_manager
-        if manager.configuration is None or manager.version < message.version:
-            return Unavailability.OUTDATED
-        return None
-
-    def _must_forward(self, routed: RoutedRequest) -> bool:
-        may_forward = routed.call.forward is None and self.forwarder is not None
-        return may_forward and not self.dispatcher.can_reach(routed.services)
-
     def _forward(
         self, routed: RoutedRequest, attempts: int, may_have_run: bool, reason: str
     ) -> None:
         self._request_log.record_forwarding(routed, reason)
-        now = self.clock.monotonic()
-        goal = routed.route.latency_goal.total_seconds()
-        forward = Forward(
-            self.forwarder,
-            to_message(routed, *self.identity, attempts, now),
-            max(routed.times.goal_limit_at, now + goal),
-            routed.times.deadline_at,
-            lambda result: self._on_forwarded(routed, result, may_have_run),
-            routed.route.idempotent,
-        )
-        self._run(routed, forward)
+
+        def on_result(result: ForwardResult) -> None:
+            self._on_forwarded(routed, result, may_have_run)
+
+        self._run(routed, self.peers.create(routed, attempts, on_result))
 
     def _on_forwarded(
         self, routed: RoutedRequest, result: ForwardResult, may_have_run: bool
@@ -475,15 +440,12 @@
     ) -> bool:
         """Forward a request that was sent to searchers; return whether that was done.
 
-        One that may have run is forwarded only if it is idempotent. One that another
-        host has forwarded goes back there.
+        One that another host has forwarded goes back there.
         """
+        if not self.peers.may_hand_over(routed, query):
+            return False
         may_have_run = query.may_have_run
         attempts_run = query.attempts_run
-        attempts = routed.route.max_attempts - attempts_run
-        is_allowed = attempts > 0 and (routed.route.idempotent or not may_have_run)
-        if self.forwarder is None or not is_allowed:
-            return False
         query.cancel()
         del self._running[id(routed)]
         if isinstance(query, GatherQuery):
@@ -492,6 +454,7 @@
             self._request_log.record_declined(routed, reason)
             routed.call.forward.decline(attempts_run)
         else:
+            attempts = routed.route.max_attempts - attempts_run
             self._forward(routed, attempts, may_have_run, reason)
         return True
 
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -198,8 +198,9 @@
         )
         self._quarantine_guard.on_update = self._fleet.gossip_now
         self._forward_sender = ChannelForwardSender(self.clock)
-        self.front.identity = (settings.peers, settings.failure_domain)
-        self.front.forwarder = Forwarder(
+        self.front.peers.address = settings.peers
+        self.front.peers.failure_domain = settings.failure_domain
+        self.front.peers.forwarder = Forwarder(
             self._forward_sender,
             PeerSelector(self.clock, self._generator, settings.failure_domain),
             lambda: self._fleet.peer_hosts,
@@ -262,7 +263,7 @@
     async def _drain(self) -> None:
         stopped_at = self.clock.monotonic()
         self._is_stopping = True
-        self.front.is_stopping = True
+        self.front.peers.is_stopping = True
         self.log.write(EventCode.PROCESS_DRAINING, in_flight=self.front.in_flight)
         self._log_readiness_change()
         await self._fleet.leave()
--- a/foxtailseam_bench/simulation/_peers.py
+++ b/foxtailseam_bench/simulation/_peers.py
@@ -70,9 +70,10 @@
             domain = f"d{number % 3 + 1}"
             self._fronts[address] = front
             self._domains[address] = domain
-            front.identity = (address, domain)
+            front.peers.address = address
+            front.peers.failure_domain = domain
             selector = PeerSelector(self.time, random.Random(seed + number), domain)
-            front.forwarder = Forwarder(
+            front.peers.forwarder = Forwarder(
                 self, selector, self._others_of(address), self.time, self.time
             )
 
