--- a/foxtailseam/front/tests/test_isolated_hosts.py
+++ b/foxtailseam/front/tests/test_isolated_hosts.py
@@ -1,8 +1,15 @@
 """Load tests of hosts that are cut from all searchers."""
 
+import random
+from collections import Counter
+
 import pytest
 
-from foxtailseam_bench.simulation import LinkFault, simulated_hosts
+from foxtailseam_bench.simulation import (
+    LinkFault,
+    simulated_hosts,
+    simulated_service,
+)
 
 GOAL_MS = 183
 CUT_AT = 2.0
@@ -68,3 +75,55 @@
     def test_callers_are_served_where_idle_connections_cannot_be_replaced(self):
         with simulated_hosts(24, 0.03, GOAL_MS) as tiers:
             check_callers_are_served(tiers, 16, LinkFault.REFUSE, 0.3)
+
+
+class TestAnyCuts:
+    """Cuts, lost hosts and returns at random moments, overlapping."""
+
+    HOSTS = 6
+    SECONDS = 12.0
+    # Route timeout of the simulated service, and time for its refusal to be written.
+    MAX_SECONDS = 4.0 + 0.1
+
+    def play(self, tiers, seed):
+        time = tiers[0].time
+        peers = tiers[0].peers
+        generator = random.Random(seed)
+
+        def end_loss(address):
+            peers.lost.discard(address)
+
+        def strike():
+            number = generator.randrange(self.HOSTS)
+            seconds = generator.uniform(0.1, 5.0)
+            if generator.random() < 0.3:
+                peers.lost.add(f"host-{number}")
+                time.call_later(seconds, end_loss, f"host-{number}")
+                return
+            link = tiers[number].link
+            link.fault = generator.choice(list(LinkFault)[1:])
+            time.call_later(seconds, setattr, link, "fault", LinkFault.NONE)
+
+        for _ in range(16):
+            time.call_later(generator.uniform(0.0, self.SECONDS), strike)
+        for number, tier in enumerate(tiers):
+            tier.load("/read/", 6.0, number / 40, self.SECONDS)
+        time.run_until(self.SECONDS + 2 * self.MAX_SECONDS)
+        return [call for tier in tiers for call in tier.calls]
+
+    @pytest.mark.parametrize("kind", ["idempotent", "non_idempotent"])
+    @pytest.mark.parametrize("seed", range(12))
+    def test_each_request_gets_one_true_answer_in_time(self, kind, seed):
+        with simulated_service(self.HOSTS, 8, 0.09, 350, seed, kind) as tiers:
+            calls = self.play(tiers, seed)
+            searchers = tiers[0].searchers["records"]
+            runs = Counter(run for searcher in searchers for run in searcher.runs)
+            for call in calls:
+                identifier = call.request.headers[1][1]
+                assert call.response is not None
+                assert call.seconds <= self.MAX_SECONDS
+                if call.response.status == 503:
+                    assert not runs[identifier]
+                if kind == "non_idempotent":
+                    assert runs[identifier] <= 1
+            assert sum(map(is_served, calls)) > len(calls) / 2
--- a/foxtailseam_bench/simulation/_link.py
+++ b/foxtailseam_bench/simulation/_link.py
@@ -36,6 +36,9 @@
     LinkFault.REFUSE: (NETWORK_SECONDS, FailureKind.RESET, FailureKind.REFUSED),
 }
 
+# Faults that break open connections, too.
+_BROKEN = (LinkFault.SILENT, LinkFault.RESET)
+
 
 class SimulatedLink:
     """State of the links of one host; `fault` may be set at any time."""
@@ -44,6 +47,33 @@
         self.fault = LinkFault.NONE
 
 
+class LinkedExchange:
+    """A request over a link; `is_sent` is whether the searcher may have got it.
+
+    Parameters
+    ----------
+    done : callable
+        Called with the result, unless the request is cancelled first.
+    """
+
+    def __init__(self, done: Callable[[object], None]):
+        self.done: Callable[[object], None] | None = done
+        self.is_sent = True
+        self.inner: SimulatedExchange | None = None
+
+    def cancel(self) -> None:
+        """Cancel the request, at the searcher too if it got it."""
+        self.done = None
+        if self.inner is not None:
+            self.inner.cancel()
+
+    def finish(self, result: object) -> None:
+        """Pass the result on, unless the request was cancelled."""
+        done, self.done = self.done, None
+        if done is not None:
+            done(result)
+
+
 class LinkedPool:
     """Connections of one host to one searcher; implements `SearcherPool`.
 
@@ -115,42 +145,37 @@
         identifier: bytes,
         is_head: bool,
         done: Callable[[object], None],
-    ) -> SimulatedExchange:
+    ) -> LinkedExchange:
         """Send a request unless the link is cut; `done` gets the result."""
+        exchange = LinkedExchange(done)
         had_idle = self.has_idle
         if had_idle:
             self._idle = self._idle[:-1]
         elif self.link.fault is not LinkFault.NONE:
-            return self._fail(identifier, is_sent=False, done=done)
-        if self.link.fault in (LinkFault.SILENT, LinkFault.RESET):
+            exchange.is_sent = False
+            self._schedule_failure(exchange)
+            return exchange
+        if self.link.fault in _BROKEN:
             payload()
-            return self._fail(identifier, is_sent=True, done=done)
+            self._schedule_failure(exchange)
+            return exchange
 
         def on_result(result: object) -> None:
-            if self.link.fault in (LinkFault.SILENT, LinkFault.RESET):
-                self._schedule_failure(done, is_sent=True)
+            if self.link.fault in _BROKEN:
+                self._schedule_failure(exchange)
                 return
             self._idle.append(self.time.monotonic())
-            done(result)
-
-        return self.searcher.send(payload, identifier, is_head, on_result)
-
-    def _fail(
-        self, identifier: bytes, is_sent: bool, done: Callable[[object], None]
-    ) -> SimulatedExchange:
-        exchange = SimulatedExchange(done, identifier, b"", is_sent)
-
-        def deliver(result: object) -> None:
-            if exchange.done is not None:
-                exchange.done(result)
+            exchange.finish(result)
 
-        self._schedule_failure(deliver, is_sent)
+        exchange.inner = self.searcher.send(payload, identifier, is_head, on_result)
+        exchange.is_sent = exchange.inner.is_sent
         return exchange
 
-    def _schedule_failure(self, done: Callable[[object], None], is_sent: bool) -> None:
+    def _schedule_failure(self, exchange: LinkedExchange) -> None:
         _, sent_kind, unsent_kind = _FAILURES[self.link.fault]
-        failure = ExchangeFailure(sent_kind if is_sent else unsent_kind, is_sent)
-        self.time.call_later(self._failure_seconds(), done, failure)
+        kind = sent_kind if exchange.is_sent else unsent_kind
+        failure = ExchangeFailure(kind, exchange.is_sent)
+        self.time.call_later(self._failure_seconds(), exchange.finish, failure)
 
     def _failure_seconds(self) -> float:
         return _FAILURES[self.link.fault][0]
--- a/foxtailseam_bench/simulation/_tier.py
+++ b/foxtailseam_bench/simulation/_tier.py
@@ -379,7 +379,12 @@
 
 @contextmanager
 def simulated_service(
-    hosts: int, searchers: int, service_seconds: float, goal_ms: int, seed: int = 1
+    hosts: int,
+    searchers: int,
+    service_seconds: float,
+    goal_ms: int,
+    seed: int = 1,
+    kind: str = "idempotent",
 ):
     """Yield several tiers with a route to one service whose searchers they share.
 
@@ -395,6 +400,8 @@
         Latency goal of the route, in milliseconds.
     seed : int
         Seed of the searchers and the first tier.
+    kind : str
+        Type of the route in the platform's configuration document.
 
     Yields
     ------
@@ -409,7 +416,7 @@
         "name": "read",
         "host": "a.example",
         "path_prefix": "/read/",
-        "type": "idempotent",
+        "type": kind,
         "timeout_ms": 4_000,
         "latency_goal_ms": goal_ms,
         "max_attempts": 2,
