Pace the gossip on requests that crash searchers, and send each notice a bounded number of times

Quarantined requests are repeated in turn, four to a message, and a host that joins gets all, as before.

--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -212,8 +212,8 @@
         self._relay.notify()
 
     def gossip_now(self) -> None:
-        """Start exchanges with a few random hosts, which do the same if it is news."""
-        self._gossip_loop.exchange_with_some()
+        """Exchange with a few random hosts soon; they do the same if it is news."""
+        self._gossip_loop.exchange_soon()
 
     # Calls from other hosts.
 
--- a/foxtailseam/fleet/_gossip.py
+++ b/foxtailseam/fleet/_gossip.py
@@ -12,7 +12,7 @@
     compress_records,
     decompress_records,
 )
-from foxtailseam.quarantine import QuarantineController
+from foxtailseam.quarantine import QuarantineController, SuspicionNotice
 
 # Shortest time between two complete views that a host asks for, for each member, in
 # seconds, and at least. It bounds the bytes of views at any number of hosts.
@@ -60,7 +60,7 @@
         wants_view = self._wants_view and self._may_request_view()
         if wants_view:
             self._view_requested_at = self.membership.clock.monotonic()
-        return self._message(wants_view=wants_view)
+        return self._message(wants_view=wants_view, is_complete=wants_view)
 
     def respond(self, request: MemberExchange) -> MemberExchange:
         """Merge the message of another host and return the response.
@@ -73,11 +73,17 @@
         self._merge(request)
         if not request.digest:
             # A host of an earlier release relies on records of all hosts.
-            return self._message(records=self.membership.legacy_records())
+            records = self.membership.legacy_records()
+            return self._message(records=records, is_complete=True)
         view = b""
         if request.wants_view and request.digest != self.membership.digest:
             view = compress_records(self.membership.alive)
-        return self._message(view=view, peer_digest=request.digest)
+        return self._message(
+            view=view,
+            peer_digest=request.digest,
+            is_complete=bool(view),
+            known=request.notices,
+        )
 
     def finish(self, response: MemberExchange) -> None:
         """Merge the response to a message of this host.
@@ -110,11 +116,16 @@
         view: bytes = b"",
         records: tuple[HostRecord, ...] = (),
         peer_digest: int = 0,
+        is_complete: bool = False,
+        known: tuple[SuspicionNotice, ...] = (),
     ) -> MemberExchange:
+        quarantine = self.quarantine
         conditions = self.conditions.notices()
         return MemberExchange(
             records=records or (self.membership.own_record,),
-            notices=self.quarantine.notices(),
+            notices=(
+                quarantine.notices() if is_complete else quarantine.fresh_notices(known)
+            ),
             limits=conditions.limits,
             leaving=conditions.leaving,
             pauses=conditions.pauses,
--- a/foxtailseam/fleet/_gossip_loop.py
+++ b/foxtailseam/fleet/_gossip_loop.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from foxtailseam.fleet._burst_pacer import BurstPacer
 from foxtailseam.fleet._gossip import Gossip
 from foxtailseam.fleet._settings import FleetSettings, jittered
 from foxtailseam.logs import EventCode, LogWriter
@@ -50,6 +51,8 @@
         self.generator = generator
         self._tasks: set[asyncio.Task] = set()
         self._urgent = asyncio.Event()
+        self._burst_pacer = BurstPacer(gossip.membership.clock)
+        self._burst_timer: asyncio.TimerHandle | None = None
         gossip.membership.on_urgent_news = self._urgent.set
 
     async def run(self) -> None:
@@ -73,6 +76,17 @@
             factor = LONELY_FACTOR if is_alone else 1
             await self._pause(self.settings.seed_interval / factor)
 
+    def exchange_soon(self) -> None:
+        """Plan exchanges with a few hosts at once, unless they are planned already."""
+        delay = self._burst_pacer.plan()
+        if delay is not None:
+            loop = asyncio.get_running_loop()
+            self._burst_timer = loop.call_later(delay, self._burst)
+
+    def _burst(self) -> None:
+        self._burst_pacer.start()
+        self.exchange_with_some()
+
     def exchange_with_some(self) -> asyncio.Future:
         """Start exchanges with up to `GOSSIP_FANOUT` random hosts.
 
@@ -92,6 +106,8 @@
 
     def stop(self) -> None:
         """Cancel the exchanges that were started apart from the loops."""
+        if self._burst_timer is not None:
+            self._burst_timer.cancel()
         for task in self._tasks:
             task.cancel()
 
--- a/foxtailseam/fleet/tests/test_gossip.py
+++ b/foxtailseam/fleet/tests/test_gossip.py
@@ -1,6 +1,7 @@
 """Tests of the gossip of whole fleets, in virtual time."""
 
 import random
+from datetime import timedelta
 from statistics import mean
 
 import msgspec
@@ -9,7 +10,7 @@
 from foxtailseam.clocks import HybridClock
 from foxtailseam.conditions import ConditionRegistry
 from foxtailseam.fleet import Gossip, HostRecord, MemberExchange, Membership
-from foxtailseam.quarantine import QuarantineController
+from foxtailseam.quarantine import QuarantineController, SuspicionState
 from foxtailseam_bench.simulation import SimulatedFleet, VirtualTime
 
 SIZES = [8, 59, 195]
@@ -22,6 +23,7 @@
 # Largest number of bytes that a host sends for gossip, a second. Opening a connection
 # and framing take about as much again.
 MAX_BYTES_PER_SECOND = 700
+QUARANTINE = timedelta(minutes=10)
 
 
 def started_fleet(size, **options):
@@ -203,3 +205,69 @@
         assert old.address not in host.membership.addresses
         host.membership.merge([HostRecord("10.0.0.2:1", "d1", 5, 8)])
         assert old.address in host.membership.addresses
+
+
+class TestManyCrashesAtOnce:
+    """Crashes of searchers, each under a request of its own, on a large fleet."""
+
+    SIZE = 195
+    SECONDS = 4.0
+    # What control may send on each node, in bytes a second.
+    MAX_NODE_BYTES_PER_SECOND = 25_000
+    # Time after the third crash within which no host sends the request again.
+    BINDING_SECONDS = 4.0
+
+    def crash(self, fleet, host, number):
+        host.gossip.quarantine.record_loss(f"{number:024x}", QUARANTINE, alone=False)
+        fleet.exchange_soon(host)
+
+    def test_the_bytes_stay_within_what_control_may_send(self):
+        fleet = started_fleet(self.SIZE)
+        fleet.run(2.0)
+        hosts = list(fleet.hosts.values())
+        before = sum(host.sent_bytes for host in hosts)
+        for number in range(117):
+            fleet.time.call_later(
+                self.SECONDS * number / 117,
+                self.crash,
+                fleet,
+                fleet.generator.choice(hosts),
+                number,
+            )
+        fleet.run(self.SECONDS)
+        sent = sum(host.sent_bytes for host in hosts) - before
+        allowed = self.MAX_NODE_BYTES_PER_SECOND * self.SECONDS * self.SIZE
+        assert sent <= allowed
+        fleet.run(4.0)
+        known = [len(host.gossip.quarantine.notices()) for host in hosts]
+        assert min(known) == max(known) == 64
+
+    @pytest.mark.parametrize("size", SIZES)
+    def test_a_request_that_crashes_searchers_is_refused_by_all_hosts_in_time(
+        self, size
+    ):
+        fleet = started_fleet(size)
+        hosts = list(fleet.hosts.values())
+        for number in range(3):
+            self.crash(fleet, hosts[number], 0)
+            fleet.run(1.2)
+        fingerprint = f"{0:024x}"
+        fleet.run_until(
+            lambda: all(
+                host.gossip.quarantine.state(fingerprint) is SuspicionState.QUARANTINED
+                for host in hosts
+            ),
+            self.BINDING_SECONDS - 1.2,
+        )
+
+    def test_a_host_that_starts_later_knows_what_is_refused(self):
+        fleet = started_fleet(59)
+        hosts = list(fleet.hosts.values())
+        for _ in range(2):
+            self.crash(fleet, hosts[7], 0)
+            fleet.run(1.2)
+        fleet.run(60.0)
+        fleet.restart(hosts[30])
+        fleet.run(3.0)
+        state = hosts[30].gossip.quarantine.state(f"{0:024x}")
+        assert state is SuspicionState.QUARANTINED
--- a/foxtailseam/quarantine/_controller.py
+++ b/foxtailseam/quarantine/_controller.py
@@ -25,6 +25,11 @@
 MAX_RECORDS = 10_000
 # Maximum number of notices in one exchange with a peer.
 MAX_NOTICES = 64
+# Number of messages that contain a notice after its record has changed.
+MAX_SENDS = 5
+# Number of other quarantined requests in a message, so that a process that missed all
+# of those messages hears of them, too.
+MAX_REPEATED = 4
 
 
 def fingerprint_of(family: str, content: str) -> str:
@@ -96,6 +101,10 @@
         self.clock = clock
         self.hybrid_clock = hybrid_clock
         self._records: dict[str, _Record] = {}
+        # Number of messages that still are to contain the notice of a changed record.
+        self._sends_left: dict[str, int] = {}
+        # Quarantined requests that are still to be repeated in this turn.
+        self._to_repeat: list[str] = []
 
     def state(self, fingerprint: str) -> SuspicionState:
         """Return the suspicion state of a request, after applying any expiry."""
@@ -106,6 +115,7 @@
             return record.state
         if record.state is SuspicionState.CLEAR:
             del self._records[fingerprint]
+            self._sends_left.pop(fingerprint, None)
             return SuspicionState.CLEAR
         self._apply(fingerprint, SuspicionEvent.EXPIRED, SUSPICION_TTL)
         return self._records[fingerprint].state
@@ -157,13 +167,61 @@
 
         There are at most `MAX_NOTICES`, so that an exchange stays small.
         """
+        return self._select(self._records)
+
+    def fresh_notices(
+        self, known: Iterable[SuspicionNotice] = ()
+    ) -> tuple[SuspicionNotice, ...]:
+        """Return the notices of records that changed lately, and count them as sent.
+
+        They are chosen as those of `notices`. Each is returned `MAX_SENDS` times. Some
+        of the other quarantined requests are added, in turn.
+
+        Parameters
+        ----------
+        known : iterable of SuspicionNotice
+            Notices that the receiver has sent itself; records as new as these are left
+            out.
+        """
+        stamps = {notice.fingerprint: notice.stamp for notice in known}
+        fresh = [
+            fingerprint
+            for fingerprint in self._sends_left
+            if self._records[fingerprint].stamp != stamps.get(fingerprint)
+        ]
+        notices = self._select(fresh)
+        for notice in notices:
+            self._sends_left[notice.fingerprint] -= 1
+            if not self._sends_left[notice.fingerprint]:
+                del self._sends_left[notice.fingerprint]
+        return (*notices, *self._repeated())
+
+    def _repeated(self) -> list[SuspicionNotice]:
+        """Return the notices of the next few quarantined requests."""
+        quarantined = SuspicionState.QUARANTINED
+        if not self._to_repeat:
+            self._to_repeat = [
+                fingerprint
+                for fingerprint, record in self._records.items()
+                if record.state is quarantined
+            ]
+        chosen = self._to_repeat[:MAX_REPEATED]
+        del self._to_repeat[:MAX_REPEATED]
+        return [
+            self._to_notice(fingerprint, self._records[fingerprint])
+            for fingerprint in chosen
+            if fingerprint not in self._sends_left
+            and self.state(fingerprint) is quarantined
+        ]
+
+    def _select(self, fingerprints: Iterable[str]) -> tuple[SuspicionNotice, ...]:
         now = self.clock.monotonic()
         chosen = heapq.nlargest(
             MAX_NOTICES,
             (
                 (fingerprint, record)
-                for fingerprint, record in self._records.items()
-                if now < record.expires_at
+                for fingerprint in fingerprints
+                if now < (record := self._records[fingerprint]).expires_at
             ),
             key=lambda item: (
                 item[1].state is SuspicionState.QUARANTINED,
@@ -190,7 +248,10 @@
             self._records[notice.fingerprint] = replace(
                 record, lost_alone=lost_alone, stamp=notice.stamp
             )
-            return lost_alone > record.lost_alone
+            has_changed = lost_alone > record.lost_alone
+            if has_changed:
+                self._sends_left[notice.fingerprint] = MAX_SENDS
+            return has_changed
         self._put(
             notice.fingerprint,
             notice.state,
@@ -218,6 +279,7 @@
         self._records[fingerprint] = replace(
             record, lost_alone=lost_alone, stamp=self.hybrid_clock.tick()
         )
+        self._sends_left[fingerprint] = MAX_SENDS
         is_close = elapsed < LOSS_MERGE_WINDOW.total_seconds()
         return is_close and lost_alone < MAX_LOSSES_ALONE
 
@@ -241,7 +303,10 @@
         lost_alone: int,
     ) -> None:
         if len(self._records) >= MAX_RECORDS and fingerprint not in self._records:
-            self._records.pop(next(iter(self._records)))
+            oldest = next(iter(self._records))
+            del self._records[oldest]
+            self._sends_left.pop(oldest, None)
         now = self.clock.monotonic()
         expires_at = now + ttl.total_seconds()
         self._records[fingerprint] = _Record(state, stamp, now, expires_at, lost_alone)
+        self._sends_left[fingerprint] = MAX_SENDS
--- a/foxtailseam_bench/simulation/_fleet.py
+++ b/foxtailseam_bench/simulation/_fleet.py
@@ -15,7 +15,8 @@
     MemberExchange,
     Membership,
 )
-from foxtailseam.fleet._gossip_loop import LONELY_FACTOR, URGENT_SHARE
+from foxtailseam.fleet._burst_pacer import BurstPacer
+from foxtailseam.fleet._gossip_loop import GOSSIP_FANOUT, LONELY_FACTOR, URGENT_SHARE
 from foxtailseam.quarantine import QuarantineController
 from foxtailseam_bench.simulation._time import Timer, VirtualTime
 
@@ -45,11 +46,14 @@
         Bytes of messages that it has sent, in all and to other failure domains.
     timer : Timer or None
         The next exchange.
+    burst_pacer : BurstPacer
+        Paces exchanges with several hosts at once.
     """
 
     address: str
     failure_domain: str
     gossip: Gossip
+    burst_pacer: BurstPacer
     is_running: bool = True
     sent_bytes: int = 0
     sent_across: int = 0
@@ -91,7 +95,9 @@
             address = f"10.{number // 250}.{number % 250}.1:80"
             domain = f"d{number % self.domains}"
             gossip = self._new_gossip(address, domain, 1)
-            self.hosts[address] = SimulatedHost(address, domain, gossip)
+            self.hosts[address] = SimulatedHost(
+                address, domain, gossip, BurstPacer(self.time)
+            )
         self.seeds = tuple(self.hosts)[:SEED_COUNT]
         for host in self.hosts.values():
             first = self.generator.uniform(0.0, 0.3)
@@ -135,6 +141,20 @@
         host.is_running = True
         self._ask_seeds(host, repeats=False)
 
+    def exchange_soon(self, host: SimulatedHost) -> None:
+        """Plan exchanges of a host with a few others at once."""
+        delay = host.burst_pacer.plan()
+        if delay is not None:
+            self.time.call_later(delay, self._burst, host)
+
+    def _burst(self, host: SimulatedHost) -> None:
+        host.burst_pacer.start()
+        others = sorted(host.known - {host.address})
+        chosen = self.generator.sample(others, min(GOSSIP_FANOUT, len(others)))
+        if host.is_running:
+            for address in chosen:
+                self._call(host, self.hosts[address])
+
     def _new_gossip(self, address: str, domain: str, started_ms: int) -> Gossip:
         time = self.time
         generator = random.Random(f"{address} {started_ms} {self.seed}")
@@ -146,7 +166,7 @@
             QuarantineController(time, HybridClock(time)),
             ConditionRegistry(time, generator),
             lambda: None,
-            lambda: None,
+            lambda: self.exchange_soon(self.hosts[address]),
         )
 
     def _exchange(self, host: SimulatedHost) -> None:
