--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -302,10 +302,10 @@
             case LinkState.ISOLATED:
                 return False
 
-    def forgive_searchers(self) -> None:
+    def reset_failures(self) -> None:
         """Forget the failures of all searchers, as this host itself was at fault."""
         for searcher in self._searchers.values():
-            searcher.health.forgive()
+            searcher.health.reset_failures()
 
     def _has_idle_connection(self, service: str) -> bool:
         return any(item.pool.has_idle for item in self.open_searchers(service))
--- a/foxtailseam/dispatch/_health.py
+++ b/foxtailseam/dispatch/_health.py
@@ -164,7 +164,7 @@
         self._next_ejection_seconds = FIRST_EJECTION_SECONDS
         self._ejected_until = float("-inf")
 
-    def forgive(self) -> None:
+    def reset_failures(self) -> None:
         """End any ejection and forget the failures."""
         self._failure_share = 0.0
         self._consecutive_failures = 0
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -409,7 +409,7 @@
             contact_age_ms=round(change.contact_age * 1000),
             running=len(self._running),
         )
-        self.dispatcher.forgive_searchers()
+        self.dispatcher.reset_failures()
         if change.state is LinkState.CONNECTED:
             return
         is_isolated = change.state is LinkState.ISOLATED
--- a/foxtailseam/reachability/_links.py
+++ b/foxtailseam/reachability/_links.py
@@ -35,7 +35,7 @@
 FLAP_SECONDS = 5.0
 MAX_REQUIRED_ROUNDS = 4
 
-CONNECTED = LinkState.CONNECTED
+_CONNECTED = LinkState.CONNECTED
 
 
 class ProbeTarget(Protocol):
@@ -112,7 +112,7 @@
         self.choose_targets = choose_targets
         # Called with each `LinkChange`.
         self.on_change: Callable[[LinkChange], None] = lambda change: None
-        self._state = CONNECTED
+        self._state = _CONNECTED
         self._round: _Round | None = None
         self._round_ended_at = float("-inf")
         self._returned_at = float("-inf")
@@ -131,7 +131,7 @@
     @property
     def is_connected(self) -> bool:
         """Return whether the links are believed to work."""
-        return self._state is CONNECTED
+        return self._state is _CONNECTED
 
     @property
     def is_suspect(self) -> bool:
@@ -207,7 +207,7 @@
             self.contacts.record_connect_failure(searcher)
         if probe_round.has_ended:
             return
-        if judge_links(self._state, self._evidence(probe_round)) is CONNECTED:
+        if judge_links(self._state, self._evidence(probe_round)) is _CONNECTED:
             self._end_round(probe_round)
         elif probe_round.accepted + probe_round.failed == probe_round.probed:
             # Responses on open connections may still come.
@@ -231,7 +231,7 @@
         self._round_ended_at = self.clock.monotonic()
         evidence = self._evidence(probe_round)
         verdict = judge_links(self._state, evidence)
-        is_good = verdict is CONNECTED
+        is_good = verdict is _CONNECTED
         if self.is_connected and not is_good and probe_round.is_idle_check:
             # The only searcher that was probed may be at fault itself.
             self._start_round()
@@ -250,7 +250,7 @@
 
     def _change(self, change: LinkChange) -> None:
         now = self.clock.monotonic()
-        if change.state is CONNECTED:
+        if change.state is _CONNECTED:
             self._returned_at = now
         elif self.is_connected:
             has_flapped = now - self._returned_at < FLAP_SECONDS
