Report no result of a forwarded request that was cancelled in the turn in which it ended

Cause: cancelling a task that has ended does nothing, and its done callback was still called. No caller was affected: the request was answered already. The handle now drops the callback when it is cancelled. The test failed before.

--- a/foxtailseam/fleet/_forward_sender.py
+++ b/foxtailseam/fleet/_forward_sender.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
-from functools import partial
 
 from foxtailseam.clocks import Clock
 from foxtailseam.forwarding import (
@@ -20,6 +19,33 @@
 IDLE_TIMEOUT = timedelta(seconds=30)
 
 
+class ChannelSend:
+    """A forwarded request whose answer is awaited; implements `PendingSend`.
+
+    Parameters
+    ----------
+    task : asyncio.Task
+        Task that returns the `PeerResult`.
+    done : callable
+        Called with the result, unless the request is cancelled first.
+    """
+
+    def __init__(self, task: asyncio.Task, done: Callable[[PeerResult], None]):
+        self._task = task
+        self._done: Callable[[PeerResult], None] | None = done
+        task.add_done_callback(self._on_done)
+
+    def cancel(self) -> None:
+        """Abort the request; no result follows, even if the task has just ended."""
+        self._done = None
+        self._task.cancel()
+
+    def _on_done(self, task: asyncio.Task) -> None:
+        done, self._done = self._done, None
+        if done is not None and not task.cancelled():
+            done(task.result())
+
+
 class ChannelForwardSender:
     """Sender of forwarded requests; implements `ForwardSender`.
 
@@ -40,13 +66,13 @@
         address: str,
         request: ForwardedRequest,
         done: Callable[[PeerResult], None],
-    ) -> asyncio.Task:
+    ) -> ChannelSend:
         """Send a request; see `ForwardSender.send`."""
         self._close_unused()
         task = asyncio.create_task(self._send(address, request))
         self._tasks.add(task)
-        task.add_done_callback(partial(self._on_done, done))
-        return task
+        task.add_done_callback(self._tasks.discard)
+        return ChannelSend(task, done)
 
     def close(self) -> None:
         """Cancel all requests and close all channels."""
@@ -55,11 +81,6 @@
         for address in list(self._channels):
             self._close(address)
 
-    def _on_done(self, done: Callable[[PeerResult], None], task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled():
-            done(task.result())
-
     async def _send(self, address: str, request: ForwardedRequest) -> PeerResult:
         from foxtailseam.fleet import _rpc
 
--- a/foxtailseam/fleet/tests/test_forward_sender.py
+++ b/foxtailseam/fleet/tests/test_forward_sender.py
@@ -121,6 +121,24 @@
 
         run_scenario(scenario, None)
 
+    def test_a_result_that_is_ready_is_not_reported_after_cancelling(
+        self, run_scenario
+    ):
+        async def scenario(servicer, sender, address, stop):
+            results = []
+
+            def cancel_second(result):
+                results.append(result)
+                pending.cancel()
+
+            # Both calls end in the same turn of the event loop.
+            sender.send(address, REQUEST, cancel_second)
+            pending = sender.send(address, REQUEST, results.append)
+            await asyncio.sleep(0.3)
+            assert len(results) == 1
+
+        run_scenario(scenario)
+
     def test_a_host_that_is_not_there_has_not_run_the_request(self, run_scenario):
         async def scenario(servicer, sender, address, stop):
             result = await send(sender, free_address())
