Trace the drained searcher that was not used again: the test relied on chance

The log of the failed run: the host sees the newer entry at once (searcher-joined at 54.783 s, 0.2 s after the first request), and serves the 47 requests that follow by the other searcher, each in 2 to 10 ms. It has a connection to that one; a searcher that needs a new connection costs 6 ms more, so it is asked only when a hedge happens to be due. The product is right, the entry is in force.

The test now makes the other searcher reject its requests: before the entry the caller gets 503, after it each success is by the searcher in question. That is stricter than one run in 3 s.

--- a/foxtailseam/front/tests/test_host.py
+++ b/foxtailseam/front/tests/test_host.py
@@ -295,14 +295,18 @@
                 for _ in range(12):
                     assert (await host.get("/read/x"))[0] == 200
             assert len(leaving.runs) == before
+            # A host prefers the searcher that it has a connection to, so that one
+            # must not serve.
+            deployment.searchers["i-single-y"].sheds = True
+            assert (await hosts[0].get("/read/x"))[0] == 503
             entry = leaving.entry("single") | {"sequence": 3}
             deployment.store.put("servers/i-single-x", entry)
 
             async def is_used():
-                await hosts[0].get("/read/x")
-                return len(leaving.runs) > before
+                return (await hosts[0].get("/read/x"))[0] == 200
 
             await eventually(is_used, CONFIGURATION_SECONDS)
+            assert len(leaving.runs) > before
 
         run_scenario(scenario)
 
