Split what an attempt's result says, and a host's events, out of two long files

Behaviour is unchanged: ServiceCall keeps the state of a call, _attempt_results maps results to failures and contacts; Host wires the process, HostLog writes its events.

--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -4,6 +4,11 @@
 from datetime import timedelta
 from functools import partial
 
+from foxtailseam.dispatch._attempt_results import (
+    ATTEMPT_FAILURES,
+    POSSIBLE_CRASHES,
+    record_contact,
+)
 from foxtailseam.dispatch._attempts import Attempt, CallPlan, CallRecord
 from foxtailseam.dispatch._dispatcher import Dispatcher
 from foxtailseam.dispatch._health import AttemptFailure
@@ -25,7 +30,6 @@
 from foxtailseam.http import (
     ExchangeFailure,
     ExchangeResult,
-    FailureKind,
     HttpResponse,
     Received,
 )
@@ -46,20 +50,6 @@
 _REJECTED = frozenset({FailureReason.NO_SEARCHER, FailureReason.SHED})
 # Reasons of a call for which the searchers have said when they take requests again.
 _CLOSED = frozenset({FailureReason.RATE_LIMITED, FailureReason.PAUSED})
-_POSSIBLE_CRASHES = frozenset({FailureKind.RESET, FailureKind.CLOSED})
-_CONNECT_FAILURES = frozenset({FailureKind.REFUSED, FailureKind.CONNECT_TIMEOUT})
-# Failures after which nothing shows that the searcher has sent anything.
-_SILENT_FAILURES = frozenset({FailureKind.RESET, FailureKind.TIMEOUT})
-_ATTEMPT_FAILURES = {
-    FailureKind.REFUSED: AttemptFailure.UNREACHABLE,
-    FailureKind.CONNECT_TIMEOUT: AttemptFailure.UNREACHABLE,
-    FailureKind.TIMEOUT: AttemptFailure.NO_RESPONSE,
-    FailureKind.RESET: AttemptFailure.LOST,
-    FailureKind.CLOSED: AttemptFailure.LOST,
-    FailureKind.MALFORMED: AttemptFailure.ERROR,
-    FailureKind.TOO_LARGE: AttemptFailure.ERROR,
-    FailureKind.CANCELLED: AttemptFailure.LOST,
-}
 
 
 def _allow() -> bool:
@@ -350,7 +340,8 @@
     def _on_exchange(self, attempt: Attempt, result: ExchangeResult) -> None:
         del self._running[id(attempt)]
         seconds = attempt.searcher.end_request(attempt.number)
-        self._record_contact(attempt.searcher, result)
+        contacts = self.dispatcher.contacts
+        record_contact(contacts, attempt.searcher.identifier, result)
         match result:
             case Received(response=response):
                 self.dispatcher.traffic.add_answer(
@@ -359,12 +350,12 @@
                 self._on_response(attempt, seconds, response)
             case ExchangeFailure(kind=kind, sent=sent):
                 attempt.outcome = kind
-                self._record_failure(attempt, _ATTEMPT_FAILURES[kind])
+                self._record_failure(attempt, ATTEMPT_FAILURES[kind])
                 self._run_count += sent
                 self._failure_reason = (
                     FailureReason.LOST if sent else self._failure_reason
                 )
-                if sent and kind in _POSSIBLE_CRASHES:
+                if sent and kind in POSSIBLE_CRASHES:
                     self.dispatcher.check_crash(attempt.searcher, self.plan.request)
                     self._is_held = not self._is_over and not self.may_repeat()
                 if self._is_held:
@@ -374,18 +365,6 @@
         self._release_callbacks()
         self.dispatcher.admit_waiting(self.plan.service)
 
-    def _record_contact(self, searcher: Searcher, result: ExchangeResult) -> None:
-        contacts = self.dispatcher.contacts
-        match result:
-            case ExchangeFailure(kind=kind) if kind in _CONNECT_FAILURES:
-                contacts.record_connect_failure(searcher.entry.identifier)
-            case ExchangeFailure(kind=kind) if kind in _SILENT_FAILURES:
-                contacts.record_silence(searcher.entry.identifier)
-            case ExchangeFailure(kind=FailureKind.CANCELLED):
-                pass
-            case _:
-                contacts.record_response()
-
     def _release_callbacks(self) -> None:
         """Drop the callbacks of a call that has ended.
 
@@ -498,7 +477,7 @@
         attempt.outcome = "abandoned"
         if seconds > NO_RESPONSE_FACTOR * self._response_times.quantile(0.9):
             self._record_failure(attempt, AttemptFailure.NO_RESPONSE)
-            self.dispatcher.contacts.record_silence(attempt.searcher.entry.identifier)
+            self.dispatcher.contacts.record_silence(attempt.searcher.identifier)
         attempt.exchange.cancel()
         self.dispatcher.admit_waiting(self.plan.service)
 
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -27,6 +27,7 @@
 from foxtailseam.front._condition_log import ConditionLog
 from foxtailseam.front._configuration import ConfigurationManager
 from foxtailseam.front._front import FrontEnd
+from foxtailseam.front._host_log import HostLog
 from foxtailseam.front._overload_guard import OverloadGuard
 from foxtailseam.front._quarantine_guard import QuarantineGuard
 from foxtailseam.front._timing import TimingSettings
@@ -140,7 +141,8 @@
             self.metrics,
             self._generator,
         )
-        self.dispatcher.on_ejected = self._on_ejected
+        self._host_log = HostLog(self.log, self.metrics)
+        self.dispatcher.on_ejected = self._host_log.record_ejected
         self._condition_log = ConditionLog(self.dispatcher, self.log, self.metrics)
         gates = self.dispatcher.gates
         gates.drain_seconds = bounds.searcher_drain.total_seconds()
@@ -200,20 +202,9 @@
         )
         self._quarantine_guard.on_update = self._fleet.gossip_now
         self._forward_sender = ChannelForwardSender(self.clock)
-        self.front.peers.address = settings.peers
-        self.front.peers.failure_domain = settings.failure_domain
-        memory = settings.limits.memory_mb * MEGABYTE
-        self.front.peers.max_body_bytes = int(memory * FORWARDED_BODY_MEMORY_SHARE)
-        self.front.peers.forwarder = Forwarder(
-            self._forward_sender,
-            PeerSelector(self.clock, self._generator, settings.failure_domain),
-            lambda: self._fleet.peer_hosts,
-            self.clock,
-            loop,
-        )
-        self._fleet.serve_forwarded = self.front.serve_forwarded
+        self._connect_peers()
         self._caller_listener = Listener(
-            self.front.serve, self.clock, self._on_rejected_request
+            self.front.serve, self.clock, self._host_log.record_unreadable_request
         )
         self._readiness_listener = Listener(self._handle_readiness, self.clock)
         self._metrics_listener = Listener(self._handle_metrics, self.clock)
@@ -222,6 +213,23 @@
         self._maintenance_timer: asyncio.TimerHandle | None = None
         self._maintenance_due_at = self.clock.monotonic()
 
+    def _connect_peers(self) -> None:
+        """Let this host and the others forward requests to one another."""
+        settings = self.settings
+        peers = self.front.peers
+        peers.address = settings.peers
+        peers.failure_domain = settings.failure_domain
+        memory = settings.limits.memory_mb * MEGABYTE
+        peers.max_body_bytes = int(memory * FORWARDED_BODY_MEMORY_SHARE)
+        peers.forwarder = Forwarder(
+            self._forward_sender,
+            PeerSelector(self.clock, self._generator, settings.failure_domain),
+            lambda: self._fleet.peer_hosts,
+            self.clock,
+            self.dispatcher.timers,
+        )
+        self._fleet.serve_forwarded = self.front.serve_forwarded
+
     @property
     def is_ready(self) -> bool:
         """Return whether the load balancer may send callers to this host."""
@@ -357,49 +365,17 @@
 
     def _on_service_state(self, state: FollowerState, reason: str) -> None:
         if state is FollowerState.LOST:
-            self.log.write(EventCode.SERVICE_LOST, reason=reason)
-            self.metrics.add("service_losses")
+            self._host_log.record_service_lost(reason)
             return
         self.configuration_manager.catalogue.service_recovered()
-        position = self._replica.position
-        self.log.write(
-            EventCode.SERVICE_REGAINED, era=position.era, revision=position.revision
-        )
+        self._host_log.record_service_regained(self._replica.position)
 
     def _on_era(self, position: Position) -> None:
         self.configuration_manager.start_era(position)
-        self.metrics.add("service_eras_started")
-        self.log.write(
-            EventCode.ERA_STARTED,
-            era=position.era,
-            revision=position.revision,
-            source=self._fleet.change_source,
-        )
+        self._host_log.record_era(position, self._fleet.change_source)
 
     def _on_read_failure(self, failure: ReadFailure) -> None:
-        self.metrics.add("service_read_failures")
-        self.log.write(
-            EventCode.READ_FAILED,
-            reason=failure.reason,
-            ms=round(failure.elapsed * 1000),
-            failures=failure.failures,
-            pause_ms=round(failure.pause * 1000),
-            revision=self._replica.position.revision,
-        )
-
-    def _on_ejected(self, searcher) -> None:
-        self.metrics.add("searchers_ejected")
-        self.log.write(
-            EventCode.SEARCHER_EJECTED,
-            searcher=searcher.entry.identifier,
-            service=searcher.entry.service,
-            failure_share=round(searcher.health.failure_share, 2),
-            slowness=round(searcher.health.slowness, 1),
-        )
-
-    def _on_rejected_request(self, status: int) -> None:
-        self.metrics.add(f"answers_{status}")
-        self.log.write(EventCode.REQUEST_UNREADABLE, status=status)
+        self._host_log.record_read_failure(failure, self._replica.position.revision)
 
     def _handle_readiness(self, call: Call) -> None:
         is_known_target = call.request.target == READY_TARGET
