--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -3,18 +3,17 @@
 import asyncio
 import random
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
-from datetime import timedelta
 
 from foxtailseam.catalogue import Catalogue
 from foxtailseam.clocks import Clock
 from foxtailseam.conditions import ConditionRegistry
+from foxtailseam.fleet._following import Following
 from foxtailseam.fleet._gossip import Gossip
 from foxtailseam.fleet._gossip_loop import GossipLoop
 from foxtailseam.fleet._membership import HostRecord, Membership
 from foxtailseam.fleet._messages import FollowRequest, FollowUpdate, MemberExchange
 from foxtailseam.fleet._relay import Relay
-from foxtailseam.fleet._settings import FleetSettings, jittered
+from foxtailseam.fleet._settings import FleetSettings
 from foxtailseam.fleet._tree import TreePosition, compute_position
 from foxtailseam.forwarding import (
     ForwardedRequest,
@@ -25,23 +24,12 @@
 from foxtailseam.logs import EventCode, LogWriter
 from foxtailseam.metrics import Metrics
 from foxtailseam.quarantine import QuarantineController
-from foxtailseam.store import Item, Listing, StoreFollower, StoreReplica
+from foxtailseam.store import StoreFollower, StoreReplica
 
 # Interval between checks of whom to follow and whether to read the service.
 TICK_SECONDS = 0.25
 
 
-@dataclass(slots=True)
-class _Parent:
-    task: asyncio.Task
-    age: float = float("inf")
-    updated_at: float = float("-inf")
-
-    def age_at(self, now: float) -> float:
-        """Return the age of what this parent has sent, at a monotonic time."""
-        return self.age + now - self.updated_at
-
-
 class FleetController:
     """Keeps a replica of the configuration service in sync on one host.
 
@@ -126,7 +114,16 @@
             replica, catalogue, settings.update_interval, lambda: self.age, clock
         )
         self._position = TreePosition(True, ())
-        self._parents: dict[str, _Parent] = {}
+        self._following = Following(
+            self.membership,
+            replica,
+            catalogue,
+            self._relay,
+            settings,
+            log,
+            generator,
+            self._on_parent_lost,
+        )
         self._read_task: asyncio.Task | None = None
         self._read_until = float("-inf")
         # Members and preferred hosts from which the position was computed.
@@ -134,11 +131,8 @@
             frozenset(),
             (),
         )
-        self._extra_parent: str | None = None
-        self._extra_parent_until = float("-inf")
         self._tasks: set[asyncio.Task] = set()
         self._stop_server = None
-        self._relaying_peer: str | None = None
         self._started_at = clock.monotonic()
 
     @property
@@ -147,7 +141,7 @@
 
         At least 1 000 000 if it never was.
         """
-        return min(self.follower.age, self._followed_age())
+        return min(self.follower.age, self._following.age)
 
     @property
     def peer_hosts(self) -> tuple[PeerHost, ...]:
@@ -165,7 +159,7 @@
 
         ``service`` or the address of the host that relays them.
         """
-        return self._relaying_peer or "service"
+        return self._following.relaying_peer or "service"
 
     async def start(self) -> None:
         """Start to read or follow, to serve other hosts and to gossip."""
@@ -175,7 +169,6 @@
         await asyncio.sleep(0)
         from foxtailseam.fleet import _rpc
 
-        self._rpc = _rpc
         self._stop_server = await _rpc.serve(
             self.membership.own_record.address, self, self._count_sent
         )
@@ -190,11 +183,9 @@
 
     async def stop(self) -> None:
         """Cancel all background tasks and stop the server."""
-        for task in (
-            *self._tasks,
-            *(parent.task for parent in self._parents.values()),
-        ):
+        for task in self._tasks:
             task.cancel()
+        self._following.stop()
         self._gossip_loop.stop()
         if self._read_task is not None:
             self._read_task.cancel()
@@ -275,137 +266,12 @@
                     for record in self.membership.alive[1:]
                 )
                 self.on_members(members)
-        wanted = {*self._position.parents, *self._extra_parents(members)}
-        for address in wanted:
-            if address not in self._parents:
-                delay = self._listing_delay()
-                task = asyncio.create_task(self._follow_parent(address, delay))
-                self._parents[address] = _Parent(task)
-        self._drop_parents(wanted)
-
-    def _listing_delay(self) -> float:
-        """Return the seconds to wait before following one more host.
-
-        A host that has no copy yet asks one host for it before it asks another one.
-        """
-        has_parent = bool(self._parents)
-        is_first_copy = self.replica.is_empty and has_parent
-        return self.settings.timeout.total_seconds() if is_first_copy else 0.0
+        self._following.follow(self._position.parents, members, self.age)
 
-    def _drop_parents(self, wanted: set[str]) -> None:
-        """Stop following hosts other than the wanted ones.
-
-        While none of these has sent an update yet, the others are still followed, so
-        that a change of the members does not leave this host without a source.
-        """
-        now = self.clock.monotonic()
-        max_age = self.settings.max_staleness.total_seconds()
-        if wanted and not any(
-            self._parents[address].age_at(now) < max_age for address in wanted
-        ):
-            wanted = wanted | {
-                address
-                for address, parent in self._parents.items()
-                if parent.age_at(now) < max_age
-            }
-        for address in list(self._parents):
-            if address not in wanted:
-                self._parents.pop(address).task.cancel()
-
-    def _extra_parents(self, members: frozenset[str]) -> tuple[str, ...]:
-        """Return a random host to follow in addition, if the replica is too old."""
-        now = self.clock.monotonic()
-        if self.age <= self.settings.max_staleness.total_seconds():
-            return ()
-        if now >= self._extra_parent_until:
-            # Choose another host each time: the last one may be just as outdated.
-            others = members - {self.membership.own_record.address}
-            self._extra_parent = (
-                self.generator.choice(sorted(others)) if others else None
-            )
-            self._extra_parent_until = (
-                now + self.settings.update_timeout.total_seconds()
-            )
-        return (self._extra_parent,) if self._extra_parent in members else ()
-
-    async def _follow_parent(self, address: str, delay: float) -> None:
-        await asyncio.sleep(delay)
-        while True:
-            channel = self._rpc.FleetChannel(
-                address, self.settings.timeout.total_seconds()
-            )
-            request = FollowRequest(
-                self.membership.own_record,
-                self.replica.position.revision,
-                accepts_compressed=True,
-                era=self.replica.position.era,
-            )
-            reason = "ended"
-            try:
-                update_timeout = self.settings.update_timeout.total_seconds()
-                async for update in channel.follow(request, update_timeout):
-                    self._apply_update(address, update)
-            except self._rpc.CALL_ERRORS as error:
-                reason = type(error).__name__
-            finally:
-                channel.close()
-            self._on_parent_lost(address, reason)
-            await asyncio.sleep(jittered(self.settings.timeout, self.generator))
-
-    def _apply_update(self, address: str, update: FollowUpdate) -> None:
-        parent = self._parents.get(address)
-        if parent is None:
-            return
-        if update.revision and update.era < self.replica.position.era:
-            self._on_outdated_parent(address, parent)
-            return
-        if parent.age == float("inf"):
-            self.log.write(EventCode.FOLLOWING, peer=address, age_ms=update.age_ms)
-        parent.age = update.age_ms / 1000
-        parent.updated_at = self.clock.monotonic()
-        if update.grace_ms:
-            self.catalogue.extend_grace(timedelta(milliseconds=update.grace_ms))
-        self._relaying_peer = address
-        try:
-            change_count = self._apply_changes(update)
-        finally:
-            self._relaying_peer = None
-        if change_count:
-            self.notify_followers()
-        elif parent.age < self.settings.max_staleness.total_seconds():
-            self._relay.refresh()
-
-    def _apply_changes(self, update: FollowUpdate) -> int:
-        changes = [change.to_change(update.era) for change in update.changes]
-        if update.is_listing:
-            items = tuple(item for item in changes if isinstance(item, Item))
-            return self.replica.apply_listing(Listing(items, update.position))
-        return self.replica.apply(changes, update.position)
-
-    def _on_outdated_parent(self, address: str, parent: _Parent) -> None:
-        """Ignore a host that does not know of the service's latest era yet."""
-        if parent.age != float("inf"):
-            parent.age = float("inf")
-            self.log.write(
-                EventCode.FOLLOWING_LOST,
-                peer=address,
-                reason="older era",
-                era=self.replica.position.era,
-            )
-
-    def _on_parent_lost(self, address: str, reason: str) -> None:
-        parent = self._parents.get(address)
-        if parent is not None and parent.age != float("inf"):
-            parent.age = float("inf")
-            self.log.write(EventCode.FOLLOWING_LOST, peer=address, reason=reason)
+    def _on_parent_lost(self, address: str) -> None:
         self._gossip.fail(address)
         self._update_read_task()
 
-    def _followed_age(self) -> float:
-        now = self.clock.monotonic()
-        ages = (parent.age_at(now) for parent in self._parents.values())
-        return min(ages, default=float("inf"))
-
     # Reading.
 
     async def _tick_loop(self) -> None:
@@ -416,7 +282,7 @@
 
     def _update_read_task(self) -> None:
         now = self.clock.monotonic()
-        is_fresh = self._followed_age() < self.settings.max_staleness.total_seconds()
+        is_fresh = self._following.age < self.settings.max_staleness.total_seconds()
         is_reader = self._is_reader()
         if is_reader or not (is_fresh or self._waits_for_others()):
             self._read_until = now + self.settings.read_hold_time.total_seconds()
--- a/foxtailseam/fleet/tests/test_controller.py
+++ b/foxtailseam/fleet/tests/test_controller.py
@@ -27,7 +27,7 @@
     SearcherConditions,
 )
 from foxtailseam.fleet import FleetController, FleetSettings, HostRecord
-from foxtailseam.fleet._controller import _Parent
+from foxtailseam.fleet._following import _Parent
 from foxtailseam.fleet._messages import (
     FollowRequest,
     FollowUpdate,
@@ -295,9 +295,10 @@
         async def check():
             host = Host("127.0.0.1:9", (), FakeService())
             host.replica.apply_listing(Listing((), Position(2, 1)))
-            parent = host.fleet._parents["old"] = _Parent(asyncio.Future(), 0.0, 0.0)
+            following = host.fleet._following
+            parent = following._parents["old"] = _Parent(asyncio.Future(), 0.0, 0.0)
             update = FollowUpdate((), 90, False, 0, 0, era=1)
-            host.fleet._apply_update("old", update)
+            following._apply_update("old", update)
             assert parent.age == float("inf")
             assert host.replica.position.era == 2
 
--- a/foxtailseam_bench/relay.py
+++ b/foxtailseam_bench/relay.py
@@ -41,6 +41,7 @@
 
     def close(self) -> None:
         """Stop the thread and with it all relays."""
+        self._run(self._cancel_tasks())
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
 
@@ -66,6 +67,13 @@
         for address, target in list(self._servers):
             await self._serve(address, target)
 
+    async def _cancel_tasks(self) -> None:
+        own = asyncio.current_task()
+        tasks = [task for task in asyncio.all_tasks() if task is not own]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def _serve(self, address: str, target: str) -> None:
         async def relay(reader, writer):
             await self._relay(reader, writer, target)
