--- a/foxtailseam/front/_request_log.py
+++ b/foxtailseam/front/_request_log.py
@@ -139,14 +139,7 @@
             State of the links to the searchers, or how the request failed here.
         """
         self.metrics.add("forwards_sent")
-        self.log.write(
-            EventCode.REQUEST_FORWARDED,
-            routed.request_id,
-            route=routed.route.name,
-            reason=reason,
-            ms=self._elapsed_ms(routed),
-            **self._contact_fields(),
-        )
+        self._record_hop(EventCode.REQUEST_FORWARDED, routed, reason)
 
     def record_declined(self, routed: RoutedRequest, reason: str) -> None:
         """Record that a forwarded request is given back to the host it came from.
@@ -159,13 +152,19 @@
             State of the links to the searchers, or how the request failed here.
         """
         self.metrics.add("forwards_declined")
+        sender = routed.call.forward.sender
+        self._record_hop(EventCode.FORWARD_DECLINED, routed, reason, sender=sender)
+
+    def _record_hop(
+        self, code: EventCode, routed: RoutedRequest, reason: str, **fields: object
+    ) -> None:
         self.log.write(
-            EventCode.FORWARD_DECLINED,
+            code,
             routed.request_id,
             route=routed.route.name,
             reason=reason,
             ms=self._elapsed_ms(routed),
-            sender=routed.call.forward.sender,
+            **fields,
             **self._contact_fields(),
         )
 
--- a/foxtailseam/front/tests/test_forwarding_hosts.py
+++ b/foxtailseam/front/tests/test_forwarding_hosts.py
@@ -57,6 +57,13 @@
     ]
 
 
+async def wait_until_running(deployment, service, count):
+    async def is_running():
+        return len(runs(deployment, service)) == count
+
+    await eventually(is_running, 1)
+
+
 class TestHostsCutFromAllSearchers:
     def test_requests_of_all_kinds_are_served_by_another_host(self, run_scenario):
         async def scenario(deployment):
@@ -117,11 +124,7 @@
                 for searcher in deployment.searchers.values():
                     searcher.seconds = 1.0
                 request = asyncio.create_task(first.get("/book/x", "POST", b"slot"))
-
-                async def is_running():
-                    return len(runs(deployment, "single")) == 1
-
-                await eventually(is_running, 1)
+                await wait_until_running(deployment, "single", 1)
                 second.process.kill()
                 status, _, _ = await request
                 assert status in (502, 504)
@@ -160,11 +163,7 @@
                 for searcher in deployment.searchers.values():
                     searcher.seconds = 2.0
                 request = asyncio.create_task(first.get("/all/q", deadline_ms=2900))
-
-                async def is_running():
-                    return len(runs(deployment, "shard")) >= len(SHARDS)
-
-                await eventually(is_running, 1)
+                await wait_until_running(deployment, "shard", len(SHARDS))
                 second.process.terminate()
                 assert (await request)[0] == 200
                 for searcher in deployment.searchers.values():
@@ -183,11 +182,7 @@
                 for searcher in deployment.searchers.values():
                     searcher.seconds = 0.5
                 request = asyncio.create_task(first.get("/read/x"))
-
-                async def is_running():
-                    return len(runs(deployment, "single")) == 1
-
-                await eventually(is_running, 1)
+                await wait_until_running(deployment, "single", 1)
                 relays.refuse()
                 await request
                 await wait_for_links(first, False)
