--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -312,8 +312,6 @@
         now = self._now()
         if not self._parts:
             self._report_silence(now)
-            if self._is_over:
-                return
         next_at = self.times.late_answer_at
         # A query that missed its goal waits for more parts until `late_answer_at`.
         useful_until = (
@@ -339,7 +337,7 @@
 
     def _report_silence(self, now: float) -> None:
         if self.dispatcher.contacts.age >= MIN_SILENCE_SECONDS:
-            for call in list(self._waiting):
+            for call in self._waiting:
                 call.record_silence(now)
 
     def _on_goal(self) -> None:
--- a/foxtailseam/forwarding/_forward.py
+++ b/foxtailseam/forwarding/_forward.py
@@ -70,6 +70,11 @@
     host: str
     response: HttpResponse
 
+    @property
+    def is_refused(self) -> bool:
+        """Return whether the host refused the request, so that it has not run it."""
+        return self.response.status == _REFUSED
+
 
 @dataclass(frozen=True, slots=True)
 class NotForwarded:
@@ -247,15 +252,16 @@
                 self._fail(reason, may_have_run=True)
 
     def _on_response(self, host: PeerHost, response: HttpResponse) -> None:
-        is_refused = response.status == _REFUSED
-        self._refusals += is_refused
-        if is_refused and self._refusals < MAX_REFUSALS and self._has_other(host):
+        result = Forwarded(host.address, response)
+        self._refusals += result.is_refused
+        may_ask_other = result.is_refused and self._refusals < MAX_REFUSALS
+        if may_ask_other and self._has_other(host):
             self._on_unavailable(host, Unavailability.BUSY)
             return
         self._end_try(str(response.status))
         self._cancel_timers()
         self.forwarder.selector.record_help((host.address,))
-        self.on_result(Forwarded(host.address, response))
+        self.on_result(result)
 
     def _has_other(self, host: PeerHost) -> bool:
         tried = {host.address, *(item.host.address for item in self._tries)}
--- a/foxtailseam/front/_peer_requests.py
+++ b/foxtailseam/front/_peer_requests.py
@@ -18,7 +18,6 @@
 # Time that a request and its response take between two hosts, in seconds, including
 # the work of both.
 HOP_SECONDS = 0.008
-_REFUSED = 503
 
 
 class _ResponseSink:
@@ -114,8 +113,8 @@
             )
         case NotForwarded(retry_after=retry_after):
             return NotAnswered(FailureReason.ISOLATED, may_have_run, retry_after)
-        case Forwarded(response=HttpResponse(status=status)):
+        case Forwarded(is_refused=True) if may_have_run:
             # The other host cannot know that the request may have run here.
-            if status == _REFUSED and may_have_run:
-                return NotAnswered(FailureReason.ISOLATED, True)
+            return NotAnswered(FailureReason.ISOLATED, True)
+        case Forwarded():
             return None
--- a/foxtailseam/front/_request_log.py
+++ b/foxtailseam/front/_request_log.py
@@ -23,7 +23,6 @@
 AnyQuery = GatherQuery | SingleQuery | Forward
 AnyResult = GatherResult | SingleResult | Forwarded
 
-_REFUSED = 503
 _FIRST_SERVER_ERROR = 500
 
 
@@ -86,7 +85,7 @@
         fields = self._base_fields(routed, response) | (inputs or {})
         if query is not None:
             fields |= self._query_fields(query)
-        code, result_fields = self._outcome(response, result)
+        code, result_fields = self._outcome(result)
         self.metrics.add(f"answers_{response.status}")
         self.log.write(code, routed.request_id, **fields, **result_fields)
 
@@ -213,9 +212,7 @@
             "denied": query.denied,
         }
 
-    def _outcome(
-        self, response: HttpResponse, result: AnyResult
-    ) -> tuple[EventCode, dict[str, object]]:
+    def _outcome(self, result: AnyResult) -> tuple[EventCode, dict[str, object]]:
         """Count the outcome; return its event and the fields that tell it."""
         match result:
             case MergedAnswer(stamps=stamps, missing=missing):
@@ -225,8 +222,8 @@
             case ServiceAnswer():
                 self.metrics.add("requests_forwarded")
                 return EventCode.REQUEST_SERVED, {}
-            case Forwarded(host=host):
-                return self._forwarded_outcome(response, host)
+            case Forwarded():
+                return self._forwarded_outcome(result)
             case _:
                 self.metrics.add(f"failures_{result.reason.replace('-', '_')}")
                 is_refused = not result.may_have_run
@@ -238,13 +235,13 @@
                 return code, {"reason": result.reason, **self._contact_fields()}
 
     def _forwarded_outcome(
-        self, response: HttpResponse, host: str
+        self, result: Forwarded
     ) -> tuple[EventCode, dict[str, object]]:
-        fields = {"served_by": host}
-        if response.status == _REFUSED:
+        fields = {"served_by": result.host}
+        if result.is_refused:
             self.metrics.add("forwards_refused")
             return EventCode.REQUEST_REFUSED, fields
-        if response.status >= _FIRST_SERVER_ERROR:
+        if result.response.status >= _FIRST_SERVER_ERROR:
             self.metrics.add("forwards_failed")
             return EventCode.REQUEST_FAILED, fields
         self.metrics.add("forwards_served")
--- a/foxtailseam/front/tests/test_forwarding_hosts.py
+++ b/foxtailseam/front/tests/test_forwarding_hosts.py
@@ -48,6 +48,14 @@
     await eventually(is_so, DETECTION_SECONDS)
 
 
+async def start_cut_host(deployment, relays):
+    """Start two hosts and cut the first from the searchers; return both."""
+    hosts = await start_hosts(deployment, relays)
+    relays.refuse()
+    await wait_for_links(hosts[0], False)
+    return hosts
+
+
 def runs(deployment, service):
     return [
         run
@@ -118,9 +126,7 @@
     ):
         async def scenario(deployment):
             with open_relays() as relays:
-                first, second = await start_hosts(deployment, relays)
-                relays.refuse()
-                await wait_for_links(first, False)
+                first, second = await start_cut_host(deployment, relays)
                 for searcher in deployment.searchers.values():
                     searcher.seconds = 1.0
                 request = asyncio.create_task(first.get("/book/x", "POST", b"slot"))
@@ -138,9 +144,7 @@
     ):
         async def scenario(deployment):
             with open_relays() as relays:
-                first, _ = await start_hosts(deployment, relays)
-                relays.refuse()
-                await wait_for_links(first, False)
+                first, _ = await start_cut_host(deployment, relays)
                 for searcher in deployment.searchers.values():
                     searcher.seconds = 2.0
                 with pytest.raises(TimeoutError):
@@ -157,9 +161,7 @@
     def test_a_helping_host_that_stops_finishes_what_was_forwarded(self, run_scenario):
         async def scenario(deployment):
             with open_relays() as relays:
-                first, second = await start_hosts(deployment, relays)
-                relays.refuse()
-                await wait_for_links(first, False)
+                first, second = await start_cut_host(deployment, relays)
                 for searcher in deployment.searchers.values():
                     searcher.seconds = 2.0
                 request = asyncio.create_task(first.get("/all/q", deadline_ms=2900))
