--- a/foxtailseam/dispatch/_attempt_results.py
+++ b/foxtailseam/dispatch/_attempt_results.py
@@ -1,7 +1,7 @@
 """What the result of one attempt says of the searcher and of this host's links."""
 
 from foxtailseam.dispatch._health import AttemptFailure
-from foxtailseam.http import ExchangeFailure, ExchangeResult, FailureKind
+from foxtailseam.http import FailureKind
 from foxtailseam.reachability import ContactTracker
 
 ATTEMPT_FAILURES = {
@@ -21,10 +21,10 @@
 _SILENT_FAILURES = frozenset({FailureKind.RESET, FailureKind.TIMEOUT})
 
 
-def record_contact(
-    contacts: ContactTracker, searcher: str, result: ExchangeResult
+def record_failed_contact(
+    contacts: ContactTracker, searcher: str, kind: FailureKind, now: float
 ) -> None:
-    """Record whether the result of an attempt shows a sign of life.
+    """Record whether a failed attempt was a sign of life or the lack of one.
 
     Parameters
     ----------
@@ -32,15 +32,14 @@
         Contacts of this host with searchers.
     searcher : str
         Identifier of the searcher.
-    result : ExchangeResult
-        Result of the attempt.
+    kind : FailureKind
+        How the attempt failed.
+    now : float
+        Current monotonic time in seconds.
     """
-    match result:
-        case ExchangeFailure(kind=kind) if kind in _CONNECT_FAILURES:
-            contacts.record_connect_failure(searcher)
-        case ExchangeFailure(kind=kind) if kind in _SILENT_FAILURES:
-            contacts.record_silence(searcher)
-        case ExchangeFailure(kind=FailureKind.CANCELLED):
-            pass
-        case _:
-            contacts.record_response()
+    if kind in _CONNECT_FAILURES:
+        contacts.record_connect_failure(searcher)
+    elif kind in _SILENT_FAILURES:
+        contacts.record_silence(searcher)
+    elif kind is not FailureKind.CANCELLED:
+        contacts.record_response(now)
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -7,7 +7,7 @@
 from foxtailseam.dispatch._attempt_results import (
     ATTEMPT_FAILURES,
     POSSIBLE_CRASHES,
-    record_contact,
+    record_failed_contact,
 )
 from foxtailseam.dispatch._attempts import Attempt, CallPlan, CallRecord
 from foxtailseam.dispatch._dispatcher import Dispatcher
@@ -339,16 +339,18 @@
 
     def _on_exchange(self, attempt: Attempt, result: ExchangeResult) -> None:
         del self._running[id(attempt)]
-        seconds = attempt.searcher.end_request(attempt.number)
+        now = self.dispatcher.clock.monotonic()
+        seconds = attempt.searcher.end_request(attempt.number, now)
         contacts = self.dispatcher.contacts
-        record_contact(contacts, attempt.searcher.identifier, result)
         match result:
             case Received(response=response):
+                contacts.record_response(now)
                 self.dispatcher.traffic.add_answer(
                     attempt.searcher, len(response.body), self._is_over
                 )
-                self._on_response(attempt, seconds, response)
+                self._on_response(attempt, seconds, response, now)
             case ExchangeFailure(kind=kind, sent=sent):
+                record_failed_contact(contacts, attempt.searcher.identifier, kind, now)
                 attempt.outcome = kind
                 self._record_failure(attempt, ATTEMPT_FAILURES[kind])
                 self._run_count += sent
@@ -377,7 +379,7 @@
             self.may_repeat = _allow
 
     def _on_response(
-        self, attempt: Attempt, seconds: float, response: HttpResponse
+        self, attempt: Attempt, seconds: float, response: HttpResponse, now: float
     ) -> None:
         metadata = self.dispatcher.read_answer(response.status, response.headers)
         attempt.outcome = str(response.status)
@@ -408,7 +410,7 @@
         median_time = (
             self._response_times.median if self._response_times.has_quantiles else None
         )
-        attempt.searcher.health.record_response(seconds, median_time)
+        attempt.searcher.health.record_response(seconds, median_time, now)
         self._response_times.record(seconds)
         if not self._is_over:
             self._is_over = True
@@ -473,7 +475,8 @@
 
     def _abandon(self, attempt: Attempt) -> None:
         del self._running[id(attempt)]
-        seconds = attempt.searcher.end_request(attempt.number)
+        now = self.dispatcher.clock.monotonic()
+        seconds = attempt.searcher.end_request(attempt.number, now)
         attempt.outcome = "abandoned"
         if seconds > NO_RESPONSE_FACTOR * self._response_times.quantile(0.9):
             self._record_failure(attempt, AttemptFailure.NO_RESPONSE)
--- a/foxtailseam/dispatch/_health.py
+++ b/foxtailseam/dispatch/_health.py
@@ -132,7 +132,9 @@
         threshold = STALL_FACTOR * median_time * max(1.0, self.slowness_at(now))
         return now - oldest_sent_at > max(MIN_STALL_AGE, threshold)
 
-    def record_response(self, seconds: float, median_time: float | None) -> None:
+    def record_response(
+        self, seconds: float, median_time: float | None, now: float
+    ) -> None:
         """Record a response, which ends any ejection.
 
         Parameters
@@ -143,8 +145,9 @@
             Median response time of the route over all searchers, in seconds; None
             if the route has too few samples, in which case the slowness is not
             updated.
+        now : float
+            Current monotonic time in seconds.
         """
-        now = self.clock.monotonic()
         slowness = self.slowness_at(now)
         share = self.failure_share_at(now)
         if median_time is not None:
--- a/foxtailseam/dispatch/_searcher.py
+++ b/foxtailseam/dispatch/_searcher.py
@@ -152,10 +152,18 @@
         self._in_flight[self._last_number] = (now, median_time)
         return self._last_number
 
-    def end_request(self, number: int) -> float:
-        """Count a request as ended and return its duration in seconds."""
+    def end_request(self, number: int, now: float) -> float:
+        """Count a request as ended and return its duration in seconds.
+
+        Parameters
+        ----------
+        number : int
+            Number of the request.
+        now : float
+            Current monotonic time in seconds.
+        """
         sent_at, _ = self._in_flight.pop(number)
-        return self.clock.monotonic() - sent_at
+        return now - sent_at
 
     def is_stalled(self, now: float) -> bool:
         """Return whether the oldest request is overdue without a response since.
--- a/foxtailseam/dispatch/tests/test_decisions.py
+++ b/foxtailseam/dispatch/tests/test_decisions.py
@@ -78,7 +78,9 @@
         clock = ManualClock()
         health = SearcherHealth(clock)
         for _ in range(20):
-            health.record_response(10 * MEDIAN_TIME, MEDIAN_TIME)
+            health.record_response(
+                10 * MEDIAN_TIME, MEDIAN_TIME, health.clock.monotonic()
+            )
         assert health.slowness > 8
         clock.advance(timedelta(seconds=15))
         assert health.slowness < 1.1
@@ -92,19 +94,21 @@
             8 * MEDIAN_TIME,
             MEDIAN_TIME,
         ):
-            health.record_response(seconds, MEDIAN_TIME)
+            health.record_response(seconds, MEDIAN_TIME, health.clock.monotonic())
             assert health.slowness < 1.1
 
     def test_response_without_a_median_leaves_the_slowness_unchanged(self):
         health = SearcherHealth(ManualClock())
         for _ in range(9):
-            health.record_response(8 * MEDIAN_TIME, None)
+            health.record_response(8 * MEDIAN_TIME, None, health.clock.monotonic())
         assert health.slowness == 1.0
 
     def test_slow_searcher_is_detected_after_five_responses(self):
         health = SearcherHealth(ManualClock())
         for _ in range(5):
-            health.record_response(8 * MEDIAN_TIME, MEDIAN_TIME)
+            health.record_response(
+                8 * MEDIAN_TIME, MEDIAN_TIME, health.clock.monotonic()
+            )
         assert health.slowness > 5
 
     @pytest.mark.parametrize(
@@ -141,7 +145,7 @@
         for _ in range(10):
             health.record_failure(AttemptFailure.LOST)
             health.record_failure(AttemptFailure.LOST)
-            health.record_response(MEDIAN_TIME, MEDIAN_TIME)
+            health.record_response(MEDIAN_TIME, MEDIAN_TIME, health.clock.monotonic())
         assert not health.is_ejected
 
     def test_misdirected_request_ejects_at_once(self):
@@ -161,7 +165,7 @@
         sent_at = clock.monotonic()
         clock.advance(timedelta(seconds=age))
         if has_responded:
-            health.record_response(MEDIAN_TIME, MEDIAN_TIME)
+            health.record_response(MEDIAN_TIME, MEDIAN_TIME, health.clock.monotonic())
         assert health.is_stalled(sent_at, MEDIAN_TIME, clock.monotonic()) is expected
 
 
--- a/foxtailseam/reachability/_contacts.py
+++ b/foxtailseam/reachability/_contacts.py
@@ -55,9 +55,15 @@
         """Return whether a response came after the first failed connection attempt."""
         return self._last_response_at > self._unconnectable_since
 
-    def record_response(self) -> None:
-        """Record that a searcher has sent something."""
-        self._last_response_at = self.clock.monotonic()
+    def record_response(self, now: float) -> None:
+        """Record that a searcher has sent something.
+
+        Parameters
+        ----------
+        now : float
+            Current monotonic time in seconds.
+        """
+        self._last_response_at = now
         self._silent.clear()
 
     def record_connected(self) -> None:
--- a/foxtailseam/reachability/tests/test_contacts.py
+++ b/foxtailseam/reachability/tests/test_contacts.py
@@ -24,12 +24,12 @@
         assert contacts.silent == 2
         time.run_until(1.0)
         assert contacts.age == 1.0
-        contacts.record_response()
+        contacts.record_response(contacts.clock.monotonic())
         assert (contacts.silent, contacts.age) == (0, 0.0)
 
     def test_only_an_opened_connection_ends_the_count_of_failed_ones(self, contacts):
         contacts.record_connect_failure("a")
-        contacts.record_response()
+        contacts.record_response(contacts.clock.monotonic())
         assert contacts.unconnectable == 1
         contacts.record_connected()
         assert contacts.unconnectable == 0
--- a/foxtailseam/reachability/tests/test_links.py
+++ b/foxtailseam/reachability/tests/test_links.py
@@ -118,7 +118,7 @@
         assert deployment.monitor.state is LinkState.ISOLATED
 
     def test_too_few_failures_cause_no_connection_attempts(self, deployment):
-        deployment.contacts.record_response()
+        deployment.contacts.record_response(deployment.time.monotonic())
         deployment.fail(MIN_FAILING_SEARCHERS - 1)
         deployment.run(0.2)
         assert deployment.attempts == 0
@@ -157,7 +157,7 @@
         for number in range(MIN_FAILING_SEARCHERS):
             deployment.contacts.record_connect_failure(f"i-{number}")
         deployment.run(0.05)
-        deployment.contacts.record_response()
+        deployment.contacts.record_response(deployment.time.monotonic())
         deployment.run(0.15)
         assert deployment.monitor.state is LinkState.NO_NEW_CONNECTIONS
 
@@ -199,7 +199,7 @@
         answers = []
         lost_at = deployment.time.monotonic()
         deployment.run(0.01)
-        deployment.contacts.record_response()
+        deployment.contacts.record_response(deployment.time.monotonic())
         deployment.monitor.confirm(lost_at, answers.append)
         assert answers == [True]
         deployment.set_cut(True)
