--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -2,18 +2,17 @@
 
 from collections.abc import Callable
 from datetime import timedelta
-from functools import partial
 
 from foxtailseam.dispatch._attempt_results import (
     ATTEMPT_FAILURES,
     POSSIBLE_CRASHES,
     record_failed_contact,
 )
-from foxtailseam.dispatch._attempts import Attempt, CallPlan, CallRecord
+from foxtailseam.dispatch._attempt_sender import MIN_REMAINING_TIME, AttemptSender
+from foxtailseam.dispatch._attempts import Attempt, CallPlan
 from foxtailseam.dispatch._dispatcher import Dispatcher
 from foxtailseam.dispatch._health import AttemptFailure
 from foxtailseam.dispatch._hedging import HedgeInputs, hedge_delay, min_hedge_delay
-from foxtailseam.dispatch._latency import ResponseTimes
 from foxtailseam.dispatch._results import (
     FailureReason,
     ServiceAnswer,
@@ -34,16 +33,11 @@
     Received,
 )
 
-# A request is not sent if less time than this is left until its deadline, in seconds.
-MIN_REMAINING_TIME = 0.005
 # A hedge is not sent to a searcher whose expected response time exceeds the useful
 # time by more than this factor: it would only add load.
 MAX_HEDGE_OVERRUN = 2.5
 # A request rejected this many times by searchers is not sent again.
 MAX_REJECTIONS = 3
-# An abandoned attempt counts as a missing response if it is older than this multiple
-# of the route's 0.9 quantile.
-NO_RESPONSE_FACTOR = 4.0
 FIRST_SERVER_ERROR = 500
 
 # Reasons of a call that no searcher has run.
@@ -64,7 +58,7 @@
     pass
 
 
-class ServiceCall:
+class ServiceCall(AttemptSender):
     """Call to one service: the first attempt with its hedges and retries.
 
     Parameters
@@ -86,21 +80,13 @@
     __slots__ = (
         "_failure_reason",
         "_failure_response",
-        "_is_counted_in_budget",
         "_is_held",
         "_is_over",
         "_rejections",
-        "_response_times",
-        "_run_count",
-        "_running",
-        "_tried",
         "_wait_entry",
-        "dispatcher",
         "may_repeat",
         "on_held",
         "on_result",
-        "plan",
-        "record",
         "was_denied",
     )
 
@@ -112,53 +98,20 @@
         on_result: Callable[["ServiceCall", ServiceResult], None],
         may_repeat: Callable[[], bool] = _allow,
     ):
-        self.dispatcher = dispatcher
-        self.plan = plan
+        super().__init__(dispatcher, plan, created_at)
         self.on_result = on_result
         self.may_repeat = may_repeat
         # Called when the call is held.
         self.on_held: Callable[[], None] = _ignore
         # Whether the budget denied a hedge or a retry.
         self.was_denied = False
-        self.record = CallRecord(created_at)
-        self._response_times: ResponseTimes = dispatcher.response_times(plan.route)
-        self._running: dict[int, Attempt] = {}
-        self._tried: set[str] = set()
         self._wait_entry: WaitEntry | None = None
         self._is_over = False
         self._is_held = False
-        self._is_counted_in_budget = False
-        self._run_count = 0
         self._rejections = 0
         self._failure_reason = FailureReason.NO_SEARCHER
         self._failure_response: HttpResponse | None = None
 
-    @property
-    def is_running(self) -> bool:
-        """Return whether an attempt is in progress."""
-        return bool(self._running)
-
-    @property
-    def may_have_run(self) -> bool:
-        """Return whether a searcher may have started to run the request."""
-        return self.attempts_run > 0
-
-    @property
-    def attempts_run(self) -> int:
-        """Return the number of searchers that may have started to run the request."""
-        return self._run_count + sum(
-            [
-                attempt.exchange is not None and attempt.exchange.is_sent
-                for attempt in self._running.values()
-            ]
-        )
-
-    @property
-    def last_sent_at(self) -> float:
-        """Return when the latest attempt was sent, or else the call was created."""
-        attempts = self.record.attempts
-        return attempts[-1].sent_at if attempts else self.record.started_at
-
     def estimate(self, now: float) -> tuple[ShardEstimate, Searcher | None]:
         """Return the estimate for the service and its best searcher, if any.
 
@@ -237,18 +190,6 @@
         self._send(searcher)
         return True
 
-    def record_silence(self, now: float) -> None:
-        """Report the searchers whose answers are overdue to the contact tracker.
-
-        Parameters
-        ----------
-        now : float
-            Current time, in seconds of the dispatcher's clock.
-        """
-        for attempt in self._running.values():
-            if attempt.searcher.is_stalled(now):
-                self.dispatcher.contacts.record_silence(attempt.searcher.identifier)
-
     def cancel(self) -> None:
         """Cancel the call and close the connections of its attempts in progress."""
         self._is_over = True
@@ -299,44 +240,6 @@
         if not self._is_over:
             self._send_or_wait()
 
-    def _send(self, searcher: Searcher) -> None:
-        plan = self.plan
-        dispatcher = self.dispatcher
-        now = dispatcher.clock.monotonic()
-        if plan.deadline_at - now < MIN_REMAINING_TIME:
-            self._failure_reason = FailureReason.DEADLINE
-            self._fail()
-            return
-        if not self._is_counted_in_budget:
-            self._is_counted_in_budget = True
-            dispatcher.budget(plan.service).count_request()
-        identifier = searcher.entry.identifier
-        self._tried.add(identifier)
-        number = searcher.begin_request(self._response_times.median, now)
-        attempt = Attempt(searcher, number, now)
-        self._running[id(attempt)] = attempt
-        self.record.attempts.append(attempt)
-        attempt.exchange = searcher.pool.send(
-            partial(self._render, attempt),
-            plan.identifier,
-            plan.request.method == b"HEAD",
-            partial(self._on_exchange, attempt),
-        )
-        if not attempt.exchange.is_sent:
-            attempt.opens_connection = True
-            dispatcher.metrics.add("connections_opened")
-
-    def _render(self, attempt: Attempt) -> bytes:
-        now = self.dispatcher.clock.monotonic()
-        attempt.written_at = now
-        if attempt.opens_connection:
-            self.dispatcher.contacts.record_connected()
-        payload = self.plan.template.render(
-            self.plan.deadline_at - now, attempt.searcher.entry.identifier
-        )
-        self.dispatcher.traffic.add_request(attempt.searcher, len(payload))
-        return payload
-
     def _on_exchange(self, attempt: Attempt, result: ExchangeResult) -> None:
         del self._running[id(attempt)]
         now = self.dispatcher.clock.monotonic()
@@ -354,9 +257,8 @@
                 attempt.outcome = kind
                 self._record_failure(attempt, ATTEMPT_FAILURES[kind])
                 self._run_count += sent
-                self._failure_reason = (
-                    FailureReason.LOST if sent else self._failure_reason
-                )
+                if sent:
+                    self._failure_reason = FailureReason.LOST
                 if sent and kind in POSSIBLE_CRASHES:
                     self.dispatcher.check_crash(attempt.searcher, self.plan.request)
                     self._is_held = not self._is_over and not self.may_repeat()
@@ -445,11 +347,12 @@
         self._send_or_wait()
 
     def _may_send_again(self) -> bool:
-        in_flight = len(self._running)
+        remaining_time = self.plan.deadline_at - self.dispatcher.clock.monotonic()
+        attempts = self._run_count + len(self._running)
         return (
-            self._run_count + in_flight < self.plan.route.max_attempts
+            attempts < self.plan.route.max_attempts
             and self._rejections < MAX_REJECTIONS
-            and self._remaining_time() >= MIN_REMAINING_TIME
+            and remaining_time >= MIN_REMAINING_TIME
         )
 
     def _take_extra(self) -> bool:
@@ -466,24 +369,6 @@
             for searcher in self.dispatcher.open_searchers(self.plan.service)
         )
 
-    def _remaining_time(self) -> float:
-        return self.plan.deadline_at - self.dispatcher.clock.monotonic()
-
-    def _record_failure(self, attempt: Attempt, failure: AttemptFailure) -> None:
-        if attempt.searcher.health.record_failure(failure):
-            self.dispatcher.on_ejected(attempt.searcher)
-
-    def _abandon(self, attempt: Attempt) -> None:
-        del self._running[id(attempt)]
-        now = self.dispatcher.clock.monotonic()
-        seconds = attempt.searcher.end_request(attempt.number, now)
-        attempt.outcome = "abandoned"
-        if seconds > NO_RESPONSE_FACTOR * self._response_times.quantile(0.9):
-            self._record_failure(attempt, AttemptFailure.NO_RESPONSE)
-            self.dispatcher.contacts.record_silence(attempt.searcher.identifier)
-        attempt.exchange.cancel()
-        self.dispatcher.admit_waiting(self.plan.service)
-
     def _fail_without_searcher(self) -> None:
         """End the call because no searcher is left that takes it."""
         if self._failure_reason in _REJECTED and not self.dispatcher.open_searchers(
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -19,25 +19,20 @@
     SingleQuery,
     SingleResult,
 )
-from foxtailseam.forwarding import (
-    Forward,
-    Forwarded,
-    ForwardedRequest,
-    ForwardedResponse,
-    ForwardResult,
-)
+from foxtailseam.forwarding import ForwardedRequest, ForwardedResponse
 from foxtailseam.front._configuration import ConfigurationManager
 from foxtailseam.front._forwarding import PeerForwarding
+from foxtailseam.front._handover import Handover
 from foxtailseam.front._overload_guard import OverloadGuard, QueryDuration
-from foxtailseam.front._peer_requests import to_failure
 from foxtailseam.front._quarantine_guard import QuarantineGuard
 from foxtailseam.front._request_log import AnyQuery, AnyResult, RequestLog
 from foxtailseam.front._responses import ResponseBuilder
 from foxtailseam.front._routed_request import RoutedRequest
+from foxtailseam.front._running_requests import RunningRequests
 from foxtailseam.front._startup_queue import StartupQueue
 from foxtailseam.front._timing import TimingSettings, query_times
 from foxtailseam.http import Call, HttpResponse
-from foxtailseam.logs import EventCode, LogWriter
+from foxtailseam.logs import LogWriter
 from foxtailseam.metrics import Metrics
 from foxtailseam.platform import (
     PlatformRequestTemplate,
@@ -45,7 +40,6 @@
     parse_request_headers,
 )
 from foxtailseam.quarantine import SuspicionState
-from foxtailseam.reachability import LinkChange, LinkState
 from foxtailseam.routing import AllShards, OneService, Route, WeightedServices
 
 # Retry-After of a request that arrived before the first configuration.
@@ -58,8 +52,6 @@
 _OVERLOAD_REASONS = frozenset(
     {FailureReason.SHED, FailureReason.BUDGET, FailureReason.DEADLINE}
 )
-# Failure reasons that lost links of this host cause.
-_LINK_REASONS = frozenset({FailureReason.LOST, FailureReason.NO_SEARCHER})
 # Sample of a query that says nothing about the load of the searchers.
 _NO_DURATION = QueryDuration(None, None, 0.0)
 
@@ -120,8 +112,17 @@
         self._request_log = RequestLog(
             log, metrics, clock, configuration_manager, dispatcher.contacts
         )
-        self._running: dict[int, tuple[RoutedRequest, AnyQuery]] = {}
-        dispatcher.links.on_change = self._on_link_change
+        self._running = RunningRequests()
+        self._handover = Handover(
+            self.peers,
+            dispatcher,
+            self._running,
+            log,
+            self._request_log,
+            self._run,
+            self._finish,
+            self._discard_admission,
+        )
 
     @property
     def in_flight(self) -> int:
@@ -161,7 +162,7 @@
 
     def abort_all(self) -> None:
         """Cancel and fail every running request, as the process must stop."""
-        for routed, query in list(self._running.values()):
+        for routed, query in self._running:
             may_have_run = query.may_have_run
             query.cancel()
             result = NotAnswered(FailureReason.DEADLINE, may_have_run)
@@ -243,8 +244,7 @@
         if state is SuspicionState.QUARANTINED:
             self._refuse(routed, FailureReason.QUARANTINED, None)
         elif self.peers.must_forward(routed):
-            attempts = routed.route.max_attempts
-            self._forward(routed, attempts, False, self.dispatcher.links.state)
+            self._handover.forward_new(routed)
         elif isinstance(routed.route.destination, AllShards):
             self._start_gather(routed, state is SuspicionState.SUSPECT)
         else:
@@ -291,12 +291,12 @@
         self._run(routed, query)
 
     def _run(self, routed: RoutedRequest, query: AnyQuery) -> None:
-        self._running[id(routed)] = (routed, query)
+        self._running.add(routed, query)
         routed.call.on_disconnect = lambda: self._on_disconnect(routed)
         query.start()
 
     def _on_gathered(self, routed: RoutedRequest, result: GatherResult) -> None:
-        if self._hand_over_failure(routed, result):
+        if self._handover.forward_failed(routed, result):
             return
         match result:
             case MergedAnswer():
@@ -306,7 +306,7 @@
         self._finish(routed, response, result)
 
     def _on_single(self, routed: RoutedRequest, result: SingleResult) -> None:
-        if self._hand_over_failure(routed, result):
+        if self._handover.forward_failed(routed, result):
             return
         match result:
             case ServiceAnswer():
@@ -317,17 +317,17 @@
         self._finish(routed, response, result)
 
     def _on_disconnect(self, routed: RoutedRequest) -> None:
-        entry = self._running.pop(id(routed), None)
-        if entry is None:
+        if routed not in self._running:
             return
-        entry[1].cancel()
-        self._release_admission(routed, entry[1], False)
+        query = self._running.remove(routed)
+        query.cancel()
+        self._release_admission(routed, query, False)
         self._request_log.record_abandoned(routed)
 
     def _finish(
         self, routed: RoutedRequest, response: HttpResponse, result: AnyResult
     ) -> None:
-        _, query = self._running.pop(id(routed))
+        query = self._running.remove(routed)
         self._release_admission(routed, query, _is_overload(result))
         self._respond(routed, response, result, query)
 
@@ -339,6 +339,12 @@
             duration = QueryDuration(query.time_to_half, query.time_to_quorum, elapsed)
             self.overload_guard.record_end(routed.route, duration, shed)
 
+    def _discard_admission(
+        self, routed: RoutedRequest, query: GatherQuery | SingleQuery
+    ) -> None:
+        if isinstance(query, GatherQuery):
+            self.overload_guard.record_end(routed.route, _NO_DURATION, False)
+
     def _respond(
         self,
         routed: RoutedRequest,
@@ -358,8 +364,6 @@
         call.respond(response)
         self._request_log.record_rejection(call, metadata, reason, response)
 
-    # Forwarding to other hosts.
-
     def serve_forwarded(
         self, message: ForwardedRequest, done: Callable[[ForwardedResponse], None]
     ) -> Callable[[], None]:
@@ -379,81 +383,6 @@
         """
         return self.peers.accept(message, done, self.serve)
 
-    def _forward(
-        self, routed: RoutedRequest, attempts: int, may_have_run: bool, reason: str
-    ) -> None:
-        self._request_log.record_forwarding(routed, reason)
-
-        def on_result(result: ForwardResult) -> None:
-            self._on_forwarded(routed, result, may_have_run)
-
-        self._run(routed, self.peers.create(routed, attempts, on_result))
-
-    def _on_forwarded(
-        self, routed: RoutedRequest, result: ForwardResult, may_have_run: bool
-    ) -> None:
-        failure = to_failure(result, may_have_run)
-        if failure is not None:
-            self._finish(routed, routed.responses.failed(failure), failure)
-        elif isinstance(result, Forwarded):
-            self._finish(routed, result.response, result)
-
-    def _on_link_change(self, change: LinkChange) -> None:
-        self.log.write(
-            EventCode.LINKS_CHANGED,
-            state=change.state,
-            accepted=change.evidence.accepted,
-            probed=change.evidence.probed,
-            silent=change.evidence.is_silent,
-            responds=change.evidence.responds,
-            contact_age_ms=round(change.contact_age * 1000),
-            running=len(self._running),
-        )
-        self.dispatcher.reset_failures()
-        if change.state is LinkState.CONNECTED:
-            return
-        is_isolated = change.state is LinkState.ISOLATED
-        for routed, query in list(self._running.values()):
-            if not isinstance(query, Forward) and query.needs_other_host(is_isolated):
-                self._hand_over(routed, query, change.state)
-
-    def _hand_over_failure(
-        self, routed: RoutedRequest, result: GatherResult | SingleResult
-    ) -> bool:
-        """Forward a request that failed by lost links; return whether that was done."""
-        links = self.dispatcher.links
-        match result:
-            case MergedAnswer() | ServiceAnswer():
-                return False
-        if result.reason not in _LINK_REASONS:
-            return False
-        if links.is_connected and not links.is_suspect:
-            return False
-        return self._hand_over(routed, self._running[id(routed)][1], result.reason)
-
-    def _hand_over(
-        self, routed: RoutedRequest, query: GatherQuery | SingleQuery, reason: str
-    ) -> bool:
-        """Forward a request that was sent to searchers; return whether that was done.
-
-        One that another host has forwarded goes back there.
-        """
-        if not self.peers.may_hand_over(routed, query):
-            return False
-        may_have_run = query.may_have_run
-        attempts_run = query.attempts_run
-        query.cancel()
-        del self._running[id(routed)]
-        if isinstance(query, GatherQuery):
-            self.overload_guard.record_end(routed.route, _NO_DURATION, False)
-        if routed.call.forward is not None:
-            self._request_log.record_declined(routed, reason)
-            routed.call.forward.decline(attempts_run)
-        else:
-            attempts = routed.route.max_attempts - attempts_run
-            self._forward(routed, attempts, may_have_run, reason)
-        return True
-
 
 def _is_overload(result: AnyResult) -> bool:
     match result:
