--- a/foxtailseam/daemons/tests/test_operators.py
+++ b/foxtailseam/daemons/tests/test_operators.py
@@ -6,7 +6,7 @@
 
 from foxtailseam.clocks import SystemClock
 from foxtailseam.daemons._operators import TEXT_CONTENT_TYPE, OperatorServer, Page
-from foxtailseam_bench._processes import free_ports
+from foxtailseam_bench._ports import free_ports
 
 
 def get(path, is_ready=True):
--- a/foxtailseam/publications/tests/test_client.py
+++ b/foxtailseam/publications/tests/test_client.py
@@ -11,7 +11,7 @@
 
 from foxtailseam.clocks import SystemClock
 from foxtailseam.publications import PlatformClient, Publication, PublicationName
-from foxtailseam_bench._processes import free_ports
+from foxtailseam_bench._ports import free_ports
 from foxtailseam_bench.platform_service import PlatformFault, serve_platform
 
 RULES = PublicationName.RULES
--- a/foxtailseam/searchers/tests/test_client.py
+++ b/foxtailseam/searchers/tests/test_client.py
@@ -19,7 +19,8 @@
     TimedOut,
     VersionGone,
 )
-from foxtailseam_bench._processes import free_ports, unaccepting_address
+from foxtailseam_bench._ports import free_ports
+from foxtailseam_bench._processes import unaccepting_address
 from foxtailseam_bench.searcher import (
     Record,
     SearcherBehaviour,
--- a/foxtailseam_bench/_processes.py
+++ b/foxtailseam_bench/_processes.py
@@ -4,8 +4,6 @@
 """
 
 import contextlib
-import itertools
-import os
 import signal
 import socket
 import subprocess
@@ -16,37 +14,6 @@
 from pathlib import Path
 
 STOP_TIMEOUT_SECONDS = 40.0
-FIRST_PORT = 12_000
-PORT_COUNT = 20_000
-PORTS_VARIABLE = "FOXTAILSEAM_BENCH_PORTS"
-# Test processes that run at the same time start the search for free ports at
-# different offsets: the value of the variable, or else one derived from their pid.
-_PORT_OFFSETS = itertools.count(
-    int(os.environ.get(PORTS_VARIABLE, os.getpid() * 1_201))
-)
-
-
-def free_ports(count: int) -> list[int]:
-    """Return `count` TCP ports that are free on the loopback interface now.
-
-    The ports lie below the operating system's range of ephemeral ports. An outgoing
-    connection could otherwise take a port between this call and its use.
-    """
-    ports = []
-    while len(ports) < count:
-        port = FIRST_PORT + next(_PORT_OFFSETS) % PORT_COUNT
-        if _is_free(port):
-            ports.append(port)
-    return ports
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as sock:
-        try:
-            sock.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-        return True
 
 
 @contextlib.contextmanager
--- a/foxtailseam_bench/deployment.py
+++ b/foxtailseam_bench/deployment.py
@@ -8,7 +8,8 @@
 import urllib3
 import yaml
 
-from foxtailseam_bench._processes import ProcessGroup, free_ports, wait_until
+from foxtailseam_bench._ports import free_ports
+from foxtailseam_bench._processes import ProcessGroup, wait_until
 from foxtailseam_bench.plan import DeploymentPlan, HostAddresses, Reply
 from foxtailseam_bench.platform_service import PlatformFault
 from foxtailseam_bench.searcher import (
--- a/foxtailseam_bench/partition.py
+++ b/foxtailseam_bench/partition.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from foxtailseam_bench._processes import free_ports
+from foxtailseam_bench._ports import free_ports
 from foxtailseam_bench.deployment import Deployment
 from foxtailseam_bench.plan import DeploymentPlan, HostAddresses
 from foxtailseam_bench.relay import TcpRelays
--- a/foxtailseam_bench/platform_deployment.py
+++ b/foxtailseam_bench/platform_deployment.py
@@ -10,7 +10,7 @@
 
 from foxtailseam.front import METRICS_PORT, METRICS_TARGET
 from foxtailseam.metrics import PREFIX
-from foxtailseam_bench._processes import free_ports
+from foxtailseam_bench._ports import free_ports
 from foxtailseam_bench.platform_stand_in import StandInSearcher, StandInStore
 from foxtailseam_bench.relay import TcpRelays
 
--- a/scripts/prove_checks.py
+++ b/scripts/prove_checks.py
@@ -4,7 +4,6 @@
 scenarios that cover the mechanism. It is detected if at least one of them fails.
 """
 
-import os
 import shutil
 import subprocess
 import sys
@@ -15,7 +14,6 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 MAX_PARALLEL_MUTATIONS = 3
-PORT_STRIDE = 1_000
 
 
 @dataclass(frozen=True)
@@ -155,11 +153,8 @@
 )
 
 
-def run(number: int, mutation: Mutation) -> bool:
-    """Return whether a scenario failed with the mechanism disabled.
-
-    `number` is the index of the mutation and gives it a port range of its own.
-    """
+def run(mutation: Mutation) -> bool:
+    """Return whether a scenario failed with the mechanism disabled."""
     with tempfile.TemporaryDirectory() as name:
         copy_root = Path(name)
         for part in ("foxtailseam", "foxtailseam_bench", "features"):
@@ -177,7 +172,6 @@
                 *("--name", mutation.scenario, "--format", "progress"),
             ],
             cwd=copy_root,
-            env=os.environ | {"FOXTAILSEAM_BENCH_PORTS": str(number * PORT_STRIDE)},
             capture_output=True,
             text=True,
             check=False,
@@ -189,7 +183,7 @@
 def main() -> int:
     """Run all mutations, print a table and return 1 if one was not detected, else 0."""
     with ThreadPoolExecutor(MAX_PARALLEL_MUTATIONS) as pool:
-        detected = list(pool.map(run, range(len(MUTATIONS)), MUTATIONS))
+        detected = list(pool.map(run, MUTATIONS))
     for mutation, is_detected in zip(MUTATIONS, detected, strict=True):
         verdict = "detected" if is_detected else "NOT DETECTED"
         print(f"@{mutation.tag:<14} {verdict:<12} disabled: {mutation.mechanism}")
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -6,7 +6,6 @@
 """
 
 import json
-import os
 import subprocess
 import sys
 import tempfile
@@ -19,7 +18,6 @@
 BIN = Path(sys.executable).parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MAX_PARALLEL_FEATURES = 3
-PORT_STRIDE = 3_000
 
 
 @dataclass(frozen=True)
@@ -83,15 +81,15 @@
         key=lambda path: (-path.read_text().count("\n"), path.name),
     )
     with ThreadPoolExecutor(MAX_PARALLEL_FEATURES) as pool:
-        runs = pool.map(lambda item: run_feature(directory, *item), enumerate(features))
+        runs = pool.map(lambda path: run_feature(directory, path), features)
         return [result for results in runs for result in results]
 
 
-def run_feature(directory: Path, number: int, path: Path) -> list[TestResult]:
+def run_feature(directory: Path, path: Path) -> list[TestResult]:
     """Run the scenarios of one feature file.
 
-    `number` is the index of the feature and gives it a port range of its own. A run
-    without a report or without scenarios is returned as one failed result.
+    The report is written to `directory`. A run without a report or without scenarios
+    is returned as one failed result.
     """
     report = directory / f"{path.stem}.json"
     done = subprocess.run(
@@ -101,7 +99,6 @@
             *("--format", "progress3"),
         ],
         cwd=ROOT,
-        env=os.environ | {"FOXTAILSEAM_BENCH_PORTS": str(number * PORT_STRIDE)},
         capture_output=True,
         text=True,
         check=False,
@@ -124,10 +121,27 @@
                 continue
             name = f"{feature['name']}: {scenario['name']}".strip()
             passed = scenario["status"] == "passed"
-            results.append(TestResult(name, passed, scenario["status"]))
+            results.append(TestResult(name, passed, failed_step(scenario)))
     return results or [TestResult(path.name, False, "no scenario was run")]
 
 
+def failed_step(scenario: dict) -> str:
+    """Return the first step of a scenario that did not pass, with its error.
+
+    Parameters
+    ----------
+    scenario : dict
+        Scenario in behave's JSON report.
+    """
+    for step in scenario.get("steps", []):
+        result = step.get("result", {})
+        if result.get("status") != "passed":
+            lines = result.get("error_message", [])
+            error = lines if isinstance(lines, str) else "\n    ".join(lines)
+            return f"{step['keyword']} {step['name']}: {error}"
+    return scenario["status"]
+
+
 def known_failures_by_test() -> dict[str, str]:
     """Return the lines of KNOWN-RED.txt by test identifier."""
     if not KNOWN_RED.exists():
