A stopping host answers callers whose connection was made before the stop

What callers would have seen: at a planned stop, a caller whose connection was just made was reset without an answer, although the kernel, or the host itself, had accepted it.

The listening socket was closed while connections waited in its queue, which the kernel then resets; and idle connections were closed at the same moment, new ones included whose first request had not been read yet (a close with unread bytes resets).

Change: the host accepts what waits and closes the listening socket in the same step; connections without any request so far are left for 0.3 s and get a first answer that closes them. Used idle connections are closed at once, as before.

A connection that arrives between the last accept and the close, microseconds later, can still be reset.

--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -92,6 +92,8 @@
 BALANCER_LAG_SECONDS = 2.3
 # Time in which responses close their connections before the listening socket closes.
 CONNECTION_CLOSE_SECONDS = 0.4
+# Time in which a caller whose connection was just made sends its first request.
+FIRST_REQUEST_SECONDS = 0.3
 # Part of the grace period before SIGKILL that is kept for failing the requests that
 # are still running.
 GRACE_MARGIN_SECONDS = 0.5
@@ -283,7 +285,9 @@
         await asyncio.sleep(max(0.0, BALANCER_LAG_SECONDS - elapsed))
         self._caller_listener.drain()
         await asyncio.sleep(CONNECTION_CLOSE_SECONDS)
-        self._caller_listener.stop_accepting()
+        await self._caller_listener.stop_accepting()
+        await asyncio.sleep(FIRST_REQUEST_SECONDS)
+        self._caller_listener.close_idle()
         grace = (
             self.settings.bounds.shutdown_grace.total_seconds() - GRACE_MARGIN_SECONDS
         )
--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -136,6 +136,11 @@
             and not self._queued_requests
         )
 
+    @property
+    def was_used(self) -> bool:
+        """Return whether a complete request was received."""
+        return self._request_count > 0
+
     @property
     def idle_since(self) -> float:
         """Return when an idle connection became idle, in seconds of the clock."""
--- a/foxtailseam/http/_listener.py
+++ b/foxtailseam/http/_listener.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 listener for the connections of callers."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 
@@ -38,6 +39,7 @@
         self.on_rejected = on_rejected
         self.limits = ListenerLimits()
         self._connections: set[CallerConnection] = set()
+        self._socket: socket.socket | None = None
         self._server: asyncio.Server | None = None
         self._timeout_timer: asyncio.TimerHandle | None = None
         self._is_draining = False
@@ -71,10 +73,10 @@
             Socket that already listens there; None to open one.
         """
         loop = asyncio.get_running_loop()
-        sock = listening_socket or open_listener(address)
-        sock.setblocking(False)
+        self._socket = listening_socket or open_listener(address)
+        self._socket.setblocking(False)
         self._server = await loop.create_server(
-            lambda: CallerConnection(self), sock=sock, backlog=BACKLOG
+            lambda: CallerConnection(self), sock=self._socket, backlog=BACKLOG
         )
         self._enforce_timeouts()
 
@@ -82,22 +84,48 @@
         """Close each connection after its next response from now on."""
         self._is_draining = True
 
-    def stop_accepting(self) -> None:
-        """Stop accepting connections and close the idle ones."""
-        if self._server is not None:
-            self._server.close()
+    async def stop_accepting(self) -> None:
+        """Stop accepting connections and close the idle ones that were used.
+
+        Those that have not sent a request yet are left until `close_idle`: closing a
+        connection with unread bytes resets it, and the caller would get no answer.
+        """
+        await self._close_server()
+        for connection in list(self._connections):
+            if connection.is_idle and connection.was_used:
+                connection.close()
+
+    def close_idle(self) -> None:
+        """Close the connections that have no request."""
         for connection in list(self._connections):
             if connection.is_idle:
                 connection.close()
 
     def stop(self) -> None:
         """Stop accepting connections and close all of them."""
-        self.stop_accepting()
+        if self._server is not None:
+            self._server.close()
         if self._timeout_timer is not None:
             self._timeout_timer.cancel()
         for connection in list(self._connections):
             connection.close()
 
+    async def _close_server(self) -> None:
+        """Close the listening socket right after accepting what waits for it.
+
+        The kernel resets the connections that are in its queue then.
+        """
+        if self._server is None or not self._server.is_serving():
+            return
+        waiting = []
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                waiting.append(self._socket.accept()[0])
+        self._server.close()
+        loop = asyncio.get_running_loop()
+        for sock in waiting:
+            await loop.connect_accepted_socket(lambda: CallerConnection(self), sock)
+
     def reserve(self, size: int) -> bool:
         """Reserve `size` bytes of buffer space; return whether there were enough."""
         if self._buffered_bytes + size > self.limits.buffered_bytes:
--- a/foxtailseam/http/tests/test_listener.py
+++ b/foxtailseam/http/tests/test_listener.py
@@ -237,7 +237,7 @@
             writer.write(b"GET /a HTTP/1.1\r\n" + HOST_HEADER + b"\r\n")
             await asyncio.sleep(0.05)
             listener.drain()
-            listener.stop_accepting()
+            await listener.stop_accepting()
             handler.calls[0].respond(HttpResponse(200, (), b"done"))
             response = await read_all(reader)
             assert b"Connection: close" in response
@@ -258,6 +258,49 @@
         )
 
 
+class TestStopping:
+    """A caller whose connection was made before the stop gets an answer."""
+
+    @pytest.mark.parametrize("is_accepted", [True, False])
+    def test_first_request_of_a_connection_made_before_the_stop_is_answered(
+        self, is_accepted
+    ):
+        async def scenario(_reader, writer, _handler, listener):
+            address = writer.get_extra_info("peername")
+            with socket.create_connection(address) as caller:
+                if is_accepted:
+                    await asyncio.sleep(0.05)
+                # Otherwise the connection waits in the kernel's queue.
+                listener.drain()
+                await listener.stop_accepting()
+                await asyncio.sleep(0.05)
+                caller.setblocking(False)
+                caller.sendall(b"GET /1 HTTP/1.1\r\n" + HOST_HEADER + b"\r\n")
+                loop = asyncio.get_running_loop()
+                response = await asyncio.wait_for(loop.sock_recv(caller, 1000), 3)
+            assert response.startswith(b"HTTP/1.1 200")
+            assert b"connection: close" in response.lower()
+
+        run(scenario)
+
+    def test_idle_connections_that_were_used_are_closed_at_once(self):
+        async def scenario(reader, writer, _handler, listener):
+            writer.write(b"GET /1 HTTP/1.1\r\n" + HOST_HEADER + b"\r\n")
+            await reader.readuntil(b"\r\n\r\n/1")
+            await listener.stop_accepting()
+            assert await asyncio.wait_for(reader.read(), 0.2) == b""
+
+        run(scenario)
+
+    def test_unused_connections_are_closed_in_the_end(self):
+        async def scenario(reader, _writer, _handler, listener):
+            await listener.stop_accepting()
+            listener.close_idle()
+            assert await asyncio.wait_for(reader.read(), 0.2) == b""
+
+        run(scenario)
+
+
 class TestMemory:
     def test_body_over_the_buffer_limit_gets_503(self):
         async def scenario(reader, writer, handler, listener):
--- a/foxtailseam_bench/platform_stand_in.py
+++ b/foxtailseam_bench/platform_stand_in.py
@@ -193,6 +193,13 @@
         Service time of a request; 0 for a millisecond.
     loses_answers : bool
         Whether each request is run and its connection then reset without a response.
+    breaks_off : bool
+        Whether each response ends, with its connection, in the middle of its body.
+    repeats_after : float or None
+        Seconds from each response until a second copy of it is sent on the same
+        connection; None to send none.
+    echoes_target : bool
+        Whether the body of a response is the target of its request.
     sheds : bool
         Whether every request is refused with 503 without being run.
     is_leaving : bool
@@ -213,6 +220,9 @@
     records: bytes = b""
     seconds: float = 0.0
     loses_answers: bool = False
+    breaks_off: bool = False
+    repeats_after: float | None = None
+    echoes_target: bool = False
     sheds: bool = False
     is_leaving: bool = False
     pause_seconds: float | None = None
@@ -259,7 +269,15 @@
             writer.transport.abort()
             raise ConnectionError("reset in place of a response (loses_answers)")
         headers["Foxtailseam-Server-Stamp"] = f"stamp-{self.identifier}"
-        writer.write(render(200, headers, self.records))
+        body = request[1].encode() if self.echoes_target else self.records
+        response = render(200, headers, body)
+        if self.breaks_off:
+            writer.write(response[: -len(body) // 2])
+            raise ConnectionError("closed in the middle of a response (breaks_off)")
+        writer.write(response)
+        if self.repeats_after is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.repeats_after, writer.write, response)
 
     def entry(self, service: str, state: str = "ready") -> dict:
         """Return the entry that the searcher publishes in the store."""
