--- a/foxtailseam/front/tests/test_reported_faults.py
+++ b/foxtailseam/front/tests/test_reported_faults.py
@@ -6,13 +6,13 @@
 import asyncio
 import signal
 
-from foxtailseam.front.tests._deployment import GRACE_SECONDS, SHARDS
-from foxtailseam.front.tests.test_forwarding_hosts import (
+from foxtailseam.front.tests._cut_hosts import (
     open_relays,
     runs,
     start_cut_host,
     wait_until_running,
 )
+from foxtailseam.front.tests._deployment import GRACE_SECONDS, SHARDS
 
 SLOT = ("/book/x", "POST", b"slot")
 
@@ -27,6 +27,26 @@
     return [s for name, s in deployment.searchers.items() if "single" in name]
 
 
+async def freeze(host, seconds=1.0):
+    host.process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(seconds)
+    host.process.send_signal(signal.SIGCONT)
+
+
+async def start_slow_request(deployment, host, seconds):
+    """Start a request that may not be repeated; return its task once it runs."""
+    for searcher in single_searchers(deployment):
+        searcher.seconds = seconds
+    request = asyncio.create_task(host.get(*SLOT))
+    await wait_until_running(deployment, "single", 1)
+    return request
+
+
+async def check_it_ran_once(deployment, request):
+    assert (await request)[0] == 200
+    assert len(runs(deployment, "single")) == 1
+
+
 class TestSecondCopyOfAnAnswer:
     def test_it_does_not_answer_the_next_request_on_its_connection(self, run_scenario):
         async def scenario(deployment):
@@ -129,29 +149,19 @@
     def test_work_goes_on_while_the_searcher_is_not_listed(self, run_scenario):
         async def scenario(deployment):
             host = await start_ready_host(deployment)
-            for searcher in single_searchers(deployment):
-                searcher.seconds = 1.5
-            request = asyncio.create_task(host.get(*SLOT))
-            await wait_until_running(deployment, "single", 1)
+            request = await start_slow_request(deployment, host, 1.5)
             for name in ("i-single-x", "i-single-y"):
                 deployment.store.remove(f"servers/{name}")
-            assert (await request)[0] == 200
-            assert len(runs(deployment, "single")) == 1
+            await check_it_ran_once(deployment, request)
 
         run_scenario(scenario)
 
     def test_work_goes_on_while_its_host_is_frozen(self, run_scenario):
         async def scenario(deployment):
             host = await start_ready_host(deployment)
-            for searcher in single_searchers(deployment):
-                searcher.seconds = 0.5
-            request = asyncio.create_task(host.get(*SLOT))
-            await wait_until_running(deployment, "single", 1)
-            host.process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(1.0)
-            host.process.send_signal(signal.SIGCONT)
-            assert (await request)[0] == 200
-            assert len(runs(deployment, "single")) == 1
+            request = await start_slow_request(deployment, host, 0.5)
+            await freeze(host)
+            await check_it_ran_once(deployment, request)
 
         run_scenario(scenario)
 
@@ -161,15 +171,9 @@
         async def scenario(deployment):
             with open_relays() as relays:
                 first, second = await start_cut_host(deployment, relays)
-                for searcher in single_searchers(deployment):
-                    searcher.seconds = 0.5
-                request = asyncio.create_task(first.get(*SLOT))
-                await wait_until_running(deployment, "single", 1)
-                second.process.send_signal(signal.SIGSTOP)
-                await asyncio.sleep(1.0)
-                second.process.send_signal(signal.SIGCONT)
-                assert (await request)[0] == 200
-                assert len(runs(deployment, "single")) == 1
+                request = await start_slow_request(deployment, first, 0.5)
+                await freeze(second)
+                await check_it_ran_once(deployment, request)
 
         run_scenario(scenario)
 
