An error of one forwarded request no longer breaks off the others at that host

What callers would have seen: while their host was cut from the searchers, requests in progress at a helping host failed (502) because another request failed there, and those that may not be repeated could not be tried again.

Cause: any error of a call closed the connection that all requests forwarded to that host share. An error that the other host reports concerns one call only.

Evidence: the new test failed before (the request in progress got LOST).

Change: only errors of the connection itself close it.

--- a/foxtailseam/fleet/_forward_sender.py
+++ b/foxtailseam/fleet/_forward_sender.py
@@ -99,7 +99,8 @@
         except _rpc.CALL_ERRORS as error:
             if _rpc.is_unimplemented(error):
                 return PeerFailed(Unavailability.UNSUPPORTED, sent=False)
-            self._close(address)
+            if _rpc.breaks_connection(error):
+                self._close(address)
             return PeerFailed(Unavailability.LOST, sent=True)
 
     def _close_unused(self) -> None:
--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -49,6 +49,11 @@
             return False
 
 
+def breaks_connection(error: Exception) -> bool:
+    """Return whether an error of one call ends the others on its connection, too."""
+    return not isinstance(error, (GRPCError, msgspec.MsgspecError))
+
+
 def _decompressed(update: FollowUpdate) -> FollowUpdate:
     if not update.compressed_changes:
         return update
--- a/foxtailseam/fleet/tests/test_forward_sender.py
+++ b/foxtailseam/fleet/tests/test_forward_sender.py
@@ -30,15 +30,21 @@
 
 
 class Servicer:
-    """Serves forwarded requests after `seconds`; None to never answer."""
+    """Serves forwarded requests after `seconds`; None to never answer.
+
+    With `fails`, an error ends each request at once.
+    """
 
     def __init__(self, seconds=0.0):
         self.seconds = seconds
+        self.fails = False
         self.requests = []
         self.cancelled = asyncio.Event()
 
     async def forward(self, request):
         self.requests.append(request)
+        if self.fails:
+            raise ValueError("brought about by the test")
         try:
             if self.seconds is None:
                 await asyncio.Event().wait()
@@ -158,6 +164,21 @@
 
         run_scenario(scenario, None)
 
+    def test_a_request_that_fails_at_the_other_host_does_not_break_off_others(
+        self, run_scenario
+    ):
+        async def scenario(servicer, sender, address, stop):
+            running = asyncio.create_task(send(sender, address))
+            while not servicer.requests:
+                await asyncio.sleep(0.01)
+            servicer.fails = True
+            assert await send(sender, address) == PeerFailed(
+                Unavailability.LOST, sent=True
+            )
+            assert isinstance(await running, PeerAnswered)
+
+        run_scenario(scenario, 0.3)
+
     def test_a_host_of_an_earlier_release_has_not_run_the_request(
         self, run_scenario, monkeypatch
     ):
