Forward no new requests over a connection between hosts that has fallen silent

What callers would have seen: a host that is cut from the searchers forwards to a host whose open connection has fallen silent, as connections between hosts can while new ones work. Each such request was held to its deadline (504), and a second later the same connection was used for the next ones, for as long as requests came.

Cause: a request given up at its deadline is cancelled, which is no error of the call, so that the connection stayed; nothing looked at whether it still answered.

Evidence: test_a_connection_that_fell_silent_is_not_used_again failed before (the next request timed out).

Change: a connection on which a request has been without a response for 0.5 s, and on which nothing else has come since, gets no new requests; those in progress keep it. The gossip and the relays of changes have timeouts of their own that close the connection.

--- a/foxtailseam/fleet/_forward_sender.py
+++ b/foxtailseam/fleet/_forward_sender.py
@@ -17,6 +17,9 @@
 CONNECT_TIMEOUT = timedelta(milliseconds=300)
 # Channels that were not used for this long are closed.
 IDLE_TIMEOUT = timedelta(seconds=30)
+# New requests get another connection if one was sent this long ago, in seconds, and no
+# response has come since: the connection may have fallen silent for good.
+SILENCE_SECONDS = 0.5
 
 
 class ChannelSend:
@@ -46,6 +49,52 @@
             done(task.result())
 
 
+class _SharedChannel:
+    """Channel that all requests forwarded to one host share.
+
+    Parameters
+    ----------
+    channel : FleetChannel
+        The channel.
+    """
+
+    def __init__(self, channel):
+        self.channel = channel
+        self.used_at = float("-inf")
+        self._in_flight = 0
+        # When the first request without a response since was sent.
+        self._silent_since = float("inf")
+        self._is_retired = False
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether no response has come for `SILENCE_SECONDS`."""
+        return now - self._silent_since >= SILENCE_SECONDS
+
+    def begin(self, now: float) -> None:
+        """Count a request that is sent."""
+        self.used_at = now
+        self._in_flight += 1
+        self._silent_since = min(self._silent_since, now)
+
+    def record_response(self, now: float) -> None:
+        """Record that a response has come."""
+        self._silent_since = now if self._in_flight > 1 else float("inf")
+
+    def end(self) -> None:
+        """Count a request as ended."""
+        self._in_flight -= 1
+        self._close_if_unused()
+
+    def retire(self) -> None:
+        """Close the channel once its requests have ended."""
+        self._is_retired = True
+        self._close_if_unused()
+
+    def _close_if_unused(self) -> None:
+        if self._is_retired and not self._in_flight:
+            self.channel.close()
+
+
 class ChannelForwardSender:
     """Sender of forwarded requests; implements `ForwardSender`.
 
@@ -57,8 +106,7 @@
 
     def __init__(self, clock: Clock):
         self.clock = clock
-        self._channels: dict[str, object] = {}
-        self._used_at: dict[str, float] = {}
+        self._channels: dict[str, _SharedChannel] = {}
         self._tasks: set[asyncio.Task] = set()
 
     def send(
@@ -68,7 +116,7 @@
         done: Callable[[PeerResult], None],
     ) -> ChannelSend:
         """Send a request; see `ForwardSender.send`."""
-        self._close_unused()
+        self._retire_unused()
         task = asyncio.create_task(self._send(address, request))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -78,39 +126,60 @@
         """Cancel all requests and close all channels."""
         for task in self._tasks:
             task.cancel()
-        for address in list(self._channels):
-            self._close(address)
+        for shared in self._channels.values():
+            shared.retire()
+        self._channels.clear()
 
     async def _send(self, address: str, request: ForwardedRequest) -> PeerResult:
+        shared = self._choose_channel(address)
+        shared.begin(self.clock.monotonic())
+        try:
+            return await self._call(address, shared, request)
+        finally:
+            shared.end()
+
+    async def _call(
+        self, address: str, shared: _SharedChannel, request: ForwardedRequest
+    ) -> PeerResult:
         from foxtailseam.fleet import _rpc
 
-        self._used_at[address] = self.clock.monotonic()
-        channel = self._channels.get(address)
-        if channel is None:
-            channel = _rpc.FleetChannel(address, CONNECT_TIMEOUT.total_seconds())
-            self._channels[address] = channel
         try:
-            await channel.connect()
+            await shared.channel.connect()
         except _rpc.CALL_ERRORS:
-            self._close(address)
+            self._retire(address, shared)
             return PeerFailed(Unavailability.UNREACHABLE, sent=False)
         try:
-            return PeerAnswered(await channel.forward(request))
+            response = await shared.channel.forward(request)
         except _rpc.CALL_ERRORS as error:
             if _rpc.is_unimplemented(error):
                 return PeerFailed(Unavailability.UNSUPPORTED, sent=False)
             if _rpc.breaks_connection(error):
-                self._close(address)
+                self._retire(address, shared)
             return PeerFailed(Unavailability.LOST, sent=True)
+        shared.record_response(self.clock.monotonic())
+        return PeerAnswered(response)
+
+    def _choose_channel(self, address: str) -> _SharedChannel:
+        """Return the channel to a host for a new request."""
+        from foxtailseam.fleet import _rpc
+
+        shared = self._channels.get(address)
+        if shared is not None and shared.is_silent(self.clock.monotonic()):
+            self._retire(address, shared)
+            shared = None
+        if shared is None:
+            channel = _rpc.FleetChannel(address, CONNECT_TIMEOUT.total_seconds())
+            shared = self._channels[address] = _SharedChannel(channel)
+        return shared
 
-    def _close_unused(self) -> None:
+    def _retire_unused(self) -> None:
         oldest = self.clock.monotonic() - IDLE_TIMEOUT.total_seconds()
-        for address, used_at in list(self._used_at.items()):
-            if used_at < oldest:
-                self._close(address)
-
-    def _close(self, address: str) -> None:
-        self._used_at.pop(address, None)
-        channel = self._channels.pop(address, None)
-        if channel is not None:
-            channel.close()
+        for address, shared in list(self._channels.items()):
+            if shared.used_at < oldest:
+                self._retire(address, shared)
+
+    def _retire(self, address: str, shared: _SharedChannel) -> None:
+        """Use a channel for no new request."""
+        if self._channels.get(address) is shared:
+            del self._channels[address]
+        shared.retire()
--- a/foxtailseam/fleet/tests/test_forward_sender.py
+++ b/foxtailseam/fleet/tests/test_forward_sender.py
@@ -1,12 +1,14 @@
 """Tests of forwarded requests between two hosts over loopback."""
 
 import asyncio
+import contextlib
 import socket
 
 import pytest
 
 from foxtailseam.clocks import SystemClock
 from foxtailseam.fleet import ChannelForwardSender, _rpc
+from foxtailseam.fleet._forward_sender import SILENCE_SECONDS
 from foxtailseam.forwarding import (
     ForwardedRequest,
     ForwardedResponse,
@@ -64,6 +66,41 @@
         return mapping
 
 
+class Proxy:
+    """Relays connections to a host; those that are open can fall silent for good."""
+
+    def __init__(self, target):
+        self.target = target
+        self.address = free_address()
+        self.generation = 0
+        self.opened = 0
+
+    async def start(self):
+        host, _, port = self.address.rpartition(":")
+        self.server = await asyncio.start_server(self.relay, host, int(port))
+
+    def silence_open_connections(self):
+        self.generation += 1
+
+    async def relay(self, reader, writer):
+        self.opened += 1
+        generation = self.generation
+        host, _, port = self.target.rpartition(":")
+        target_reader, target_writer = await asyncio.open_connection(host, int(port))
+
+        async def copy(source, destination):
+            while data := await source.read(65_536):
+                if generation == self.generation:
+                    destination.write(data)
+
+        with contextlib.suppress(asyncio.CancelledError, OSError):
+            await asyncio.gather(
+                copy(reader, target_writer), copy(target_reader, writer)
+            )
+        target_writer.close()
+        writer.close()
+
+
 def free_address():
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
@@ -158,7 +195,7 @@
             while not servicer.requests:
                 await asyncio.sleep(0.01)
             await stop()
-            channel = sender._channels[address]
+            channel = sender._channels[address].channel
             channel._channel._protocol.processor.connection._transport.abort()
             assert await task == PeerFailed(Unavailability.LOST, sent=True)
 
@@ -179,6 +216,51 @@
 
         run_scenario(scenario, 0.3)
 
+    def test_a_connection_that_fell_silent_is_not_used_again(self, run_scenario):
+        async def scenario(servicer, sender, address, stop):
+            proxy = Proxy(address)
+            await proxy.start()
+            assert isinstance(await send(sender, proxy.address), PeerAnswered)
+            proxy.silence_open_connections()
+            overdue = sender.send(proxy.address, REQUEST, lambda result: None)
+            await asyncio.sleep(SILENCE_SECONDS + 0.1)
+            # The deadline of the request.
+            overdue.cancel()
+            async with asyncio.timeout(0.5):
+                assert isinstance(await send(sender, proxy.address), PeerAnswered)
+            proxy.server.close()
+
+        run_scenario(scenario)
+
+    def test_a_request_that_its_caller_leaves_does_not_end_the_connection(
+        self, run_scenario
+    ):
+        async def scenario(servicer, sender, address, stop):
+            proxy = Proxy(address)
+            await proxy.start()
+            running = asyncio.create_task(send(sender, proxy.address))
+            left = sender.send(proxy.address, REQUEST, lambda result: None)
+            await asyncio.sleep(0.1)
+            left.cancel()
+            assert isinstance(await running, PeerAnswered)
+            assert isinstance(await send(sender, proxy.address), PeerAnswered)
+            assert proxy.opened == 1
+            proxy.server.close()
+
+        run_scenario(scenario, 0.3)
+
+    def test_requests_in_progress_keep_a_connection_on_which_another_was_overdue(
+        self, run_scenario
+    ):
+        async def scenario(servicer, sender, address, stop):
+            running = asyncio.create_task(send(sender, address))
+            overdue = sender.send(address, REQUEST, lambda result: None)
+            await asyncio.sleep(SILENCE_SECONDS + 0.1)
+            overdue.cancel()
+            assert isinstance(await running, PeerAnswered)
+
+        run_scenario(scenario, SILENCE_SECONDS + 0.4)
+
     def test_a_host_of_an_earlier_release_has_not_run_the_request(
         self, run_scenario, monkeypatch
     ):
