Hosts that restart in virtual time hear again of searchers that leave

Six and 59 hosts, a third of which restart one after the other while the listing shows all searchers: after four exchanges of gossip a restarted host sends nothing more to the searcher that leaves.

--- a/foxtailseam/front/tests/test_searcher_conditions.py
+++ b/foxtailseam/front/tests/test_searcher_conditions.py
@@ -301,3 +301,34 @@
                 # The shortest pause of the run.
                 assert requests_in_pauses(searcher, 0.8) <= MAX_IN_PAUSE
         assert served_share(c for tier in tiers for c in tier.answered()) >= 0.9
+
+
+class TestRestartingHosts:
+    """Hosts restart one after the other while the listing shows all searchers."""
+
+    @pytest.mark.parametrize("hosts", [6, 59])
+    def test_a_restarted_host_hears_of_a_searcher_that_leaves(self, hosts):
+        with simulated_service(hosts, 3, 0.1, 600) as tiers:
+            time = tiers[0].time
+            leaving = tiers[0].searchers["records"][0]
+            exchange_notices(tiers, random.Random(1))
+
+            def send(host):
+                tiers[host].send("/read/q")
+
+            # Most hosts have no request for some seconds after their restart.
+            for number in range(6 * 50):
+                time.call_later(number / 6, send, number % hosts)
+            time.run_until(5)
+            leaving.is_leaving = True
+            restarted_at = {}
+            for step in range(hosts // 3):
+                time.run_until(12 + 12 * step / (hosts // 3))
+                number = hosts + step
+                tiers[step] = tiers[step].restarted(number)
+                restarted_at[number] = time.monotonic()
+            time.run_until(52)
+        assert requests_after_leaving(leaving, 0.0) == []
+        for at, identifier in leaving.arrivals:
+            restart = restarted_at.get(tier_number(identifier), at)
+            assert at - restart < 4 * EXCHANGE_SECONDS
--- a/foxtailseam_bench/simulation/_tier.py
+++ b/foxtailseam_bench/simulation/_tier.py
@@ -130,6 +130,8 @@
         Virtual seconds by which the host's timers fire late.
     number : int
         Index of the tier, which makes its request identifiers unique.
+    host : int or None
+        Index of the host among those that share limits; None if it is `number`.
     """
 
     def __init__(
@@ -142,8 +144,11 @@
         configured_at: float | None = None,
         number: int = 0,
         timer_lag: float = 0.0,
+        host: int | None = None,
     ):
         self.time = time
+        self._options = {"routes": routes, "searchers": searchers, "hosts": hosts}
+        self._host = number if host is None else host
         self.searchers = searchers
         self.metrics = Metrics()
         self.log = RecordingLog()
@@ -169,7 +174,7 @@
         )
         self.dispatcher.hosts = hosts
         addresses = frozenset(f"host-{index}" for index in range(hosts))
-        self.dispatcher.gates.set_hosts(HostGroup(f"host-{number}", addresses))
+        self.dispatcher.gates.set_hosts(HostGroup(f"host-{self._host}", addresses))
         self._overload_guard = OverloadGuard(time, generator)
         log = self.log
         quarantine = QuarantineController(time, HybridClock(time))
@@ -195,6 +200,18 @@
             time.call_later(configured_at, self.publish_all, routes)
         self._expire_entries()
 
+    def restarted(self, number: int) -> "SimulatedTier":
+        """Return the tier of this host after a restart, which knows nothing of before.
+
+        Parameters
+        ----------
+        number : int
+            Index of the new tier; also its seed.
+        """
+        return SimulatedTier(
+            **self._options, time=self.time, seed=number, number=number, host=self._host
+        )
+
     def send(self, path: str, deadline_ms: int = 1_200) -> SimulatedCall:
         """Send a request now and return the call; the deadline is in milliseconds."""
         identifier = b"%016x" % next(self._request_numbers)
