Failing test: an idempotent request waits for a silent helping host to its deadline

Cause: a forwarded request has one host at a time and waits for it to the deadline.

The request has to go to a second host beside the first, and the two together may not exceed max_attempts.

--- a/foxtailseam/forwarding/tests/test_forwarding.py
+++ b/foxtailseam/forwarding/tests/test_forwarding.py
@@ -211,6 +211,16 @@
         assert sender.sent[0].is_cancelled
         assert not results
 
+    def test_an_idempotent_request_does_not_wait_for_a_silent_host_to_its_deadline(
+        self, time, forward, sender, results
+    ):
+        time.run_until(0.5)
+        assert len({pending.address for pending in sender.sent}) == 2
+        # The silent host may have asked a searcher of each service.
+        assert sender.sent[-1].request.attempts == REQUEST.attempts - 1
+        sender.answer(SERVED)
+        assert isinstance(results[0], Forwarded)
+
     def test_a_silent_host_ends_the_request_at_its_deadline(
         self, time, selector, forward, sender, results
     ):
