A stop does not fail on a host that has no free descriptor

Found in reading the change once more: accepting what waits at a stop suppressed only the error of an empty queue; without a free descriptor the exception would have ended the stop and with it the process. The new test failed before (OSError). Two comments clearer.

--- a/foxtailseam/fleet/_forward_sender.py
+++ b/foxtailseam/fleet/_forward_sender.py
@@ -67,7 +67,7 @@
         self._is_retired = False
 
     def is_silent(self, now: float) -> bool:
-        """Return whether no response has come for `SILENCE_SECONDS`."""
+        """Return whether a request waits, and nothing came, for `SILENCE_SECONDS`."""
         return now - self._silent_since >= SILENCE_SECONDS
 
     def begin(self, now: float) -> None:
--- a/foxtailseam/http/_listener.py
+++ b/foxtailseam/http/_listener.py
@@ -111,14 +111,15 @@
             connection.close()
 
     async def _close_server(self) -> None:
-        """Close the listening socket right after accepting what waits for it.
+        """Accept the connections in the kernel's queue and close the listening socket.
 
-        The kernel resets the connections that are in its queue then.
+        Both happen in one step, since the close resets what is in the queue.
         """
         if self._server is None or not self._server.is_serving():
             return
         waiting = []
-        with contextlib.suppress(BlockingIOError):
+        # Fails once the queue is empty, or without a free descriptor.
+        with contextlib.suppress(OSError):
             while True:
                 waiting.append(self._socket.accept()[0])
         self._server.close()
--- a/foxtailseam/http/tests/test_listener.py
+++ b/foxtailseam/http/tests/test_listener.py
@@ -1,9 +1,11 @@
 """Tests of caller connections over loopback, with a table of invalid requests."""
 
 import asyncio
+import errno
 import socket
 from dataclasses import replace
 from datetime import timedelta
+from types import SimpleNamespace
 
 import pytest
 
@@ -283,6 +285,18 @@
 
         run(scenario)
 
+    def test_a_host_without_free_descriptors_stops_all_the_same(self):
+        async def scenario(_reader, writer, _handler, listener):
+            def fail():
+                raise OSError(errno.EMFILE, "too many open files")
+
+            listener._socket = SimpleNamespace(accept=fail)
+            await listener.stop_accepting()
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection(*writer.get_extra_info("peername"))
+
+        run(scenario)
+
     def test_idle_connections_that_were_used_are_closed_at_once(self):
         async def scenario(reader, writer, _handler, listener):
             writer.write(b"GET /1 HTTP/1.1\r\n" + HOST_HEADER + b"\r\n")
