The tests of silent connections use the relays that the bench already has

Cause: test_forward_sender.py had a proxy of its own, a twin of TcpRelays, which could hold all connections or refuse new ones, but not silence the open ones alone.

Change: TcpRelays can silence what is open and counts the connections it has relayed; the proxy is gone. The assertions are the same, and no code of the product is touched.

--- a/foxtailseam/fleet/tests/test_forward_sender.py
+++ b/foxtailseam/fleet/tests/test_forward_sender.py
@@ -16,6 +16,7 @@
     PeerFailed,
     Unavailability,
 )
+from foxtailseam_bench.relay import TcpRelays
 
 REQUEST = ForwardedRequest(
     "127.0.0.1:1",
@@ -66,39 +67,16 @@
         return mapping
 
 
-class Proxy:
-    """Relays connections to a host; those that are open can fall silent for good."""
-
-    def __init__(self, target):
-        self.target = target
-        self.address = free_address()
-        self.generation = 0
-        self.opened = 0
-
-    async def start(self):
-        host, _, port = self.address.rpartition(":")
-        self.server = await asyncio.start_server(self.relay, host, int(port))
-
-    def silence_open_connections(self):
-        self.generation += 1
-
-    async def relay(self, reader, writer):
-        self.opened += 1
-        generation = self.generation
-        host, _, port = self.target.rpartition(":")
-        target_reader, target_writer = await asyncio.open_connection(host, int(port))
-
-        async def copy(source, destination):
-            while data := await source.read(65_536):
-                if generation == self.generation:
-                    destination.write(data)
-
-        with contextlib.suppress(asyncio.CancelledError, OSError):
-            await asyncio.gather(
-                copy(reader, target_writer), copy(target_reader, writer)
-            )
-        target_writer.close()
-        writer.close()
+@contextlib.contextmanager
+def open_relay(target):
+    """Yield relays and the address at which they relay to `target`."""
+    relays = TcpRelays()
+    try:
+        address = free_address()
+        relays.add(address, target)
+        yield relays, address
+    finally:
+        relays.close()
 
 
 def free_address():
@@ -218,17 +196,15 @@
 
     def test_a_connection_that_fell_silent_is_not_used_again(self, run_scenario):
         async def scenario(servicer, sender, address, stop):
-            proxy = Proxy(address)
-            await proxy.start()
-            assert isinstance(await send(sender, proxy.address), PeerAnswered)
-            proxy.silence_open_connections()
-            overdue = sender.send(proxy.address, REQUEST, lambda result: None)
-            await asyncio.sleep(SILENCE_SECONDS + 0.1)
-            # The deadline of the request.
-            overdue.cancel()
-            async with asyncio.timeout(0.5):
-                assert isinstance(await send(sender, proxy.address), PeerAnswered)
-            proxy.server.close()
+            with open_relay(address) as (relays, relay):
+                assert isinstance(await send(sender, relay), PeerAnswered)
+                relays.silence_open()
+                overdue = sender.send(relay, REQUEST, lambda result: None)
+                await asyncio.sleep(SILENCE_SECONDS + 0.1)
+                # The deadline of the request.
+                overdue.cancel()
+                async with asyncio.timeout(0.5):
+                    assert isinstance(await send(sender, relay), PeerAnswered)
 
         run_scenario(scenario)
 
@@ -236,16 +212,14 @@
         self, run_scenario
     ):
         async def scenario(servicer, sender, address, stop):
-            proxy = Proxy(address)
-            await proxy.start()
-            running = asyncio.create_task(send(sender, proxy.address))
-            left = sender.send(proxy.address, REQUEST, lambda result: None)
-            await asyncio.sleep(0.1)
-            left.cancel()
-            assert isinstance(await running, PeerAnswered)
-            assert isinstance(await send(sender, proxy.address), PeerAnswered)
-            assert proxy.opened == 1
-            proxy.server.close()
+            with open_relay(address) as (relays, relay):
+                running = asyncio.create_task(send(sender, relay))
+                left = sender.send(relay, REQUEST, lambda result: None)
+                await asyncio.sleep(0.1)
+                left.cancel()
+                assert isinstance(await running, PeerAnswered)
+                assert isinstance(await send(sender, relay), PeerAnswered)
+                assert relays.opened == 1
 
         run_scenario(scenario, 0.3)
 
--- a/foxtailseam_bench/relay.py
+++ b/foxtailseam_bench/relay.py
@@ -17,7 +17,10 @@
         self._open = asyncio.Event()
         self._open.set()
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silenced: set[asyncio.StreamWriter] = set()
         self._servers: dict[tuple[str, str], asyncio.Server] = {}
+        # Number of connections that were relayed so far.
+        self.opened = 0
 
     def add(self, address: str, target: str) -> None:
         """Relay connections to `address` on to `target`, both ``IP:PORT``."""
@@ -31,6 +34,10 @@
         """Reset all connections, dropping held bytes, and relay new ones again."""
         self._run(self._set_open(True))
 
+    def silence_open(self) -> None:
+        """Drop all bytes on the connections that are open; new ones work."""
+        self._run(self._silence_open())
+
     def refuse(self, keeps_open: bool = False) -> None:
         """Refuse new connections; reset those that are open unless `keeps_open`."""
         self._run(self._refuse(keeps_open))
@@ -56,6 +63,9 @@
         else:
             self._open.clear()
 
+    async def _silence_open(self) -> None:
+        self._silenced |= self._writers
+
     async def _refuse(self, keeps_open: bool) -> None:
         for server in self._servers.values():
             server.close()
@@ -83,6 +93,7 @@
         self._servers[address, target] = server
 
     async def _relay(self, reader, writer, target: str) -> None:
+        self.opened += 1
         self._writers.add(writer)
         host, _, port = target.rpartition(":")
         with contextlib.suppress(OSError):
@@ -100,7 +111,9 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
                 await self._open.wait()
-                writer.write(data)
-                await writer.drain()
+                if writer not in self._silenced:
+                    writer.write(data)
+                    await writer.drain()
         writer.transport.abort()
         self._writers.discard(writer)
+        self._silenced.discard(writer)
