--- a/review/deployment.py
+++ b/review/deployment.py
@@ -425,7 +425,8 @@
             await deployment.start_store()
             held = await case(deployment, has_trouble)
             code = HELD if held else BROKEN
-        except (NotRunError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # An error of the case itself says nothing about the rule.
             deployment.record(f"could not run: {error!r}")
             code = NOT_RUN
         finally:
