Log which error ended a process or a background task, and where it was raised

An exception that ended a process went to standard error as a traceback, without host, time or event number, and the log's last lines were lost.

--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -25,6 +25,7 @@
 from foxtailseam.metrics import Metrics
 from foxtailseam.quarantine import QuarantineController
 from foxtailseam.store import StoreFollower, StoreReplica
+from foxtailseam.utils import describe_error
 
 # Interval between checks of whom to follow and whether to read the service.
 TICK_SECONDS = 0.25
@@ -196,6 +197,12 @@
         """Re-raise the exception of a background task that failed, if there is one."""
         for task in (*self._tasks, self._read_task):
             if task is not None and task.done() and not task.cancelled():
+                if task.exception() is not None:
+                    self.log.write(
+                        EventCode.TASK_FAILED,
+                        task=task.get_coro().__qualname__,
+                        **describe_error(task.exception()),
+                    )
                 task.result()
 
     def notify_followers(self) -> None:
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -62,7 +62,7 @@
     StoreFollower,
     StoreReplica,
 )
-from foxtailseam.utils import ValidationProblem
+from foxtailseam.utils import ValidationProblem, describe_error
 
 METRICS_PORT = 9180
 METRICS_TARGET = b"/metrics"
@@ -212,6 +212,7 @@
         self._metrics_listener = Listener(self._handle_metrics, self.clock)
         self._is_ready = False
         self._is_stopping = False
+        self._has_started = False
         self._maintenance_timer: asyncio.TimerHandle | None = None
         self._maintenance_due_at = self.clock.monotonic()
 
@@ -241,7 +242,22 @@
         )
 
     async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then drain the requests in flight."""
+        """Serve until SIGTERM or SIGINT, then drain the requests in flight.
+
+        An error that ends the process is logged.
+        """
+        try:
+            await self._run()
+        except Exception as error:
+            phase = "serving" if self._has_started else "start"
+            self.log.write(
+                EventCode.PROCESS_FAILED, phase=phase, **describe_error(error)
+            )
+            raise
+        finally:
+            self.log.flush()
+
+    async def _run(self) -> None:
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, stop.set)
@@ -250,6 +266,7 @@
         await self._listen()
         await self._fleet.start()
         self._run_maintenance()
+        self._has_started = True
         self.log.write(
             EventCode.PROCESS_STARTED,
             process=os.getpid(),
@@ -265,7 +282,6 @@
         self._forward_sender.close()
         await self._fleet.stop()
         self.log.write(EventCode.PROCESS_STOPPED)
-        self.log.flush()
 
     async def _listen(self) -> None:
         settings = self.settings
--- a/foxtailseam/logs/_catalogue.py
+++ b/foxtailseam/logs/_catalogue.py
@@ -27,6 +27,8 @@
     SETTINGS_REFUSED = (106, Severity.ERROR, "the settings file is invalid")
     READINESS_CHANGED = (107, Severity.INFO, "the answer to readiness checks changed")
     LINES_SUPPRESSED = (108, Severity.WARNING, "log lines were dropped")
+    PROCESS_FAILED = (109, Severity.ERROR, "a process ends because of an error")
+    TASK_FAILED = (110, Severity.ERROR, "a background task failed unexpectedly")
     RULES_ACCEPTED = (200, Severity.INFO, "a revision of the rules came into force")
     RULES_REFUSED = (201, Severity.ERROR, "a published rules file is invalid")
     RULES_STALE = (202, Severity.WARNING, "an older published revision was ignored")
