Show that an unforeseen failure of one step ends or cripples a host

Callers saw hosts that end by themselves; one of the ways is an exception that nobody foresaw. The tests let a method of a real host process fail once or twice: reading, gossip, the tick, maintenance, one change, the handling of a request, a peer that ends a gossip call without a message, a SIGHUP during the imports.

--- a/foxtailseam_bench/platform_deployment.py
+++ b/foxtailseam_bench/platform_deployment.py
@@ -74,6 +74,16 @@
 
         await eventually(is_ready, READY_SECONDS)
 
+    async def accepts_connections(self) -> bool:
+        """Return whether a caller can connect."""
+        host, _, port = self.listen["frontend"].rpartition(":")
+        try:
+            _, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     async def get(
         self,
         path: str,
@@ -175,6 +185,7 @@
         seeds: Iterable[str] = (),
         interpreter_options: Iterable[str] = (),
         relays: TcpRelays | None = None,
+        failing: tuple[str, int] | None = None,
     ) -> PlatformHost:
         """Start the process of a host; it need not be ready yet.
 
@@ -188,6 +199,8 @@
             Options of the Python interpreter before the module to run.
         relays : TcpRelays or None
             Set if the host is to reach the searchers through relays, which are added.
+        failing : tuple of (str, int) or None
+            Method whose first calls fail, and their number; see `failing_host`.
         """
         settings = self.settings(number, seeds)
         listen = settings["listen_addrs"]
@@ -197,6 +210,9 @@
         if relays is not None:
             names = self._add_relays(relays, self.directory / f"relays-{number}.json")
             command = ("-m", "foxtailseam_bench.relayed_host", names)
+        if failing is not None:
+            method, count = failing
+            command = ("-m", "foxtailseam_bench.failing_host", method, str(count))
         with (self.directory / f"host-{number}.log").open("wb") as log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -235,6 +251,11 @@
             "bounds": {"grace_s": self.grace_seconds, "retry_slack": RETRY_SLACK},
         }
 
+    def events(self, number: int = 1) -> list[dict]:
+        """Return the events that a host has logged."""
+        lines = (self.directory / f"host-{number}.log").read_text().splitlines()
+        return [json.loads(line) for line in lines]
+
     async def stop(self) -> None:
         """End the hosts and close the listeners of the stand-ins."""
         for process in self.processes:
