Begin failed background work again instead of ending the process

One unforeseen exception of the reading, gossip or tick task ended the process at its next check; the platform started it again, it met the same value and ended again. Other failures stayed hidden: a failed follow task stayed in the table, maintenance never ran again, one change that raised kept all later ones from being applied.

A supervisor now runs the background tasks: an exception is logged (110, with the failures in a row and the time to the restart), counted, shown by the gauge tasks_failing, and the task begins again after a backoff of 0.25 to 2 s with jitter. Each step of maintenance runs by itself and the next round is planned first. A change that fails is logged with key and revision (249) and the next one is applied, whoever sent it. Errors in callbacks and what libraries log are events (120, 123). A call to another host fails as CallError whatever the connection, grpclib or the decoder raise: a peer that ends a gossip call without a message ended the process.

SIGHUP, SIGTERM and SIGINT are kept from the first line of the launcher on until the handlers are there: SIGHUP ended the process before. A failed start tells its phase in event 109 and has an exit code of its own; the address for callers is tried for 2 s. A timer of processor time (ITIMER_PROF) tells where a loop that does not come round runs (121), each 2 s, and ends the process after 10 s with exit code 13.

--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -25,7 +25,7 @@
 from foxtailseam.metrics import Metrics
 from foxtailseam.quarantine import QuarantineController
 from foxtailseam.store import StoreFollower, StoreReplica
-from foxtailseam.utils import describe_error
+from foxtailseam.supervision import Supervisor
 
 # Interval between checks of whom to follow and whether to read the service.
 TICK_SECONDS = 0.25
@@ -66,6 +66,8 @@
     metrics : Metrics
         Registry of the counters of bytes sent to other hosts, by kind of message and
         by whether these are in the failure domain of this host (near) or not (far).
+    supervisor : Supervisor
+        Runs the background tasks.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         quarantine: QuarantineController,
         conditions: ConditionRegistry,
         metrics: Metrics,
+        supervisor: Supervisor,
     ):
         self.seeds = seeds
         self.replica = replica
@@ -94,6 +97,7 @@
         self.generator = generator
         self.on_members = on_members
         self.metrics = metrics
+        self.supervisor = supervisor
         self.membership = Membership(own_record, clock, generator)
         # Serves a forwarded request; returns what cancels it.
         self.serve_forwarded: Callable[
@@ -109,7 +113,7 @@
             self.gossip_now,
         )
         self._gossip_loop = GossipLoop(
-            self._gossip, lambda: self.seeds, settings, log, generator
+            self._gossip, lambda: self.seeds, settings, log, generator, supervisor
         )
         self._relay = Relay(
             replica, catalogue, settings.update_interval, lambda: self.age, clock
@@ -124,6 +128,7 @@
             log,
             generator,
             self._on_parent_lost,
+            supervisor,
         )
         self._read_task: asyncio.Task | None = None
         self._read_until = float("-inf")
@@ -173,9 +178,13 @@
         self._stop_server = await _rpc.serve(
             self.membership.own_record.address, self, self._count_sent
         )
-        self._spawn(self._tick_loop())
-        self._spawn(self._gossip_loop.run())
-        self._spawn(self._gossip_loop.run_seeds())
+        loops = {
+            "choose sources": self._tick_loop,
+            "gossip": self._gossip_loop.run,
+            "join seeds": self._gossip_loop.run_seeds,
+        }
+        for name, loop in loops.items():
+            self._tasks.add(self.supervisor.start(name, loop))
 
     async def leave(self) -> None:
         """Notify up to 4 hosts that this one leaves, so that they stop following it."""
@@ -193,18 +202,6 @@
         if self._stop_server is not None:
             await self._stop_server()
 
-    def raise_task_errors(self) -> None:
-        """Re-raise the exception of a background task that failed, if there is one."""
-        for task in (*self._tasks, self._read_task):
-            if task is not None and task.done() and not task.cancelled():
-                if task.exception() is not None:
-                    self.log.write(
-                        EventCode.TASK_FAILED,
-                        task=task.get_coro().__qualname__,
-                        **describe_error(task.exception()),
-                    )
-                task.result()
-
     def notify_followers(self) -> None:
         """Send an update to all followers without waiting for the update interval."""
         self._relay.notify()
@@ -298,7 +295,7 @@
             self._read_until = now
         must_read = now < self._read_until
         if must_read and self._read_task is None:
-            self._read_task = asyncio.create_task(self.follower.run())
+            self._read_task = self.supervisor.start("read", self.follower.run)
             reason = "position" if is_reader else "no up-to-date parent"
             self.log.write(EventCode.READING_STARTED, reason=reason)
         elif not must_read and self._read_task is not None:
@@ -338,9 +335,6 @@
         patience = self.settings.start_patience.total_seconds()
         return not self._is_seed() and elapsed < patience
 
-    def _spawn(self, coroutine) -> None:
-        self._tasks.add(asyncio.create_task(coroutine))
-
 
 def _refuse_forwarded(
     _request: ForwardedRequest, done: Callable[[ForwardedResponse], None]
--- a/foxtailseam/fleet/_following.py
+++ b/foxtailseam/fleet/_following.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 
 from foxtailseam.catalogue import Catalogue
 from foxtailseam.fleet._membership import Membership
@@ -13,6 +14,7 @@
 from foxtailseam.fleet._settings import FleetSettings, jittered
 from foxtailseam.logs import EventCode, LogWriter
 from foxtailseam.store import Item, Listing, StoreReplica
+from foxtailseam.supervision import Supervisor
 
 
 @dataclass(slots=True)
@@ -47,6 +49,8 @@
         Chooses extra hosts and adds jitter to intervals.
     on_lost : callable
         Called with the address of a followed host whose stream has ended.
+    supervisor : Supervisor
+        Runs a task for each followed host.
     """
 
     def __init__(
@@ -59,6 +63,7 @@
         log: LogWriter,
         generator: random.Random,
         on_lost: Callable[[str], None],
+        supervisor: Supervisor,
     ):
         self.membership = membership
         self.replica = replica
@@ -69,6 +74,7 @@
         self.log = log
         self.generator = generator
         self.on_lost = on_lost
+        self.supervisor = supervisor
         self._parents: dict[str, _Parent] = {}
         self._extra_parent: str | None = None
         self._extra_parent_until = float("-inf")
@@ -97,7 +103,9 @@
         for address in wanted:
             if address not in self._parents:
                 delay = self._listing_delay()
-                task = asyncio.create_task(self._follow_parent(address, delay))
+                task = self.supervisor.start(
+                    f"follow {address}", partial(self._follow_parent, address, delay)
+                )
                 self._parents[address] = _Parent(task)
         self._drop_parents(wanted)
 
@@ -169,8 +177,8 @@
                 update_timeout = self.settings.update_timeout.total_seconds()
                 async for update in channel.follow(request, update_timeout):
                     self._apply_update(address, update)
-            except _rpc.CALL_ERRORS as error:
-                reason = type(error).__name__
+            except _rpc.CallError as error:
+                reason = error.reason
             finally:
                 channel.close()
             self._on_parent_lost(address, reason)
@@ -183,10 +191,6 @@
         if update.revision and update.era < self.replica.position.era:
             self._on_outdated_parent(address, parent)
             return
-        if parent.age == float("inf"):
-            self.log.write(EventCode.FOLLOWING, peer=address, age_ms=update.age_ms)
-        parent.age = update.age_ms / 1000
-        parent.updated_at = self.clock.monotonic()
         if update.grace_ms:
             self.catalogue.extend_grace(timedelta(milliseconds=update.grace_ms))
         self._relaying_peer = address
@@ -194,6 +198,10 @@
             change_count = self._apply_changes(update)
         finally:
             self._relaying_peer = None
+        if parent.age == float("inf"):
+            self.log.write(EventCode.FOLLOWING, peer=address, age_ms=update.age_ms)
+        parent.age = update.age_ms / 1000
+        parent.updated_at = self.clock.monotonic()
         if change_count:
             self.relay.notify()
         elif parent.age < self.settings.max_staleness.total_seconds():
--- a/foxtailseam/fleet/_forward_sender.py
+++ b/foxtailseam/fleet/_forward_sender.py
@@ -12,6 +12,7 @@
     PeerResult,
     Unavailability,
 )
+from foxtailseam.supervision import Supervisor
 
 # Timeout for opening a connection to another host.
 CONNECT_TIMEOUT = timedelta(milliseconds=300)
@@ -102,10 +103,13 @@
     ----------
     clock : Clock
         Source of monotonic time.
+    supervisor : Supervisor
+        Receives the errors of a task.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, supervisor: Supervisor):
         self.clock = clock
+        self.supervisor = supervisor
         self._channels: dict[str, _SharedChannel] = {}
         self._tasks: set[asyncio.Task] = set()
 
@@ -131,6 +135,15 @@
         self._channels.clear()
 
     async def _send(self, address: str, request: ForwardedRequest) -> PeerResult:
+        try:
+            return await self._send_on_channel(address, request)
+        except Exception as error:
+            self.supervisor.record("forward", error)
+            return PeerFailed(Unavailability.LOST, sent=True)
+
+    async def _send_on_channel(
+        self, address: str, request: ForwardedRequest
+    ) -> PeerResult:
         shared = self._choose_channel(address)
         shared.begin(self.clock.monotonic())
         try:
@@ -145,15 +158,15 @@
 
         try:
             await shared.channel.connect()
-        except _rpc.CALL_ERRORS:
+        except _rpc.CallError:
             self._retire(address, shared)
             return PeerFailed(Unavailability.UNREACHABLE, sent=False)
         try:
             response = await shared.channel.forward(request)
-        except _rpc.CALL_ERRORS as error:
-            if _rpc.is_unimplemented(error):
+        except _rpc.CallError as error:
+            if error.is_unimplemented:
                 return PeerFailed(Unavailability.UNSUPPORTED, sent=False)
-            if _rpc.breaks_connection(error):
+            if error.breaks_connection:
                 self._retire(address, shared)
             return PeerFailed(Unavailability.LOST, sent=True)
         shared.record_response(self.clock.monotonic())
--- a/foxtailseam/fleet/_gossip_loop.py
+++ b/foxtailseam/fleet/_gossip_loop.py
@@ -5,11 +5,13 @@
 import random
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 
 from foxtailseam.fleet._burst_pacer import BurstPacer
 from foxtailseam.fleet._gossip import Gossip
 from foxtailseam.fleet._settings import FleetSettings, jittered
 from foxtailseam.logs import EventCode, LogWriter
+from foxtailseam.supervision import Supervisor
 
 # Number of hosts to which urgent news is sent at once.
 GOSSIP_FANOUT = 4
@@ -34,6 +36,8 @@
         Log for calls that fail.
     generator : random.Random
         Chooses hosts and adds jitter to intervals.
+    supervisor : Supervisor
+        Runs the exchanges.
     """
 
     def __init__(
@@ -43,12 +47,14 @@
         settings: FleetSettings,
         log: LogWriter,
         generator: random.Random,
+        supervisor: Supervisor,
     ):
         self.gossip = gossip
         self.seeds = seeds
         self.settings = settings
         self.log = log
         self.generator = generator
+        self.supervisor = supervisor
         self._tasks: set[asyncio.Task] = set()
         self._urgent = asyncio.Event()
         self._burst_pacer = BurstPacer(gossip.membership.clock)
@@ -63,7 +69,7 @@
             membership.remove_expired()
             address = membership.random_peer()
             if address is not None:
-                await self._exchange(address)
+                await self._start_exchange(address)
 
     async def run_seeds(self) -> None:
         """Join groups of hosts that do not know of each other, without end."""
@@ -71,7 +77,7 @@
         while True:
             known = membership.addresses
             unknown = [seed for seed in self.seeds() if seed not in known]
-            await asyncio.gather(*(self._exchange(seed) for seed in unknown))
+            await asyncio.gather(*map(self._start_exchange, unknown))
             is_alone = len(membership.addresses) == 1
             factor = LONELY_FACTOR if is_alone else 1
             await self._pause(self.settings.seed_interval / factor)
@@ -98,19 +104,23 @@
         others = [record.address for record in self.gossip.membership.alive[1:]]
         count = min(GOSSIP_FANOUT, len(others))
         chosen = self.generator.sample(others, count)
-        tasks = [asyncio.create_task(self._exchange(address)) for address in chosen]
-        for task in tasks:
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-        return asyncio.gather(*tasks)
+        return asyncio.gather(*map(self._start_exchange, chosen))
 
     def stop(self) -> None:
-        """Cancel the exchanges that were started apart from the loops."""
+        """Cancel all exchanges."""
         if self._burst_timer is not None:
             self._burst_timer.cancel()
         for task in self._tasks:
             task.cancel()
 
+    def _start_exchange(self, address: str) -> asyncio.Task:
+        task = self.supervisor.run_once(
+            "gossip exchange", partial(self._exchange, address)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
     async def _exchange(self, address: str) -> None:
         from foxtailseam.fleet import _rpc
 
@@ -119,11 +129,9 @@
         try:
             response = await channel.exchange(self.gossip.request(), seconds)
             self.gossip.finish(response)
-        except _rpc.CALL_ERRORS as error:
+        except _rpc.CallError as error:
             self.gossip.fail(address)
-            self.log.write(
-                EventCode.PEER_UNREACHABLE, peer=address, error=type(error).__name__
-            )
+            self.log.write(EventCode.PEER_UNREACHABLE, peer=address, error=error.reason)
         finally:
             channel.close()
 
--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -1,7 +1,8 @@
 """RPC client and server for calls between hosts, over grpclib."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from dataclasses import replace
 from enum import StrEnum
 from typing import Protocol
@@ -9,7 +10,7 @@
 import msgspec
 from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler, Status
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
 
 from foxtailseam.codecs import MessagePackCodec
@@ -20,6 +21,7 @@
     decompress_changes,
 )
 from foxtailseam.forwarding import ForwardedRequest, ForwardedResponse
+from foxtailseam.launch import BACKLOG, open_listener
 
 _ENCODER = msgspec.msgpack.Encoder()
 EXCHANGE_PATH = "/foxtailseam.Fleet/Exchange"
@@ -28,30 +30,50 @@
 # grpclib's server leaves this header out of its response to an unknown method, and its
 # client reports only that.
 _NO_HANDLER_MESSAGE = "Missing content-type header"
-# Exceptions of a call if the other host is unreachable, too slow or misbehaving.
-CALL_ERRORS = (
-    OSError,
-    TimeoutError,
-    GRPCError,
-    StreamTerminatedError,
-    msgspec.MsgspecError,
-)
 
 
-def is_unimplemented(error: Exception) -> bool:
-    """Return whether the other host has no handler for the call; nothing ran then."""
-    match error:
-        case GRPCError(status=Status.UNIMPLEMENTED):
-            return True
-        case GRPCError(status=Status.UNKNOWN, message=message):
-            return message == _NO_HANDLER_MESSAGE
-        case _:
-            return False
+class CallError(Exception):
+    """A call failed: the other host is unreachable, too slow or misbehaving.
 
+    Parameters
+    ----------
+    cause : Exception
+        What the connection, the RPC library or the decoder raised.
+    """
 
-def breaks_connection(error: Exception) -> bool:
-    """Return whether an error of one call ends the others on its connection, too."""
-    return not isinstance(error, (GRPCError, msgspec.MsgspecError))
+    def __init__(self, cause: Exception):
+        super().__init__(str(cause))
+        self.cause = cause
+
+    @property
+    def reason(self) -> str:
+        """Return the type of the cause."""
+        return type(self.cause).__name__
+
+    @property
+    def is_unimplemented(self) -> bool:
+        """Return whether the other host lacks a handler for it; nothing ran then."""
+        match self.cause:
+            case GRPCError(status=Status.UNIMPLEMENTED):
+                return True
+            case GRPCError(status=Status.UNKNOWN, message=message):
+                return message == _NO_HANDLER_MESSAGE
+            case _:
+                return False
+
+    @property
+    def breaks_connection(self) -> bool:
+        """Return whether it ends the other calls on its connection, too."""
+        return not isinstance(self.cause, (GRPCError, msgspec.MsgspecError))
+
+
+@contextlib.contextmanager
+def _calling() -> Iterator[None]:
+    """Raise each error as a `CallError`, since only the other host's can occur."""
+    try:
+        yield
+    except Exception as error:
+        raise CallError(error) from error
 
 
 def _decompressed(update: FollowUpdate) -> FollowUpdate:
@@ -155,10 +177,14 @@
     -------
     callable
         Coroutine function that closes the server.
+
+    Raises
+    ------
+    ListenError
+        If the address cannot be listened on.
     """
     server = Server([_Handlers(servicer, on_sent)], codec=MessagePackCodec())
-    host, _, port = address.rpartition(":")
-    await server.start(host, int(port))
+    await server.start(sock=open_listener(address), backlog=BACKLOG)
 
     async def stop() -> None:
         server.close()
@@ -195,25 +221,27 @@
 
         Raises
         ------
-        Exception
-            One of `CALL_ERRORS`.
+        CallError
+            If the call fails.
         """
         method = UnaryUnaryMethod(
             self._channel, EXCHANGE_PATH, MemberExchange, MemberExchange
         )
-        await self._connect()
-        async with asyncio.timeout(timeout):
-            return await method(message)
+        with _calling():
+            await self._connect()
+            async with asyncio.timeout(timeout):
+                return await method(message)
 
     async def connect(self) -> None:
         """Open the connection unless it is open.
 
         Raises
         ------
-        Exception
-            One of `CALL_ERRORS`.
+        CallError
+            If the call fails.
         """
-        await self._connect()
+        with _calling():
+            await self._connect()
 
     async def forward(self, request: ForwardedRequest) -> ForwardedResponse:
         """Ask the other host to serve a request and return the response.
@@ -227,13 +255,14 @@
 
         Raises
         ------
-        Exception
-            One of `CALL_ERRORS`.
+        CallError
+            If the call fails.
         """
         method = UnaryUnaryMethod(
             self._channel, FORWARD_PATH, ForwardedRequest, ForwardedResponse
         )
-        return await method(request)
+        with _calling():
+            return await method(request)
 
     async def follow(
         self, request: FollowRequest, update_timeout: float
@@ -249,21 +278,22 @@
 
         Raises
         ------
-        Exception
-            One of `CALL_ERRORS`; `TimeoutError` if an update does not come in time.
+        CallError
+            If the call fails or an update does not come in time.
         """
         method = UnaryStreamMethod(
             self._channel, FOLLOW_PATH, FollowRequest, FollowUpdate
         )
-        await self._connect()
-        async with method.open() as stream:
-            await stream.send_message(request, end=True)
-            while True:
-                async with asyncio.timeout(update_timeout):
-                    update = await stream.recv_message()
-                if update is None:
-                    return
-                yield _decompressed(update)
+        with _calling():
+            await self._connect()
+            async with method.open() as stream:
+                await stream.send_message(request, end=True)
+                while True:
+                    async with asyncio.timeout(update_timeout):
+                        update = await stream.recv_message()
+                    if update is None:
+                        return
+                    yield _decompressed(update)
 
     def close(self) -> None:
         """Close the connection."""
--- a/foxtailseam/fleet/tests/test_controller.py
+++ b/foxtailseam/fleet/tests/test_controller.py
@@ -49,6 +49,7 @@
     StoreReplica,
     WatchResult,
 )
+from foxtailseam.supervision import FailureLog, Supervisor
 
 FAST = FleetSettings(
     exchange_interval=timedelta(milliseconds=60),
@@ -183,6 +184,7 @@
             QuarantineController(clock, HybridClock(clock)),
             self.conditions,
             Metrics(),
+            Supervisor(FailureLog(NullListener(), Metrics(), clock), clock, generator),
         )
 
 
--- a/foxtailseam/fleet/tests/test_forward_sender.py
+++ b/foxtailseam/fleet/tests/test_forward_sender.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import random
 import socket
+import sys
 
 import pytest
 
@@ -16,6 +18,9 @@
     PeerFailed,
     Unavailability,
 )
+from foxtailseam.logs import LogWriter
+from foxtailseam.metrics import Metrics
+from foxtailseam.supervision import FailureLog, Supervisor
 from foxtailseam_bench.relay import TcpRelays
 
 REQUEST = ForwardedRequest(
@@ -58,6 +63,13 @@
         return ForwardedResponse(200, ((b"Stamp", b"s"),), b"\x00records\xff")
 
 
+def supervisor():
+    clock = SystemClock()
+    log = LogWriter(sys.stderr.fileno(), "host", clock)
+    failures = FailureLog(log, Metrics(), clock)
+    return Supervisor(failures, clock, random.Random(1))
+
+
 class OldHandlers(_rpc._Handlers):
     """Handlers of a release that knows no forwarding."""
 
@@ -94,7 +106,7 @@
             servicer = Servicer(seconds)
             address = free_address()
             stop = await _rpc.serve(address, servicer, lambda *_: None)
-            sender = ChannelForwardSender(SystemClock())
+            sender = ChannelForwardSender(SystemClock(), supervisor())
             try:
                 await asyncio.wait_for(scenario(servicer, sender, address, stop), 10)
             finally:
--- a/foxtailseam/front/__init__.py
+++ b/foxtailseam/front/__init__.py
@@ -6,12 +6,12 @@
     METRICS_PORT,
     METRICS_TARGET,
     Host,
-    read_settings,
-    run_host,
 )
 from foxtailseam.front._overload_guard import OverloadGuard, QueryDuration
+from foxtailseam.front._process import run_host
 from foxtailseam.front._quarantine_guard import QuarantineGuard
 from foxtailseam.front._responses import ResponseBuilder
+from foxtailseam.front._settings_file import read_settings
 from foxtailseam.front._timing import TimingSettings, query_times
 
 __all__ = [
--- a/foxtailseam/front/_configuration.py
+++ b/foxtailseam/front/_configuration.py
@@ -217,9 +217,7 @@
         )
 
     def _activate(self, configuration: Configuration) -> None:
-        self._configuration = configuration
-        self._activated_at = self.clock.monotonic()
-        self._route_table = RouteTable(configuration.routes)
+        route_table = RouteTable(configuration.routes)
         weighted = {
             route.destination
             for route in configuration.routes
@@ -231,4 +229,7 @@
             if destination in weighted
         }
         self.dispatcher.configure(configuration.services)
+        self._configuration = configuration
+        self._route_table = route_table
+        self._activated_at = self.clock.monotonic()
         self.on_configuration(configuration)
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -1,8 +1,6 @@
 """Sets up the process of a host and runs it until SIGTERM."""
 
 import asyncio
-import contextlib
-import gc
 import os
 import random
 import signal
@@ -11,9 +9,6 @@
 import time
 from dataclasses import replace
 from datetime import timedelta
-from pathlib import Path
-
-from result import Result
 
 from foxtailseam.clocks import HybridClock, SuspendAwareClock
 from foxtailseam.dispatch import BudgetSettings, Dispatcher
@@ -24,12 +19,15 @@
     HostRecord,
 )
 from foxtailseam.forwarding import Forwarder, PeerSelector
+from foxtailseam.front._changes import ChangeApplier
 from foxtailseam.front._condition_log import ConditionLog
 from foxtailseam.front._configuration import ConfigurationManager
 from foxtailseam.front._front import FrontEnd
 from foxtailseam.front._host_log import HostLog
 from foxtailseam.front._overload_guard import OverloadGuard
+from foxtailseam.front._process_failure import ProcessFailure
 from foxtailseam.front._quarantine_guard import QuarantineGuard
+from foxtailseam.front._settings_file import read_settings
 from foxtailseam.front._timing import TimingSettings
 from foxtailseam.http import (
     Call,
@@ -39,15 +37,14 @@
     ListenerLimits,
     PoolSettings,
 )
+from foxtailseam.launch import EarlySignals, ExitCode
 from foxtailseam.logs import EventCode, LogWriter
 from foxtailseam.metrics import Metrics
 from foxtailseam.platform import (
     READY_TARGET,
     REQUEST_ID_HEADER,
-    SETTINGS_VARIABLE,
     HostSettings,
     PlatformStore,
-    decode_settings,
     parse_response_headers,
 )
 from foxtailseam.quarantine import QuarantineController
@@ -62,7 +59,14 @@
     StoreFollower,
     StoreReplica,
 )
-from foxtailseam.utils import ValidationProblem, describe_error
+from foxtailseam.supervision import (
+    FailureLog,
+    LoopErrors,
+    PeriodicWork,
+    ProcessorWatch,
+    Supervisor,
+    WatchSettings,
+)
 
 METRICS_PORT = 9180
 METRICS_TARGET = b"/metrics"
@@ -83,8 +87,7 @@
 # Time in which a host that starts together with all others waits for their copy of the
 # configuration service's data.
 JOINT_START_PATIENCE = timedelta(seconds=3)
-MAINTENANCE_SECONDS = 0.25
-FLEET_CHECK_SECONDS = 1.0
+MAINTENANCE_INTERVAL = timedelta(milliseconds=250)
 # Lower bound of the number of hosts that budgets and connections are divided by.
 MIN_HOSTS = 4
 # The load balancer removes a host after two failed readiness checks, which it sends
@@ -101,9 +104,6 @@
 # A replica of the configuration service that was last known to be in sync longer ago
 # than this may lack newer changes.
 MAX_CURRENT_AGE_SECONDS = 3.0
-# Threshold of the youngest generation of the garbage collector; high because requests
-# create few reference cycles.
-GC_THRESHOLD = 20_000
 
 
 class Host:
@@ -128,6 +128,12 @@
         self.metrics = Metrics()
         self.log = LogWriter(sys.stdout.fileno(), settings.name, self.clock)
         self._generator = random.Random()
+        self._failures = FailureLog(self.log, self.metrics, self.clock)
+        self._supervisor = Supervisor(self._failures, self.clock, self._generator)
+        self._loop_errors = LoopErrors(self._failures)
+        self._processor_watch = ProcessorWatch(
+            WatchSettings(ExitCode.LOOP_STUCK), self.log
+        )
         loop = asyncio.get_running_loop()
         bounds = settings.bounds
         budget_settings = BudgetSettings(
@@ -172,6 +178,11 @@
             self._overload_guard,
             self._quarantine_guard,
         )
+        self._changes = ChangeApplier(
+            self.configuration_manager,
+            self._failures,
+            lambda: self._fleet.change_source,
+        )
         self._replica = StoreReplica(self._apply_change, self._on_era)
         self._store = PlatformStore(settings.service_address, self.clock)
         self._follower = StoreFollower(
@@ -201,9 +212,10 @@
             quarantine,
             self.dispatcher.gates.conditions,
             self.metrics,
+            self._supervisor,
         )
         self._quarantine_guard.on_update = self._fleet.gossip_now
-        self._forward_sender = ChannelForwardSender(self.clock)
+        self._forward_sender = ChannelForwardSender(self.clock, self._supervisor)
         self._connect_peers()
         self._caller_listener = Listener(
             self.front.serve, self.clock, self._host_log.record_unreadable_request
@@ -213,8 +225,22 @@
         self._is_ready = False
         self._is_stopping = False
         self._has_started = False
-        self._maintenance_timer: asyncio.TimerHandle | None = None
-        self._maintenance_due_at = self.clock.monotonic()
+        self._maintenance = PeriodicWork(
+            {
+                "reset processor watch": self._processor_watch.reset,
+                "remove expired searchers": (
+                    self.configuration_manager.catalogue.remove_expired
+                ),
+                "check idle links": self.dispatcher.links.check_idle,
+                "log readiness": self._log_readiness_change,
+                "flush log": self.log.flush,
+            },
+            MAINTENANCE_INTERVAL,
+            lambda delay: self.metrics.observe("loop_delay", delay),
+            self._supervisor,
+            self.clock,
+            loop,
+        )
 
     def _connect_peers(self) -> None:
         """Let this host and the others forward requests to one another."""
@@ -241,31 +267,39 @@
             and not self._is_stopping
         )
 
-    async def run(self) -> None:
+    async def run(self, early_signals: EarlySignals | None = None) -> ExitCode:
         """Serve until SIGTERM or SIGINT, then drain the requests in flight.
 
-        An error that ends the process is logged.
+        Parameters
+        ----------
+        early_signals : EarlySignals or None
+            Signals that have arrived before.
+
+        Returns
+        -------
+        ExitCode
+            Exit code of the process; an error that ends it is logged.
         """
+        self._loop_errors.install(asyncio.get_running_loop())
         try:
-            await self._run()
+            await self._run(early_signals or EarlySignals())
         except Exception as error:
-            phase = "serving" if self._has_started else "start"
-            self.log.write(
-                EventCode.PROCESS_FAILED, phase=phase, **describe_error(error)
-            )
-            raise
+            failure = ProcessFailure(error, self._has_started)
+            self.log.write(EventCode.PROCESS_FAILED, **failure.describe())
+            return failure.exit_code
         finally:
+            self._processor_watch.stop()
+            self._loop_errors.remove()
             self.log.flush()
+        return ExitCode.STOPPED
 
-    async def _run(self) -> None:
+    async def _run(self, early_signals: EarlySignals) -> None:
         stop = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, stop.set)
-        loop.add_signal_handler(signal.SIGINT, stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._handle_signals(stop, early_signals)
         await self._listen()
         await self._fleet.start()
-        self._run_maintenance()
+        self._processor_watch.start()
+        self._maintenance.run()
         self._has_started = True
         self.log.write(
             EventCode.PROCESS_STARTED,
@@ -273,16 +307,24 @@
             callers=self.settings.callers,
             failure_domain=self.settings.failure_domain,
         )
-        while not stop.is_set():
-            self._fleet.raise_task_errors()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(FLEET_CHECK_SECONDS):
-                    await stop.wait()
+        await stop.wait()
         await self._drain()
         self._forward_sender.close()
         await self._fleet.stop()
         self.log.write(EventCode.PROCESS_STOPPED)
 
+    def _handle_signals(self, stop: asyncio.Event, early: EarlySignals) -> None:
+        handlers = {
+            signal.SIGTERM: stop.set,
+            signal.SIGINT: stop.set,
+            signal.SIGHUP: self._reload_safely,
+        }
+        loop = asyncio.get_running_loop()
+        for number, handler in handlers.items():
+            loop.add_signal_handler(number, handler)
+        for number in early.received:
+            handlers[number]()
+
     async def _listen(self) -> None:
         settings = self.settings
         self._set_limits(ListenerLimits())
@@ -324,20 +366,6 @@
         )
         return ConnectionPool(settings, self.clock)
 
-    def _run_maintenance(self) -> None:
-        self.configuration_manager.catalogue.remove_expired()
-        self.dispatcher.links.check_idle()
-        self._log_readiness_change()
-        self.log.flush()
-        now = self.clock.monotonic()
-        delay = timedelta(seconds=max(0.0, now - self._maintenance_due_at))
-        self.metrics.observe("loop_delay", delay)
-        self._maintenance_due_at = now + MAINTENANCE_SECONDS
-        loop = asyncio.get_running_loop()
-        self._maintenance_timer = loop.call_later(
-            MAINTENANCE_SECONDS, self._run_maintenance
-        )
-
     def _log_readiness_change(self) -> None:
         if self.is_ready != self._is_ready:
             self._is_ready = self.is_ready
@@ -351,7 +379,7 @@
         return HostRecord(self.settings.peers, self.settings.failure_domain, started_ms)
 
     def _apply_change(self, change: Change) -> None:
-        self.configuration_manager.apply_change(change, self._fleet.change_source)
+        self._changes.apply(change)
         self._fleet.notify_followers()
 
     def _on_members(self, addresses: frozenset[str]) -> None:
@@ -391,7 +419,7 @@
         self._host_log.record_service_regained(self._replica.position)
 
     def _on_era(self, position: Position) -> None:
-        self.configuration_manager.start_era(position)
+        self._changes.start_era(position)
         self._host_log.record_era(position, self._fleet.change_source)
 
     def _on_read_failure(self, failure: ReadFailure) -> None:
@@ -417,6 +445,7 @@
         metrics.set("reads_service", self._fleet.is_reading)
         metrics.set("service_era", self._replica.position.era)
         metrics.set("service_calls", self._store.calls)
+        metrics.set("tasks_failing", self._failures.failing)
         metrics.set("requests_in_flight", self.front.in_flight)
         metrics.set("processor_seconds", time.process_time())
         metrics.set("buffered_body_bytes", self._caller_listener.buffered_bytes)
@@ -430,6 +459,9 @@
         ejected = sum(item.health.is_ejected for item in searchers)
         metrics.set("searchers_ejected_now", ejected)
 
+    def _reload_safely(self) -> None:
+        self._supervisor.run_step("reload settings", self._reload)
+
     def _reload(self) -> None:
         match read_settings():
             case result if result.is_ok():
@@ -441,42 +473,3 @@
             case result:
                 problem = str(result.unwrap_err())
                 self.log.write(EventCode.SETTINGS_REFUSED, problem=problem)
-
-
-def read_settings() -> Result[HostSettings, ValidationProblem]:
-    """Read the settings file that the environment variable names.
-
-    Returns
-    -------
-    Result of HostSettings or ValidationProblem
-        The problem if the file is missing or invalid.
-    """
-    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    try:
-        text = path.read_bytes()
-    except OSError as error:
-        text = b""
-        sys.stderr.write(f"{path}: {error}\n")
-    return decode_settings(text)
-
-
-def run_host(listening_socket: socket.socket | None = None) -> int:
-    """Run the process of a host and return its exit code.
-
-    Parameters
-    ----------
-    listening_socket : socket.socket or None
-        Socket that already listens for callers; None to open one at the start.
-    """
-    settings = read_settings()
-    if settings.is_err():
-        sys.stderr.write(f"{settings.unwrap_err()}\n")
-        return 1
-    gc.set_threshold(GC_THRESHOLD, 20, 20)
-    gc.freeze()
-    asyncio.run(_run(settings.unwrap(), listening_socket))
-    return 0
-
-
-async def _run(settings: HostSettings, listening_socket: socket.socket | None) -> None:
-    await Host(settings, listening_socket).run()
--- a/foxtailseam/launch/__init__.py
+++ b/foxtailseam/launch/__init__.py
@@ -4,6 +4,32 @@
 takes so long that callers would be refused in the meantime.
 """
 
-from foxtailseam.launch._sockets import BACKLOG, open_listener
+from foxtailseam.launch._sockets import (
+    BACKLOG,
+    ListenError,
+    open_listener,
+    wait_for_listener,
+)
 
-__all__ = ["BACKLOG", "open_listener"]
+__all__ = [
+    "BACKLOG",
+    "EarlySignals",
+    "ExitCode",
+    "ListenError",
+    "open_listener",
+    "wait_for_listener",
+]
+
+
+def __getattr__(name: str):
+    # Not needed to open the listener.
+    match name:
+        case "EarlySignals":
+            from foxtailseam.launch._signals import EarlySignals
+
+            return EarlySignals
+        case "ExitCode":
+            from foxtailseam.launch._exit_codes import ExitCode
+
+            return ExitCode
+    raise AttributeError(name)
