Answer a request at once when its handling raises

Callers waited for an answer to their deadline when the handling of their request, or a step after the searchers' answers, raised; the request stayed among the running ones and kept its admission.

--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -25,6 +25,7 @@
 from foxtailseam.front._handover import Handover
 from foxtailseam.front._overload_guard import OverloadGuard, QueryDuration
 from foxtailseam.front._quarantine_guard import QuarantineGuard
+from foxtailseam.front._request_guard import RequestGuard
 from foxtailseam.front._request_log import AnyQuery, AnyResult, RequestLog
 from foxtailseam.front._responses import ResponseBuilder
 from foxtailseam.front._routed_request import RoutedRequest
@@ -41,6 +42,7 @@
 )
 from foxtailseam.quarantine import SuspicionState
 from foxtailseam.routing import AllShards, OneService, Route, WeightedServices
+from foxtailseam.supervision import FailureLog
 
 # Retry-After of a request that arrived before the first configuration.
 RETRY_AFTER_UNCONFIGURED = timedelta(milliseconds=500)
@@ -113,12 +115,18 @@
             log, metrics, clock, configuration_manager, dispatcher.contacts
         )
         self._running = RunningRequests()
+        self._guard = RequestGuard(
+            self._running,
+            FailureLog(log, metrics, clock),
+            self._discard_admission,
+        )
         self._handover = Handover(
             self.peers,
             dispatcher,
             self._running,
             log,
             self._request_log,
+            self._guard,
             self._run,
             self._finish,
             self._discard_admission,
@@ -137,6 +145,9 @@
         call : Call
             Request of a caller, or of another host that has forwarded it.
         """
+        self._guard.run(call, self._serve, call)
+
+    def _serve(self, call: Call) -> None:
         metadata = parse_request_headers(call.request.headers)
         responses = ResponseBuilder(metadata.identifier)
         if not metadata.identifier:
@@ -144,7 +155,9 @@
             return
         if self.configuration_manager.configuration is None:
             self._startup_queue.enqueue(
-                call, metadata.remaining, self._reject_unconfigured
+                call,
+                metadata.remaining,
+                lambda call: self._guard.run(call, self._reject_unconfigured, call),
             )
             return
         route = self.configuration_manager.find_route(
@@ -267,32 +280,41 @@
             inputs = self.overload_guard.describe(routed.route)
             self._refuse(routed, FailureReason.OVERLOADED, retry_after, inputs)
             return
+        try:
+            query = self._create_gather(routed, is_suspect)
+        except Exception:
+            self.overload_guard.record_end(routed.route, _NO_DURATION, False)
+            raise
+        self._run(routed, query)
+
+    def _create_gather(self, routed: RoutedRequest, is_suspect: bool) -> GatherQuery:
         request = routed.call.request
-        query = GatherQuery(
+        return GatherQuery(
             self.dispatcher,
             self._call_plan(routed).for_services(routed.services),
             routed.route.destination,
             routed.times,
-            lambda result: self._on_gathered(routed, result),
+            partial(self._guard.run, routed.call, self._on_gathered, routed),
             partial(self.quarantine_guard.record_survival, request)
             if is_suspect
             else None,
         )
-        self._run(routed, query)
 
     def _start_single(self, routed: RoutedRequest, is_suspect: bool) -> None:
         query = SingleQuery(
             self.dispatcher,
             self._call_plan(routed),
             routed.times,
-            lambda result: self._on_single(routed, result),
+            partial(self._guard.run, routed.call, self._on_single, routed),
             is_suspect,
         )
         self._run(routed, query)
 
     def _run(self, routed: RoutedRequest, query: AnyQuery) -> None:
         self._running.add(routed, query)
-        routed.call.on_disconnect = lambda: self._on_disconnect(routed)
+        routed.call.on_disconnect = partial(
+            self._guard.run, routed.call, self._on_disconnect, routed
+        )
         query.start()
 
     def _on_gathered(self, routed: RoutedRequest, result: GatherResult) -> None:
--- a/foxtailseam/front/_handover.py
+++ b/foxtailseam/front/_handover.py
@@ -15,6 +15,7 @@
 from foxtailseam.forwarding import Forward, Forwarded, ForwardResult
 from foxtailseam.front._forwarding import PeerForwarding
 from foxtailseam.front._peer_requests import to_failure
+from foxtailseam.front._request_guard import RequestGuard
 from foxtailseam.front._request_log import AnyResult, RequestLog
 from foxtailseam.front._routed_request import RoutedRequest
 from foxtailseam.front._running_requests import RunningRequests
@@ -41,6 +42,8 @@
         Log that receives an event for each change of the links.
     request_log : RequestLog
         Log of the requests that are forwarded or given back.
+    guard : RequestGuard
+        Ends the requests whose handling fails.
     run : callable
         Starts the query that serves a request.
     finish : callable
@@ -56,6 +59,7 @@
         running: RunningRequests,
         log: LogWriter,
         request_log: RequestLog,
+        guard: RequestGuard,
         run: Callable[[RoutedRequest, Forward], None],
         finish: Callable[[RoutedRequest, HttpResponse, AnyResult], None],
         discard: Callable[[RoutedRequest, GatherQuery | SingleQuery], None],
@@ -65,6 +69,7 @@
         self.running = running
         self.log = log
         self.request_log = request_log
+        self.guard = guard
         self.run = run
         self.finish = finish
         self.discard = discard
@@ -117,7 +122,9 @@
         self.request_log.record_forwarding(routed, reason)
 
         def on_result(result: ForwardResult) -> None:
-            self._on_forwarded(routed, result, may_have_run)
+            self.guard.run(
+                routed.call, self._on_forwarded, routed, result, may_have_run
+            )
 
         self.run(routed, self.peers.create(routed, attempts, on_result))
 
@@ -150,4 +157,4 @@
         is_isolated = state is LinkState.ISOLATED
         for routed, query in self.running:
             if not isinstance(query, Forward) and query.needs_other_host(is_isolated):
-                self._forward_started(routed, query, state)
+                self.guard.run(routed.call, self._forward_started, routed, query, state)
--- a/foxtailseam/front/_running_requests.py
+++ b/foxtailseam/front/_running_requests.py
@@ -4,6 +4,7 @@
 
 from foxtailseam.front._request_log import AnyQuery
 from foxtailseam.front._routed_request import RoutedRequest
+from foxtailseam.http import Call
 
 
 class RunningRequests:
@@ -30,6 +31,10 @@
         """Return the query that serves a request in progress."""
         return self._queries[id(routed)][1]
 
+    def find_by_call(self, call: Call) -> RoutedRequest | None:
+        """Return the request in progress that answers a call, if there is one."""
+        return next((routed for routed, _ in self if routed.call is call), None)
+
     def remove(self, routed: RoutedRequest) -> AnyQuery:
         """Remove a request in progress and return the query that serves it."""
         _, query = self._queries.pop(id(routed))
--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -26,6 +26,9 @@
 BUFFER_FULL = HttpResponse(503, ((b"Retry-After", b"1"),))
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
+# The handler failed, so it is not known whether the request was run.
+HANDLER_FAILED = HttpResponse(502)
+
 # Time that sent response data may stay unacknowledged by the caller before the
 # connection is closed.
 UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=6)
@@ -87,6 +90,7 @@
     limits: ListenerLimits
     handler: Callable[[Call], None]
     on_rejected: Callable[[int], None]
+    on_error: Callable[[Exception], None]
     is_draining: bool
 
     def reserve(self, size: int) -> bool:
@@ -161,7 +165,7 @@
         keep_alive = self._keep_alive_flags.popleft()
         close = not keep_alive or self.listener.is_draining
         is_head = call.request.method == b"HEAD"
-        self._transport.write(render_response(response, close, is_head))
+        self._transport.write(self._render(response, close, is_head))
         if close:
             self._transport.close()
             return
@@ -369,10 +373,24 @@
             self._current_call = Call(self._queued_requests.popleft(), self)
             if not self._transport.is_reading():
                 self._transport.resume_reading()
-            self.listener.handler(self._current_call)
+            self._handle(self._current_call)
         elif self._error_response is not None:
             self._send_error(self._error_response)
 
+    def _handle(self, call: Call) -> None:
+        try:
+            self.listener.handler(call)
+        except Exception as error:
+            self.listener.on_error(error)
+            call.respond(HANDLER_FAILED)
+
+    def _render(self, response: HttpResponse, close: bool, is_head: bool) -> bytes:
+        try:
+            return render_response(response, close, is_head)
+        except Exception as error:
+            self.listener.on_error(error)
+            return render_response(HANDLER_FAILED, close, is_head)
+
     def _reject(self, response: HttpResponse) -> None:
         """Send an error after all outstanding responses, and close."""
         self._phase = _Phase.FAILED
--- a/foxtailseam/http/_listener.py
+++ b/foxtailseam/http/_listener.py
@@ -14,6 +14,12 @@
 TIMEOUT_CHECK_SECONDS = 0.2
 
 
+def _report_to_loop(error: Exception) -> None:
+    loop = asyncio.get_running_loop()
+    context = {"message": "the handling of a call failed", "exception": error}
+    loop.call_exception_handler(context)
+
+
 class Listener:
     """HTTP/1.1 server that passes complete requests to a handler.
 
@@ -26,6 +32,9 @@
     on_rejected : callable
         Called with the status code of each request that the listener rejects
         itself because it is malformed, too slow or over a limit.
+    on_error : callable
+        Called with each exception of the handler, whose call is answered with status
+        502, and of the checks of timeouts.
     """
 
     def __init__(
@@ -33,10 +42,12 @@
         handler: Callable[[Call], None],
         clock: Clock,
         on_rejected: Callable[[int], None] = lambda status: None,
+        on_error: Callable[[Exception], None] = _report_to_loop,
     ):
         self.handler = handler
         self.clock = clock
         self.on_rejected = on_rejected
+        self.on_error = on_error
         self.limits = ListenerLimits()
         self._connections: set[CallerConnection] = set()
         self._socket: socket.socket | None = None
@@ -155,10 +166,13 @@
         self._connections.discard(connection)
 
     def _enforce_timeouts(self) -> None:
-        now = self.clock.monotonic()
-        for connection in list(self._connections):
-            connection.enforce_timeouts(now)
         loop = asyncio.get_running_loop()
         self._timeout_timer = loop.call_later(
             TIMEOUT_CHECK_SECONDS, self._enforce_timeouts
         )
+        now = self.clock.monotonic()
+        for connection in list(self._connections):
+            try:
+                connection.enforce_timeouts(now)
+            except Exception as error:
+                self.on_error(error)
--- a/foxtailseam/http/tests/test_listener.py
+++ b/foxtailseam/http/tests/test_listener.py
@@ -349,3 +349,29 @@
 
 def peer_port(writer):
     return writer.get_extra_info("peername")[1]
+
+
+class TestFailingHandler:
+    @pytest.mark.parametrize("response", [None, HttpResponse(200, ((b"X", "text"),))])
+    def test_its_call_is_answered_and_the_connection_goes_on(self, response):
+        """Without a response the handler raises; the other one can't be written."""
+        errors = []
+
+        async def scenario(reader, writer, handler, listener):
+            def fail(call):
+                if response is None:
+                    raise ValueError("brought about by the test")
+                call.respond(response)
+
+            listener.handler, listener.on_error = fail, errors.append
+            request = b"GET /first HTTP/1.1\r\n" + HOST_HEADER + b"\r\n"
+            writer.write(request)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 502 ")
+            listener.handler = handler
+            writer.write(request)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200 ")
+
+        run(scenario)
+        assert len(errors) == 1
