--- a/foxtailseam/fleet/tests/test_controller.py
+++ b/foxtailseam/fleet/tests/test_controller.py
@@ -547,3 +547,31 @@
             ]
 
         assert asyncio.run(main()) == []
+
+
+class TestUnforeseenFailures:
+    def test_a_parent_whose_follow_task_failed_is_followed_again(self):
+        async def scenario(service, hosts):
+            host = next(host for host in hosts if not host.fleet.is_reading)
+            following = host.fleet._following
+            apply_update, calls = following._apply_update, []
+
+            def fail_or_apply(*args):
+                calls.append(None)
+                if len(calls) <= 3:
+                    raise ValueError("brought about by the test")
+                apply_update(*args)
+
+            following._apply_update = fail_or_apply
+            await eventually(lambda: len(calls) > 3)
+            service.put("b", b"1")
+
+            def follows_all():
+                now = following.clock.monotonic()
+                ages = [item.age_at(now) for item in following._parents.values()]
+                is_fresh = max(ages) < FAST.max_staleness.total_seconds()
+                return is_fresh and host.replica.position == service.position
+
+            await eventually(lambda: follows_all() and not host.fleet.is_reading)
+
+        run_scenario(scenario)
--- a/foxtailseam/fleet/tests/test_forward_sender.py
+++ b/foxtailseam/fleet/tests/test_forward_sender.py
@@ -257,3 +257,14 @@
             assert result == PeerFailed(Unavailability.UNSUPPORTED, sent=False)
 
         run_scenario(scenario)
+
+    def test_an_unforeseen_error_gives_a_result(self, run_scenario):
+        async def scenario(_servicer, sender, address, _stop):
+            def fail(_address):
+                raise ValueError("brought about by the test")
+
+            sender._choose_channel = fail
+            result = await send(sender, address)
+            assert result == PeerFailed(Unavailability.LOST, sent=True)
+
+        run_scenario(scenario)
