Decode searchers' entries totally, and log each refused one once

Cause: decode_entry caught MsgspecError and UnicodeDecodeError only; the decoder raises RecursionError, timedelta OverflowError, int() ValueError.

DocumentDecoder is the one place where bytes become a value or a ValidationProblem: it bounds the size, turns each failure of the decoder into a problem that names field, value and range, all cut short, and is given the bounds of numbers and texts by the document's types (_bounded_types.py), so that what follows cannot fail. An address is IP:PORT without leading zeros.

Also refused now: an identifier that is not visible ASCII, since it is sent in a header. One with a line break added a header to the request.

RefusalLog writes key, revision, field, value and range, the same problem of a key once until it has a usable value, other values of a field every 10 s.

--- a/foxtailseam/front/_configuration.py
+++ b/foxtailseam/front/_configuration.py
@@ -6,6 +6,7 @@
 from foxtailseam.catalogue import Catalogue, SearcherEntry
 from foxtailseam.clocks import Clock
 from foxtailseam.dispatch import Dispatcher
+from foxtailseam.front._refusal_log import RefusalLog
 from foxtailseam.logs import EventCode, LogWriter
 from foxtailseam.platform import (
     CONFIGURATION_KEY,
@@ -56,6 +57,7 @@
         self.generator = generator
         self.on_configuration = on_configuration
         self.catalogue = Catalogue(clock, self)
+        self._refusal_log = RefusalLog(log, clock)
         self._configuration: Configuration | None = None
         self._route_table = RouteTable(())
         self._round_robins: dict[WeightedServices, WeightedRoundRobin] = {}
@@ -115,9 +117,10 @@
         match change:
             case Item(key=key, value=value) if key == CONFIGURATION_KEY:
                 self._apply_configuration(value, change.position, source)
-            case Item(value=value, position=position) if identifier is not None:
-                self._apply_entry(identifier, value, position)
+            case Item() if identifier is not None:
+                self._apply_entry(identifier, change)
             case Removal() if identifier is not None:
+                self._refusal_log.forget(change.key)
                 self.catalogue.mark_missing(identifier)
             case _:
                 # Keys that neither hold the configuration nor a searcher's entry.
@@ -170,31 +173,33 @@
         self.log.write(EventCode.SEARCHER_GONE, searcher=identifier)
         self.dispatcher.remove_searcher(identifier)
 
-    def _apply_entry(self, identifier: str, value: bytes, position: Position) -> None:
-        decoded = decode_entry(identifier, value)
-        if decoded.is_ok():
-            if position <= self._restored_until:
-                self.catalogue.restore(decoded.unwrap())
-            else:
-                self.catalogue.upsert(decoded.unwrap())
+    def _apply_entry(self, identifier: str, item: Item) -> None:
+        decoded = decode_entry(identifier, item.value)
+        if decoded.is_err():
+            self._refusal_log.record(
+                EventCode.ENTRY_REFUSED, item.key, item.position, decoded.unwrap_err()
+            )
+            self.catalogue.mark_missing(identifier)
             return
-        problem = str(decoded.unwrap_err())
-        self.log.write(EventCode.ENTRY_REFUSED, searcher=identifier, problem=problem)
-        self.catalogue.mark_missing(identifier)
+        self._refusal_log.forget(item.key)
+        if item.position <= self._restored_until:
+            self.catalogue.restore(decoded.unwrap())
+        else:
+            self.catalogue.upsert(decoded.unwrap())
 
     def _apply_configuration(
         self, value: bytes, position: Position, source: str
     ) -> None:
         decoded = decode_configuration(value)
         if decoded.is_err():
-            problem = str(decoded.unwrap_err())
-            self.log.write(
+            self._refusal_log.record(
                 EventCode.CONFIGURATION_REFUSED,
-                era=position.era,
-                revision=position.revision,
-                problem=problem,
+                CONFIGURATION_KEY,
+                position,
+                decoded.unwrap_err(),
             )
             return
+        self._refusal_log.forget(CONFIGURATION_KEY)
         configuration = decoded.unwrap()
         if configuration.version <= self.version:
             self.log.write(
--- a/foxtailseam/platform/_entries.py
+++ b/foxtailseam/platform/_entries.py
@@ -1,32 +1,53 @@
 """Decodes the entries of searchers in the configuration service."""
 
+import re
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
+from functools import partial
 
-import msgspec
-from result import Err, Ok, Result
+from result import Err, Result
 
 from foxtailseam.catalogue import SearcherEntry
-from foxtailseam.utils import ValidationProblem
-
+from foxtailseam.utils import (
+    Address,
+    DocumentDecoder,
+    Name,
+    PositiveCount,
+    Sequence,
+    SignedMilliseconds,
+    ValidationProblem,
+    describe_value,
+    shorten,
+)
+
+# Longest value that is decoded; the store holds shorter ones only.
+MAX_VALUE_BYTES = 4_194_304
 _PREFIX = "servers/"
-_STATES = {"ready": False, "draining": True}
+# Identifiers are sent in a header.
+_IDENTIFIER = re.compile(r"^[!-~]{1,200}\Z")
+IDENTIFIER_RULE = "1 to 200 visible ASCII characters"
+
+
+class _State(Enum):
+    READY = "ready"
+    DRAINING = "draining"
 
 
 @dataclass(frozen=True)
 class _EntryDocument:
-    service: str
-    address: str
+    service: Name
+    address: Address
     zone: str
-    max_concurrency: int
-    state: str
+    max_concurrency: PositiveCount
+    state: _State
     # How much longer the searcher is slow after its start; not enforced as a timeout.
-    warmup_left_ms: float = 0
-    born: int = 0
-    sequence: int = 0
+    warmup_left_ms: SignedMilliseconds = 0
+    born: Sequence = 0
+    sequence: Sequence = 0
 
 
-_DECODER = msgspec.json.Decoder(_EntryDocument)
+_DECODER = DocumentDecoder(_EntryDocument, MAX_VALUE_BYTES)
 
 
 def searcher_id_from_key(key: str) -> str | None:
@@ -51,46 +72,22 @@
     Result
         The entry, or the reason why it does not describe a usable searcher.
     """
-    parameter = _PREFIX + identifier
-    try:
-        document = _DECODER.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Err(ValidationProblem(parameter, str(error), "a valid searcher entry"))
-    is_draining = _STATES.get(document.state)
-    if is_draining is None:
-        return Err(
-            ValidationProblem(parameter, repr(document.state), "ready or draining")
-        )
-    if not _is_address(document.address):
-        return Err(ValidationProblem(parameter, repr(document.address), "IP:PORT"))
-    if document.max_concurrency < 1 or not document.service or not identifier:
-        return Err(
-            ValidationProblem(
-                parameter,
-                "an empty identifier or service, or a max_concurrency below 1",
-                "an identifier, a service and a max_concurrency of at least 1",
-            )
-        )
-    return Ok(
-        SearcherEntry(
-            identifier=identifier,
-            service=document.service,
-            address=document.address,
-            failure_domain=document.zone,
-            slots=document.max_concurrency,
-            is_draining=is_draining,
-            warmup=timedelta(milliseconds=max(0.0, document.warmup_left_ms)),
-            started_ms=document.born,
-            sequence=document.sequence,
-        )
-    )
-
-
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    parts = host.split(".")
-    is_host = len(parts) == 4 and all(
-        part.isascii() and part.isdigit() and int(part) < 256 for part in parts
+    key = _PREFIX + identifier
+    if not _IDENTIFIER.search(identifier):
+        found = describe_value(identifier)
+        return Err(ValidationProblem(shorten(key), found, IDENTIFIER_RULE))
+    return _DECODER.decode(value, key).map(partial(_to_entry, identifier))
+
+
+def _to_entry(identifier: str, document: _EntryDocument) -> SearcherEntry:
+    return SearcherEntry(
+        identifier=identifier,
+        service=document.service,
+        address=document.address,
+        failure_domain=document.zone,
+        slots=document.max_concurrency,
+        is_draining=document.state is _State.DRAINING,
+        warmup=timedelta(milliseconds=max(0.0, document.warmup_left_ms)),
+        started_ms=document.born,
+        sequence=document.sequence,
     )
-    is_port = port.isascii() and port.isdigit() and 0 < int(port) < 65_536
-    return is_host and is_port
