Check the operators' configuration in one place; refuse what cannot be used

Cause: decode_configuration raised (RecursionError where it is nested deep, OverflowError for 1e18 ms), and let values through that fail where they are used: 10**30 attempts cannot be sent to another host, weights of 1e300 have no finite sum, a timeout that rounds to nothing has no goal.

The types of the documents now bear the bounds, and _find_problem what a type cannot say. Followed to where it is used: timeouts and goals (query_times, timers), attempts and version (messages to hosts), priority, weights, top_k, minimum share, connections, limits of callers. A service twice in one gather would give two parts of one service.

Accepted as before: unknown fields, 0 attempts (one), a goal of 0 (the timeout), weights of 0, any host name, any service that no route uses, two routes with one prefix (the last one holds), a route of a kind that is not known (503).

--- a/foxtailseam/platform/_configuration.py
+++ b/foxtailseam/platform/_configuration.py
@@ -1,11 +1,14 @@
 """Decodes the operators' configuration from the configuration service."""
 
-from dataclasses import dataclass, field
+from collections import Counter
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
+from typing import Annotated
 
-import msgspec
+from msgspec import Meta
 from result import Err, Ok, Result
 
+from foxtailseam.platform._entries import MAX_VALUE_BYTES
 from foxtailseam.routing import (
     AllShards,
     CallerLimits,
@@ -16,7 +19,20 @@
     Service,
     WeightedServices,
 )
-from foxtailseam.utils import ValidationProblem
+from foxtailseam.utils import (
+    ByteCount,
+    Count,
+    DocumentDecoder,
+    Fraction,
+    Milliseconds,
+    Name,
+    PositiveByteCount,
+    PositiveMilliseconds,
+    Sequence,
+    SmallInteger,
+    ValidationProblem,
+    describe_value,
+)
 
 CONFIGURATION_KEY = "op/config"
 _IDEMPOTENT = "idempotent"
@@ -24,9 +40,13 @@
 _MILLISECOND = timedelta(milliseconds=1)
 
 
+# Bounded, so that the sum of weights is finite.
+_Weight = Annotated[float, Meta(ge=0, le=1e12)]
+
+
 @dataclass(frozen=True)
 class _WeightedBackend:
-    weight: float
+    weight: _Weight
     service: str = ""
     name: str = ""
 
@@ -37,43 +57,46 @@
     host: str
     path_prefix: str
     type: str
-    timeout_ms: float
-    latency_goal_ms: float = 0
-    max_attempts: int = 1
-    priority: int = 0
-    service: str = ""
+    timeout_ms: PositiveMilliseconds
+    latency_goal_ms: Milliseconds = 0
+    max_attempts: Count = 1
+    priority: SmallInteger = 0
+    # None in a route of a kind that is not known here; its requests are rejected.
+    service: Name | None = None
     weighted_backends: tuple[_WeightedBackend, ...] = ()
     # Names of services, one for each shard of one index version.
     gather: tuple[str, ...] = ()
-    top_k: int = 0
+    top_k: Count = 0
     # Not a version, despite its name: the minimum share of the shards that a successful
-    # response includes, 0 to 1.
-    min_version: float = 0
+    # response includes.
+    min_version: Fraction = 0
 
 
 @dataclass(frozen=True)
 class _ServiceDocument:
     name: str
-    max_conns: int = 0
+    max_conns: Count = 0
 
 
 @dataclass(frozen=True)
 class _LimitsDocument:
-    max_header_bytes: int = _DEFAULT_LIMITS.header_bytes
-    max_body_bytes: int = _DEFAULT_LIMITS.body_bytes
-    header_timeout_ms: float = _DEFAULT_LIMITS.header_timeout / _MILLISECOND
-    idle_timeout_ms: float = _DEFAULT_LIMITS.idle_timeout / _MILLISECOND
+    max_header_bytes: PositiveByteCount = _DEFAULT_LIMITS.header_bytes
+    max_body_bytes: ByteCount = _DEFAULT_LIMITS.body_bytes
+    header_timeout_ms: PositiveMilliseconds = (
+        _DEFAULT_LIMITS.header_timeout / _MILLISECOND
+    )
+    idle_timeout_ms: Milliseconds = _DEFAULT_LIMITS.idle_timeout / _MILLISECOND
 
 
 @dataclass(frozen=True)
 class _ConfigurationDocument:
-    version: int
+    version: Sequence
     routes: tuple[_RouteDocument, ...] = ()
     services: tuple[_ServiceDocument, ...] = ()
     limits: _LimitsDocument = field(default_factory=_LimitsDocument)
 
 
-_DECODER = msgspec.json.Decoder(_ConfigurationDocument)
+_DECODER = DocumentDecoder(_ConfigurationDocument, MAX_VALUE_BYTES)
 
 
 def decode_configuration(value: bytes) -> Result[Configuration, ValidationProblem]:
@@ -89,28 +112,50 @@
     Result
         The configuration, or the problem with the document.
     """
-    try:
-        document = _DECODER.decode(value)
-    except msgspec.MsgspecError as error:
-        problem = ValidationProblem(
-            CONFIGURATION_KEY, str(error), "a valid configuration"
-        )
-        return Err(problem)
+    decoded = _DECODER.decode(value, CONFIGURATION_KEY)
+    if decoded.is_err():
+        return decoded
+    document = decoded.unwrap()
+    for index, route in enumerate(document.routes):
+        problem = _find_problem(route)
+        if problem is not None:
+            parameter = f"{CONFIGURATION_KEY}.routes[{index}].{problem.parameter}"
+            return Err(replace(problem, parameter=parameter))
+    return Ok(_to_configuration(document))
+
+
+def _find_problem(route: _RouteDocument) -> ValidationProblem | None:
+    """Return the problem of a route that the types of its fields leave open."""
+    prefix = route.path_prefix
+    if prefix[:1] != "/" or prefix[-1] != "/":
+        found, expected = describe_value(prefix), "a slash at both ends"
+        return ValidationProblem("path_prefix", found, expected)
+    for index, backend in enumerate(route.weighted_backends):
+        if not (backend.service or backend.name):
+            parameter = f"weighted_backends[{index}]"
+            return ValidationProblem(parameter, "''", "the name of a service")
+    shards = set(route.gather)
+    if len(shards) < len(route.gather) or "" in shards:
+        (frequent, _), *_ = Counter(route.gather).most_common(1)
+        found = "''" if "" in shards else describe_value(frequent)
+        return ValidationProblem("gather", found, "the name of each service once")
+    return None
+
+
+def _to_configuration(document: _ConfigurationDocument) -> Configuration:
     limits = document.limits
-    return Ok(
-        Configuration(
-            version=document.version,
-            routes=tuple(_route(route) for route in document.routes),
-            services=tuple(
-                Service(item.name, item.max_conns) for item in document.services
-            ),
-            limits=CallerLimits(
-                limits.max_header_bytes,
-                limits.max_body_bytes,
-                timedelta(milliseconds=limits.header_timeout_ms),
-                timedelta(milliseconds=limits.idle_timeout_ms),
-            ),
-        )
+    return Configuration(
+        version=document.version,
+        routes=tuple(_route(route) for route in document.routes),
+        services=tuple(
+            Service(item.name, item.max_conns) for item in document.services
+        ),
+        limits=CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            timedelta(milliseconds=limits.header_timeout_ms),
+            timedelta(milliseconds=limits.idle_timeout_ms),
+        ),
     )
 
 
@@ -140,4 +185,4 @@
             for backend in document.weighted_backends
         )
         return WeightedServices(parts)
-    return OneService(document.service)
+    return OneService(document.service or "")
--- a/foxtailseam/platform/tests/test_foreign_input.py
+++ b/foxtailseam/platform/tests/test_foreign_input.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 import msgspec
+import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 
@@ -130,6 +131,58 @@
                 chosen = [robin.next() for _ in range(3)]
                 assert any(chosen) is any(weight for _, weight in weights)
 
+    @pytest.mark.parametrize(
+        ("field", "value"),
+        [
+            ("timeout_ms", 0),
+            ("timeout_ms", -1),
+            ("latency_goal_ms", -0.5),
+            ("max_attempts", -1),
+            ("max_attempts", 10**30),
+            ("priority", 10**30),
+            ("path_prefix", "p"),
+            ("path_prefix", "/p"),
+            ("path_prefix", ""),
+            ("service", ""),
+            ("weighted_backends", [{"service": "a", "weight": -1}]),
+            ("weighted_backends", [{"service": "a", "weight": 1e300}]),
+            ("weighted_backends", [{"weight": 1}]),
+            ("gather", ["a", ""]),
+            ("gather", ["a", "a"]),
+            ("top_k", -1),
+            ("top_k", 10**30),
+            ("min_version", 1.1),
+            ("min_version", -0.1),
+        ],
+        ids=str,
+    )
+    def test_the_problem_names_field_value_and_range(self, field, value):
+        document = {"version": 7, "routes": [ROUTE, ROUTE | {field: value}]}
+        problem = decode_configuration(text(document)).unwrap_err()
+        assert problem.parameter.startswith(f"op/config.routes[1].{field}")
+        assert problem.found
+        assert problem.expected
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"max_attempts": 0},
+            {"latency_goal_ms": 0},
+            {"priority": -3},
+            {"name": ""},
+            {"host": ""},
+            {"host": "ä b:1"},
+            {"weighted_backends": [{"service": "a", "weight": 0}]},
+            {"weighted_backends": [{"name": "a", "weight": 0.001}]},
+            {"gather": ["a"], "top_k": 0},
+            {"a_later_field": {"deep": [[]]}},
+        ],
+        ids=str,
+    )
+    def test_what_can_be_used_is_accepted(self, change):
+        document = {"version": 7, "routes": [ROUTE, ROUTE | change], "limits": {}}
+        assert decode_configuration(text(document)).is_ok()
+
 
 class TestSettings:
     @EXAMPLES
--- a/foxtailseam/utils/_bounded_types.py
+++ b/foxtailseam/utils/_bounded_types.py
@@ -45,19 +45,15 @@
 _IP = rf"{_OCTET}(?:\.{_OCTET}){{3}}"
 IP_PATTERN = rf"^{_IP}\Z"
 ADDRESS_PATTERN = rf"^{_IP}:{_PORT}\Z"
-PREFIX_PATTERN = r"^/(?:.*/)?\Z"
 
 # An IPv4 address, and one with a port from 1 to 65,535.
 IpAddress = Annotated[str, Meta(pattern=IP_PATTERN)]
 Address = Annotated[str, Meta(pattern=ADDRESS_PATTERN)]
-# Prefix of a path, with a slash at both ends.
-PathPrefix = Annotated[str, Meta(pattern=PREFIX_PATTERN)]
 
 # What a pattern matches, for messages.
 PATTERN_NAMES = {
     IP_PATTERN: "an IPv4 address",
     ADDRESS_PATTERN: "IP:PORT",
-    PREFIX_PATTERN: "a prefix with a slash at both ends",
 }
 
 _ADDRESS = re.compile(ADDRESS_PATTERN)
