Check the settings file in one place, at the start and at a reload

An address such as "nowhere" was taken over and failed where it was used: int() of its port, in the server of the other hosts or, for a seed, in the task that exchanges with it, which ends the process.

The documents' types bear the bounds; addresses are IP:PORT. A file that breaks one is refused with field, value and range, at the start on standard error, at a reload in the log, where the settings in force stay. Of a seed that is no address only that seed is left out and logged: the others suffice to join. At most 4 MB are read.

--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -42,6 +42,7 @@
 from foxtailseam.logs import EventCode, LogWriter
 from foxtailseam.metrics import Metrics
 from foxtailseam.platform import (
+    MAX_SETTINGS_BYTES,
     READY_TARGET,
     REQUEST_ID_HEADER,
     SETTINGS_VARIABLE,
@@ -272,6 +273,7 @@
             process=os.getpid(),
             callers=self.settings.callers,
             failure_domain=self.settings.failure_domain,
+            ignored_seeds=self.settings.ignored_seeds,
         )
         while not stop.is_set():
             self._fleet.raise_task_errors()
@@ -436,7 +438,9 @@
                 self.settings = result.unwrap()
                 self._fleet.seeds = self.settings.seeds
                 self.log.write(
-                    EventCode.SETTINGS_RELOADED, seeds=len(self.settings.seeds)
+                    EventCode.SETTINGS_RELOADED,
+                    seeds=len(self.settings.seeds),
+                    ignored_seeds=self.settings.ignored_seeds,
                 )
             case result:
                 problem = str(result.unwrap_err())
@@ -453,7 +457,8 @@
     """
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
-        text = path.read_bytes()
+        with path.open("rb") as file:
+            text = file.read(MAX_SETTINGS_BYTES + 1)
     except OSError as error:
         text = b""
         sys.stderr.write(f"{path}: {error}\n")
--- a/foxtailseam/platform/__init__.py
+++ b/foxtailseam/platform/__init__.py
@@ -16,6 +16,7 @@
     parse_response_headers,
 )
 from foxtailseam.platform._settings import (
+    MAX_SETTINGS_BYTES,
     SETTINGS_VARIABLE,
     Bounds,
     HostLimits,
@@ -29,6 +30,7 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "MAX_SETTINGS_BYTES",
     "REQUEST_ID_HEADER",
     "READY_TARGET",
     "SETTINGS_VARIABLE",
--- a/foxtailseam/platform/_settings.py
+++ b/foxtailseam/platform/_settings.py
@@ -2,14 +2,29 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
-
-import msgspec
-from result import Err, Ok, Result
-
-from foxtailseam.utils import ValidationProblem
+from typing import Annotated
+
+from msgspec import Meta
+from result import Result
+
+from foxtailseam.utils import (
+    Address,
+    DocumentDecoder,
+    IpAddress,
+    Milliseconds,
+    PositiveCount,
+    PositiveSeconds,
+    Seconds,
+    ValidationProblem,
+    describe_value,
+    is_address,
+)
 
 # Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = "FOXTAILSEAM_CONFIG"
+# Longest settings file that is decoded.
+MAX_SETTINGS_BYTES = 4_194_304
+MAX_SEEDS = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +90,8 @@
         balancer, and for the other hosts.
     seeds : tuple of str
         ``IP:PORT`` of some other hosts, used to join them; may be out of date.
+    ignored_seeds : tuple of str
+        Seeds in the file that are no addresses, cut short.
     service_address : str
         ``IP:PORT`` of the configuration service.
     limits : HostLimits
@@ -96,51 +113,52 @@
     limits: HostLimits
     bounds: Bounds
     is_joint_start: bool = False
+    ignored_seeds: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
 class _ListenAddresses:
-    frontend: str
-    readiness: str
-    control_plane: str = ""
+    frontend: Address
+    readiness: Address
+    control_plane: Address
 
 
 @dataclass(frozen=True)
 class _Limits:
-    memory_mb: float = 300
-    max_fds: int = 1024
+    memory_mb: Annotated[float, Meta(ge=1, le=1e9)] = 300
+    max_fds: PositiveCount = 1024
 
 
 @dataclass(frozen=True)
 class _Bounds:
-    grace_s: float = 6
-    drain_ms: float = 3000
-    config_apply_ms: float = 3000
+    grace_s: Seconds = 6
+    drain_ms: Milliseconds = 3000
+    config_apply_ms: Milliseconds = 3000
     # Extra requests allowed in a window: the ratio times the requests, plus the slack.
-    retry_budget_ratio: float = 0.2
-    retry_window_s: float = 10
-    retry_slack: float = 0
+    retry_budget_ratio: Annotated[float, Meta(ge=0, le=1e6)] = 0.2
+    retry_window_s: PositiveSeconds = 10
+    retry_slack: Annotated[float, Meta(ge=0, le=1e9)] = 0
 
 
 @dataclass(frozen=True)
 class _Platform:
-    address: str
+    address: Address
 
 
 @dataclass(frozen=True)
 class _SettingsDocument:
     node_name: str
-    ip: str
+    ip: IpAddress
     zone: str
     listen_addrs: _ListenAddresses
     platform: _Platform
-    seeds: tuple[str, ...] = ()
+    seeds: Annotated[tuple[str, ...], Meta(max_length=MAX_SEEDS)] = ()
     bootstrap: bool = False
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
 
 
-_DECODER = msgspec.json.Decoder(_SettingsDocument)
+_DECODER = DocumentDecoder(_SettingsDocument, MAX_SETTINGS_BYTES)
 
 
 def decode_settings(text: bytes) -> Result[HostSettings, ValidationProblem]:
@@ -156,30 +174,31 @@
     Result
         The settings, or the problem with the file.
     """
-    try:
-        document = _DECODER.decode(text)
-    except msgspec.MsgspecError as error:
-        return Err(ValidationProblem("settings", str(error), "valid settings"))
+    return _DECODER.decode(text, "settings").map(_to_settings)
+
+
+def _to_settings(document: _SettingsDocument) -> HostSettings:
     bounds = document.bounds
-    return Ok(
-        HostSettings(
-            name=document.node_name,
-            address=document.ip,
-            failure_domain=document.zone,
-            callers=document.listen_addrs.frontend,
-            readiness=document.listen_addrs.readiness,
-            peers=document.listen_addrs.control_plane,
-            seeds=document.seeds,
-            service_address=document.platform.address,
-            limits=HostLimits(int(document.limits.memory_mb), document.limits.max_fds),
-            bounds=Bounds(
-                shutdown_grace=timedelta(seconds=bounds.grace_s),
-                searcher_drain=timedelta(milliseconds=bounds.drain_ms),
-                configuration_delay=timedelta(milliseconds=bounds.config_apply_ms),
-                retry_ratio=bounds.retry_budget_ratio,
-                retry_window=timedelta(seconds=bounds.retry_window_s),
-                retry_slack=bounds.retry_slack,
-            ),
-            is_joint_start=document.bootstrap,
-        )
+    return HostSettings(
+        name=document.node_name,
+        address=document.ip,
+        failure_domain=document.zone,
+        callers=document.listen_addrs.frontend,
+        readiness=document.listen_addrs.readiness,
+        peers=document.listen_addrs.control_plane,
+        seeds=tuple(filter(is_address, document.seeds)),
+        service_address=document.platform.address,
+        limits=HostLimits(int(document.limits.memory_mb), document.limits.max_fds),
+        bounds=Bounds(
+            shutdown_grace=timedelta(seconds=bounds.grace_s),
+            searcher_drain=timedelta(milliseconds=bounds.drain_ms),
+            configuration_delay=timedelta(milliseconds=bounds.config_apply_ms),
+            retry_ratio=bounds.retry_budget_ratio,
+            retry_window=timedelta(seconds=bounds.retry_window_s),
+            retry_slack=bounds.retry_slack,
+        ),
+        is_joint_start=document.bootstrap,
+        ignored_seeds=tuple(
+            describe_value(seed) for seed in document.seeds if not is_address(seed)
+        ),
     )
