Check the answers of the configuration service; confirm unlikely positions

A listing or watch that is nested deep raised RecursionError in the task that reads the service, which ends the process; revisions below 0 or past 64 bits were taken over, and the latter cannot be sent to other hosts. One garbled current_rev moved the replica past all real changes for good: a position only rises, and hosts that follow are sent nothing older. One garbled Store-Era made every later answer one of an "older era".

Pages and events are decoded by DocumentDecoder with bounded revisions; the reason of the failed read names field and value. At a listing two of its items show what is known, so that a start needs no further call. A page that is said to have successors but has no items is a failure; it ended the listing, and all keys of the later pages counted as removed.

Two assertions of the property tests were wrong: an item may have been written after current_rev was read, as test_controller has it. They now bound how much newer it is. The tests failed before.

--- a/foxtailseam/platform/_store.py
+++ b/foxtailseam/platform/_store.py
@@ -2,11 +2,13 @@
 
 import binascii
 from base64 import b64decode
+from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import TypeVar
 from urllib.parse import urlencode
 
-import msgspec
+from result import Err, Ok
 
 from foxtailseam.clocks import Clock
 from foxtailseam.http import (
@@ -19,15 +21,22 @@
     render_request_head,
 )
 from foxtailseam.store import (
+    IMPLAUSIBLE_REVISION,
+    MAX_REVISION_STEP,
     Change,
     HistoryCompacted,
     Item,
     Listing,
     Position,
+    PositionCheck,
     Removal,
     StoreFailure,
     WatchResult,
+    second_greatest,
 )
+from foxtailseam.utils import DocumentDecoder, Sequence, shorten
+
+T = TypeVar("T")
 
 _OK = 200
 _GONE = 410
@@ -45,12 +54,16 @@
 # A watch holds one connection; a listing may use another at the same time.
 _MAX_CONNECTIONS = 3
 _MAX_PAGES = 2_000
+# Longest body that is decoded.
+MAX_RESPONSE_BYTES = 67_108_864
+# Characters of the reason why a response is unusable.
+_MAX_REASON_LENGTH = 100
 
 
 @dataclass(frozen=True)
 class _ItemDocument:
     key: str
-    revision: int
+    revision: Sequence
     value: str = ""
     # Only in events: the key was removed at this revision.
     removed: bool = False
@@ -59,18 +72,18 @@
 @dataclass(frozen=True)
 class _Page:
     items: tuple[_ItemDocument, ...]
-    current_rev: int
+    current_rev: Sequence
     has_more: bool = False
 
 
 @dataclass(frozen=True)
 class _Events:
     events: tuple[_ItemDocument, ...]
-    current_rev: int
+    current_rev: Sequence
 
 
-_PAGE_DECODER = msgspec.json.Decoder(_Page)
-_EVENTS_DECODER = msgspec.json.Decoder(_Events)
+_PAGE_DECODER = DocumentDecoder(_Page, MAX_RESPONSE_BYTES)
+_EVENTS_DECODER = DocumentDecoder(_Events, MAX_RESPONSE_BYTES)
 
 
 class PlatformStore:
@@ -87,7 +100,7 @@
     def __init__(self, address: str, clock: Clock):
         self.address = address
         self.calls = 0
-        self._era = 0
+        self._check = PositionCheck()
         settings = PoolSettings(
             address,
             _MAX_CONNECTIONS,
@@ -109,9 +122,12 @@
             if response.status != _OK:
                 return StoreFailure(str(response.status))
             page = _decode(_PAGE_DECODER, response.body)
-            if page is None:
-                return StoreFailure("malformed")
-            era = self._era
+            if isinstance(page, StoreFailure):
+                return page
+            problem = self._check_page(page, query.get("after"))
+            if problem:
+                return StoreFailure(problem)
+            era = self._check.era
             first = first or Position(era, page.current_rev)
             if first.era != era:
                 # The pages are of different copies of the data.
@@ -120,7 +136,7 @@
                 Item(i.key, _decode_value(i.value), Position(era, i.revision))
                 for i in page.items
             )
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 return Listing(tuple(items), first)
             query["after"] = page.items[-1].key
         return StoreFailure("too many pages")
@@ -147,9 +163,12 @@
         if response.status != _OK:
             return StoreFailure(str(response.status))
         events = _decode(_EVENTS_DECODER, response.body)
-        if events is None:
-            return StoreFailure("malformed")
-        era = self._era
+        if isinstance(events, StoreFailure):
+            return events
+        problem = self._check.check_revision(events.current_rev, after.revision)
+        if problem or _has_implausible_item(events.events, events.current_rev):
+            return StoreFailure(problem or IMPLAUSIBLE_REVISION)
+        era = self._check.era
         changes = tuple(_to_change(event, era) for event in events.events)
         return WatchResult(changes, Position(era, events.current_rev))
 
@@ -181,17 +200,30 @@
             return ""
         if not text.isdigit() or len(text) > _MAX_ERA_DIGITS:
             return "malformed era"
-        if int(text) < self._era:
-            return "older era"
-        self._era = int(text)
-        return ""
-
-
-def _decode(decoder: msgspec.json.Decoder, body: bytes) -> _Page | _Events | None:
-    try:
-        return decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
+        return self._check.check_era(int(text))
+
+    def _check_page(self, page: _Page, after: str | None) -> str:
+        """Return why a page of a listing is unusable, if it is."""
+        if page.has_more and (not page.items or page.items[-1].key == after):
+            return "no next page"
+        if _has_implausible_item(page.items, page.current_rev):
+            return IMPLAUSIBLE_REVISION
+        known = second_greatest(item.revision for item in page.items)
+        return self._check.check_revision(page.current_rev, known)
+
+
+def _has_implausible_item(items: Iterable[_ItemDocument], revision: int) -> bool:
+    """Return whether an item is far newer than the service says to be."""
+    newest = max((item.revision for item in items), default=0)
+    return newest > revision + MAX_REVISION_STEP
+
+
+def _decode(decoder: DocumentDecoder[T], body: bytes) -> T | StoreFailure:
+    match decoder.decode(body, "malformed response"):
+        case Ok(document):
+            return document
+        case Err(problem):
+            return StoreFailure(shorten(str(problem), _MAX_REASON_LENGTH))
 
 
 def _to_change(event: _ItemDocument, era: int) -> Change:
--- a/foxtailseam/platform/tests/test_foreign_input.py
+++ b/foxtailseam/platform/tests/test_foreign_input.py
@@ -26,7 +26,7 @@
 from foxtailseam.platform.tests.test_decoding import ENTRY, ROUTE, SETTINGS, text
 from foxtailseam.routing import RouteTable, WeightedRoundRobin, WeightedServices
 from foxtailseam.store import (
-    HistoryCompacted,
+    MAX_REVISION_STEP,
     Listing,
     Position,
     StoreFailure,
@@ -296,9 +296,9 @@
             case Listing(items=items, position=position):
                 assert position.revision < 2**63
                 for item in items:
-                    assert 0 <= item.position.revision <= position.revision
+                    self.check_revision(item, position)
             case StoreFailure(reason=reason):
-                assert len(reason) < 100
+                assert len(reason) <= 100
 
     @EXAMPLES
     @example(text(EVENTS | {"current_rev": -1}), b"1")
@@ -310,9 +310,14 @@
             case WatchResult(changes=changes, position=position):
                 assert position.revision < 2**63
                 for change in changes:
-                    assert 0 <= change.position.revision <= position.revision
-            case StoreFailure() | HistoryCompacted():
-                pass
+                    self.check_revision(change, position)
+            case StoreFailure(reason=reason):
+                assert len(reason) <= 100
+
+    def check_revision(self, change, position):
+        # An item may have been written after the revision was read.
+        max_revision = position.revision + MAX_REVISION_STEP
+        assert 0 <= change.position.revision <= max_revision
 
     def test_one_garbled_revision_does_not_move_the_position(self):
         # All later changes would count as known.
@@ -338,6 +343,33 @@
         assert isinstance(results[0], StoreFailure)
         assert results[1].position == Position(1, 4_000_000_000_003)
 
+    def test_a_page_without_items_does_not_end_a_listing_that_has_more(self):
+        # The keys of the missing pages would count as removed.
+        empty = text({"items": [], "current_rev": 9, "has_more": True})
+        store = AnsweredStore(response(empty))
+        assert isinstance(asyncio.run(store.list_items()), StoreFailure)
+
+    def test_the_only_item_does_not_confirm_the_revision_of_a_listing(self):
+        store = AnsweredStore(*(page(4_000_000_000_000 + n) for n in range(2)))
+        results = [asyncio.run(store.list_items()) for _ in range(2)]
+        assert isinstance(results[0], StoreFailure)
+        assert results[1].position == Position(1, 4_000_000_000_001)
+
+    def test_a_revision_near_those_of_the_items_needs_no_confirmation(self):
+        revision = 4_000_000_000_000
+        store = AnsweredStore(page(revision, revision - 5, revision - 1))
+        assert asyncio.run(store.list_items()).position == Position(1, revision)
+
+    def test_a_later_era_that_is_not_the_next_one_has_to_be_confirmed(self):
+        later = response(text({"events": [], "current_rev": 9}), b"4")
+        store = AnsweredStore(page(9, 8), later, later)
+        listing = asyncio.run(store.list_items())
+        results = [
+            asyncio.run(store.watch(listing.position, timedelta())) for _ in range(2)
+        ]
+        assert isinstance(results[0], StoreFailure)
+        assert results[1].position == Position(4, 9)
+
     def test_one_garbled_era_does_not_outdate_all_later_answers(self):
         store = AnsweredStore(
             page(9, 8),
--- a/foxtailseam/store/__init__.py
+++ b/foxtailseam/store/__init__.py
@@ -13,6 +13,12 @@
     StoreFollower,
 )
 from foxtailseam.store._position import START, Position
+from foxtailseam.store._position_check import (
+    IMPLAUSIBLE_REVISION,
+    MAX_REVISION_STEP,
+    PositionCheck,
+    second_greatest,
+)
 from foxtailseam.store._replica import Change, Item, Listing, Removal, StoreReplica
 
 __all__ = [
@@ -21,9 +27,12 @@
     "FollowerSettings",
     "FollowerState",
     "HistoryCompacted",
+    "IMPLAUSIBLE_REVISION",
     "Item",
     "Listing",
+    "MAX_REVISION_STEP",
     "Position",
+    "PositionCheck",
     "ReadFailure",
     "Removal",
     "StoreClient",
@@ -31,4 +40,5 @@
     "StoreFollower",
     "StoreReplica",
     "WatchResult",
+    "second_greatest",
 ]
--- /dev/null
+++ b/foxtailseam/store/_position_check.py
@@ -0,0 +1,78 @@
+"""Checks whether a position that the configuration service named can be right.
+
+A position only rises. If one garbled answer moved it past all real changes, these would
+count as known for ever, here and on the hosts that follow this one.
+"""
+
+from collections.abc import Iterable
+
+from foxtailseam.store._follower import OLDER_ERA
+
+# Changes between two answers, at most. A larger number has to be confirmed.
+MAX_REVISION_STEP = 1_000_000
+# First era of a service that need not be confirmed.
+MAX_FIRST_ERA = 1_000
+# Further reasons why an answer is not used.
+IMPLAUSIBLE_ERA = "implausible era"
+IMPLAUSIBLE_REVISION = "implausible revision"
+
+
+class PositionCheck:
+    """Believes an unlikely era or revision once a second answer confirms it."""
+
+    def __init__(self):
+        self._era: int | None = None
+        self._unlikely_era: int | None = None
+        self._unlikely_revision: int | None = None
+
+    @property
+    def era(self) -> int:
+        """Return the latest era that is believed; 0 if the service has named none."""
+        return self._era or 0
+
+    def check_era(self, era: int) -> str:
+        """Keep the era of an answer; return why the answer is unusable, if it is.
+
+        The era rises by one each time.
+        """
+        if self._era is not None and era < self._era:
+            return OLDER_ERA
+        max_era = MAX_FIRST_ERA if self._era is None else self._era + 1
+        if era > max_era and era != self._unlikely_era:
+            self._unlikely_era = era
+            return IMPLAUSIBLE_ERA
+        self._era = era
+        self._unlikely_era = None
+        return ""
+
+    def check_revision(self, revision: int, known: int) -> str:
+        """Return why an answer with a revision of the service is unusable, if it is.
+
+        Parameters
+        ----------
+        revision : int
+            Revision of the service that the answer names.
+        known : int
+            Revision that the service is known to have reached.
+        """
+        if revision <= known + MAX_REVISION_STEP:
+            self._unlikely_revision = None
+            return ""
+        before, self._unlikely_revision = self._unlikely_revision, revision
+        if before is not None and before <= revision <= before + MAX_REVISION_STEP:
+            return ""
+        return IMPLAUSIBLE_REVISION
+
+
+def second_greatest(revisions: Iterable[int]) -> int:
+    """Return the second greatest revision, which is known even if one is garbled.
+
+    It is 0 if there are fewer than two.
+    """
+    greatest = second = 0
+    for revision in revisions:
+        if revision > greatest:
+            greatest, second = revision, greatest
+        elif revision > second:
+            second = revision
+    return second
