Count a limit below a millionth of a request a second as none at all

Rates below 1e-6 now count as 0, read from an answer or from a notice; the notices bear bounds for what they hold.

Other headers of callers and searchers took any bytes already; the property test over all of them failed for this one only.

--- a/foxtailseam/conditions/__init__.py
+++ b/foxtailseam/conditions/__init__.py
@@ -11,6 +11,7 @@
     Pause,
     RateLimit,
     SearcherConditions,
+    round_rate,
 )
 from foxtailseam.conditions._notices import (
     ConditionNotices,
@@ -31,4 +32,5 @@
     "PauseNotice",
     "RateLimit",
     "SearcherConditions",
+    "round_rate",
 ]
--- a/foxtailseam/conditions/_model.py
+++ b/foxtailseam/conditions/_model.py
@@ -81,6 +81,16 @@
 LEAVING_RETENTION_SECONDS = 3600.0
 
 
+# Lowest rate other than 0, in requests per second: the interval between two requests
+# can be computed.
+MIN_RATE = 1e-6
+
+
+def round_rate(rate: float) -> float:
+    """Return a rate that a searcher has named; one below `MIN_RATE` counts as 0."""
+    return rate if rate >= MIN_RATE else 0.0
+
+
 def _limit_order(item: RateLimit) -> tuple[float, bool, float]:
     return item.observed_at, item.rate is None, -(item.rate or 0.0)
 
--- a/foxtailseam/conditions/_notices.py
+++ b/foxtailseam/conditions/_notices.py
@@ -5,13 +5,21 @@
 """
 
 from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta
 
 from foxtailseam.conditions._model import (
     Leaving,
     Pause,
     RateLimit,
     SearcherConditions,
+    round_rate,
 )
+from foxtailseam.utils import Integer, SignedWholeMilliseconds
+
+# Requests per second.
+Rate = Annotated[float, Meta(ge=0, le=1e9)]
 
 # Longest time that a notice is expected to take from one host to another.
 RELAY_SECONDS = 0.5
@@ -34,14 +42,15 @@
     """
 
     searcher: str
-    started_ms: int
-    limit: float | None
-    age_ms: int
+    started_ms: Integer
+    limit: Rate | None
+    age_ms: SignedWholeMilliseconds
 
     def to_conditions(self, now: float) -> SearcherConditions:
         """Return the conditions that the notice reports at a monotonic time."""
         observed_at = now - self.age_ms / 1000 - RELAY_SECONDS
-        limit = RateLimit(self.limit, observed_at)
+        rate = None if self.limit is None else round_rate(self.limit)
+        limit = RateLimit(rate, observed_at)
         return SearcherConditions(self.started_ms, rate_limit=limit)
 
 
@@ -60,8 +69,8 @@
     """
 
     searcher: str
-    started_ms: int
-    age_ms: int
+    started_ms: Integer
+    age_ms: SignedWholeMilliseconds
 
     def to_conditions(self, now: float) -> SearcherConditions:
         """Return the conditions that the notice reports at a monotonic time."""
@@ -84,8 +93,8 @@
     """
 
     searcher: str
-    started_ms: int
-    remaining_ms: int
+    started_ms: Integer
+    remaining_ms: SignedWholeMilliseconds
 
     def to_conditions(self, now: float) -> SearcherConditions:
         """Return the conditions that the notice reports at a monotonic time."""
--- a/foxtailseam/platform/_headers.py
+++ b/foxtailseam/platform/_headers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from foxtailseam.conditions import round_rate
 from foxtailseam.dispatch import MALFORMED_LIMIT, MALFORMED_PAUSE, AnswerMetadata
 from foxtailseam.http import Headers, HttpRequest, render_request_head, strip_hop_by_hop
 
@@ -198,7 +199,7 @@
         value = float(text)
     except ValueError:
         return None
-    return value if 0 <= value < _MAX_RATE else None
+    return round_rate(value) if 0 <= value < _MAX_RATE else None
 
 
 def _parse_pause(text: bytes) -> timedelta | None:
--- a/foxtailseam/platform/tests/test_decoding.py
+++ b/foxtailseam/platform/tests/test_decoding.py
@@ -238,6 +238,7 @@
             (b"1", 1.0, False),
             (b"2.75", 2.75, False),
             (b"0", 0.0, False),
+            (b"1e-320", 0.0, False),
             (b"-1", None, True),
             (b"nan", None, True),
             (b"inf", None, True),
