Let a message of another host end that call at most

An incarnation of 2**64 - 1 in a suspicion of this host made its own messages impossible to encode. A view of 200 kB expanded to 200 MB.

The codec and the compressed parts decode by DocumentDecoder, which raises DecodeError only; the messages' types bear bounds, so that what is decoded can be merged, passed on and encoded, and each address is IP:PORT. Expansion ends at 67 MB. Any other error of a call becomes MalformedAnswerError, one of CALL_ERRORS. On the server a malformed message ends its call with INVALID_ARGUMENT and event 506; grpclib wrote a traceback for each before. Events 501 and 503 name the text of such an error.

Nothing on the wire changes.

The tests failed before. Three of them opened channels without an event loop and now check the address itself; what a malformed view raises was missing among the expected results of the first.

--- a/foxtailseam/clocks/_hybrid_clock.py
+++ b/foxtailseam/clocks/_hybrid_clock.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from foxtailseam.clocks._clock import Clock
+from foxtailseam.utils import Integer
 
 
 @dataclass(frozen=True, order=True, slots=True)
@@ -18,8 +19,8 @@
         Counter that orders events with the same `wall_ms`, from 0.
     """
 
-    wall_ms: int
-    counter: int
+    wall_ms: Integer
+    counter: Integer
 
 
 class HybridClock:
--- a/foxtailseam/codecs/_message_pack.py
+++ b/foxtailseam/codecs/_message_pack.py
@@ -6,16 +6,21 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
+from foxtailseam.utils import DocumentDecoder, DocumentFormat
+
+# Longest message that is decoded.
+MAX_MESSAGE_BYTES = 67_108_864
+
 
 @cache
-def _decoder(message_type: type) -> msgspec.msgpack.Decoder:
-    return msgspec.msgpack.Decoder(message_type)
+def _decoder(message_type: type) -> DocumentDecoder:
+    return DocumentDecoder(message_type, MAX_MESSAGE_BYTES, DocumentFormat.MESSAGE_PACK)
 
 
 class MessagePackCodec(CodecBase):
     """grpclib codec that encodes data classes as MessagePack.
 
-    Decoding validates messages against the data class.
+    Decoding validates messages against the data class and the bounds of its types.
     """
 
     __content_subtype__ = "msgpack"
@@ -45,6 +50,7 @@
         Raises
         ------
         msgspec.MsgspecError
-            If `data` is not a valid message of this type.
+            If `data` is not a valid message of this type; no other error is raised,
+            whatever the bytes are.
         """
-        return _decoder(message_type).decode(data)
+        return _decoder(message_type).decode_or_raise(data, message_type.__name__)
--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -25,7 +25,7 @@
 from foxtailseam.metrics import Metrics
 from foxtailseam.quarantine import QuarantineController
 from foxtailseam.store import StoreFollower, StoreReplica
-from foxtailseam.utils import describe_error
+from foxtailseam.utils import describe_error, shorten
 
 # Interval between checks of whom to follow and whether to read the service.
 TICK_SECONDS = 0.25
@@ -171,7 +171,10 @@
         from foxtailseam.fleet import _rpc
 
         self._stop_server = await _rpc.serve(
-            self.membership.own_record.address, self, self._count_sent
+            self.membership.own_record.address,
+            self,
+            self._count_sent,
+            self._record_refused,
         )
         self._spawn(self._tick_loop())
         self._spawn(self._gossip_loop.run())
@@ -251,6 +254,10 @@
             cancel()
             raise
 
+    def _record_refused(self, problem: str) -> None:
+        self.metrics.add("peer_messages_refused")
+        self.log.write(EventCode.PEER_MESSAGE_REFUSED, problem=shorten(problem))
+
     def _count_sent(self, kind: str, failure_domain: str, size: int) -> None:
         is_near = failure_domain == self.membership.own_record.failure_domain
         place = "near" if is_near else "far"
--- a/foxtailseam/fleet/_following.py
+++ b/foxtailseam/fleet/_following.py
@@ -170,7 +170,7 @@
                 async for update in channel.follow(request, update_timeout):
                     self._apply_update(address, update)
             except _rpc.CALL_ERRORS as error:
-                reason = type(error).__name__
+                reason = _rpc.describe_call_error(error)
             finally:
                 channel.close()
             self._on_parent_lost(address, reason)
--- a/foxtailseam/fleet/_gossip_loop.py
+++ b/foxtailseam/fleet/_gossip_loop.py
@@ -122,7 +122,9 @@
         except _rpc.CALL_ERRORS as error:
             self.gossip.fail(address)
             self.log.write(
-                EventCode.PEER_UNREACHABLE, peer=address, error=type(error).__name__
+                EventCode.PEER_UNREACHABLE,
+                peer=address,
+                error=_rpc.describe_call_error(error),
             )
         finally:
             channel.close()
--- a/foxtailseam/fleet/_membership.py
+++ b/foxtailseam/fleet/_membership.py
@@ -17,6 +17,7 @@
 from zlib import crc32
 
 from foxtailseam.clocks import Clock
+from foxtailseam.utils import MAX_INTEGER, Address, Integer, SignedWholeMilliseconds
 
 # Time in which a suspected host can refute the suspicion before it counts as failed.
 SUSPICION_SECONDS = 4.0
@@ -61,12 +62,12 @@
         hosts of an earlier release.
     """
 
-    address: str
+    address: Address
     failure_domain: str
-    started_ms: int
-    count: int = 0
+    started_ms: Integer
+    count: Integer = 0
     is_leaving: bool = False
-    incarnation: int = 0
+    incarnation: Integer = 0
 
     @property
     def version_key(self) -> tuple[int, int, int]:
@@ -102,7 +103,7 @@
 
     record: HostRecord
     is_suspected: bool = False
-    suspected_ms: int = 0
+    suspected_ms: SignedWholeMilliseconds = 0
 
 
 @dataclass(slots=True)
@@ -394,7 +395,9 @@
         own = self._own_record
         is_this_run = item.record.started_ms == own.started_ms
         if item.is_suspected and is_this_run and not own.is_leaving:
-            incarnation = max(own.incarnation, item.record.incarnation + 1)
+            # Bounded, so that other hosts accept it and a later one.
+            heard = min(item.record.incarnation, MAX_INTEGER - 2)
+            incarnation = max(own.incarnation, heard + 1)
             if incarnation > own.incarnation:
                 self._own_record = replace(own, incarnation=incarnation)
                 self._add_news(own.address)
--- a/foxtailseam/fleet/_messages.py
+++ b/foxtailseam/fleet/_messages.py
@@ -3,6 +3,7 @@
 import zlib
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 
@@ -15,6 +16,15 @@
 from foxtailseam.fleet._membership import HostRecord, MemberNews
 from foxtailseam.quarantine import SuspicionNotice
 from foxtailseam.store import Change, Item, Position, Removal
+from foxtailseam.utils import (
+    DocumentDecoder,
+    DocumentFormat,
+    Integer,
+    WholeMilliseconds,
+    WholeNumber,
+)
+
+T = TypeVar("T")
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +61,7 @@
     leaving: tuple[LeavingNotice, ...] = ()
     pauses: tuple[PauseNotice, ...] = ()
     news: tuple[MemberNews, ...] = ()
-    digest: int = 0
+    digest: Integer = 0
     wants_view: bool = False
     view: bytes = b""
 
@@ -76,7 +86,7 @@
     """
 
     key: str
-    revision: int
+    revision: WholeNumber
     value: bytes | None
 
     @classmethod
@@ -102,8 +112,15 @@
         return Item(self.key, self.value, position)
 
 
-_CHANGES_DECODER = msgspec.msgpack.Decoder(tuple[WireChange, ...])
-_RECORDS_DECODER = msgspec.msgpack.Decoder(tuple[HostRecord, ...])
+# Longest content of a message before it was compressed: the entries of more searchers
+# than a deployment has.
+MAX_EXPANDED_BYTES = 67_108_864
+_CHANGES_DECODER = DocumentDecoder(
+    tuple[WireChange, ...], MAX_EXPANDED_BYTES, DocumentFormat.MESSAGE_PACK
+)
+_RECORDS_DECODER = DocumentDecoder(
+    tuple[HostRecord, ...], MAX_EXPANDED_BYTES, DocumentFormat.MESSAGE_PACK
+)
 # Compressed for speed: entries of searchers, and records of hosts, differ in few bytes.
 _COMPRESSION_LEVEL = 1
 
@@ -144,11 +161,16 @@
     return zlib.compress(msgspec.msgpack.encode(items), _COMPRESSION_LEVEL)
 
 
-def _decompress(data: bytes, decoder: msgspec.msgpack.Decoder) -> tuple:
+def _decompress(data: bytes, decoder: DocumentDecoder[tuple[T, ...]]) -> tuple[T, ...]:
+    decompressor = zlib.decompressobj()
     try:
-        return decoder.decode(zlib.decompress(data))
+        expanded = decompressor.decompress(data, MAX_EXPANDED_BYTES)
     except zlib.error as error:
         raise msgspec.DecodeError(str(error)) from error
+    if not decompressor.eof:
+        message = f"the content is cut short or expands past {MAX_EXPANDED_BYTES} bytes"
+        raise msgspec.DecodeError(message)
+    return decoder.decode_or_raise(expanded, "compressed content")
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,9 +190,9 @@
     """
 
     sender: HostRecord
-    revision: int
+    revision: WholeNumber
     accepts_compressed: bool = False
-    era: int = 0
+    era: WholeNumber = 0
 
     @property
     def position(self) -> Position:
@@ -204,12 +226,12 @@
     """
 
     changes: tuple[WireChange, ...]
-    revision: int
+    revision: WholeNumber
     is_listing: bool
-    age_ms: int
-    grace_ms: int
+    age_ms: WholeMilliseconds
+    grace_ms: WholeMilliseconds
     compressed_changes: bytes = b""
-    era: int = 0
+    era: WholeNumber = 0
 
     @property
     def position(self) -> Position:
--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -1,10 +1,11 @@
 """RPC client and server for calls between hosts, over grpclib."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from dataclasses import replace
 from enum import StrEnum
-from typing import Protocol
+from typing import Any, Protocol
 
 import msgspec
 from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
@@ -20,6 +21,7 @@
     decompress_changes,
 )
 from foxtailseam.forwarding import ForwardedRequest, ForwardedResponse
+from foxtailseam.utils import shorten
 
 _ENCODER = msgspec.msgpack.Encoder()
 EXCHANGE_PATH = "/foxtailseam.Fleet/Exchange"
@@ -28,6 +30,12 @@
 # grpclib's server leaves this header out of its response to an unknown method, and its
 # client reports only that.
 _NO_HANDLER_MESSAGE = "Missing content-type header"
+
+
+class MalformedAnswerError(Exception):
+    """The other host's answer does not follow the protocol."""
+
+
 # Exceptions of a call if the other host is unreachable, too slow or misbehaving.
 CALL_ERRORS = (
     OSError,
@@ -35,6 +43,7 @@
     GRPCError,
     StreamTerminatedError,
     msgspec.MsgspecError,
+    MalformedAnswerError,
 )
 
 
@@ -54,6 +63,28 @@
     return not isinstance(error, (GRPCError, msgspec.MsgspecError))
 
 
+def describe_call_error(error: Exception) -> str:
+    """Return the type of an error and, if that tells little, its text."""
+    name = type(error).__name__
+    if isinstance(error, (msgspec.MsgspecError, MalformedAnswerError)):
+        return shorten(f"{name}: {error}")
+    return name
+
+
+@contextlib.contextmanager
+def _call_errors() -> Iterator[None]:
+    """Raise one of `CALL_ERRORS` for any error.
+
+    grpclib raises others, such as AssertionError, for an answer that ends early.
+    """
+    try:
+        yield
+    except CALL_ERRORS:
+        raise
+    except Exception as error:
+        raise MalformedAnswerError(f"{type(error).__name__}: {error}") from error
+
+
 def _decompressed(update: FollowUpdate) -> FollowUpdate:
     if not update.compressed_changes:
         return update
@@ -85,12 +116,24 @@
 
 # Called with the kind of a message, the failure domain of its receiver and its bytes.
 SentCallback = Callable[[MessageKind, str, int], None]
+# Called with the reason why a message of another host was refused.
+RefusedCallback = Callable[[str], None]
+
+
+def _ignore(problem: str) -> None:
+    pass
 
 
 class _Handlers:
-    def __init__(self, servicer: FleetServicer, on_sent: SentCallback):
+    def __init__(
+        self,
+        servicer: FleetServicer,
+        on_sent: SentCallback,
+        on_refused: RefusedCallback = _ignore,
+    ):
         self.servicer = servicer
         self.on_sent = on_sent
+        self.on_refused = on_refused
 
     def __mapping__(self) -> dict[str, Handler]:
         return {
@@ -108,23 +151,38 @@
             ),
         }
 
+    @contextlib.contextmanager
+    def _refusing(self) -> Iterator[None]:
+        """End the call if its message is malformed."""
+        try:
+            yield
+        except msgspec.MsgspecError as error:
+            self.on_refused(str(error))
+            raise GRPCError(Status.INVALID_ARGUMENT, "malformed message") from error
+
+    async def _receive(self, stream: Stream) -> Any:
+        with self._refusing():
+            return await stream.recv_message()
+
     async def _exchange(self, stream: Stream) -> None:
-        message = await stream.recv_message()
+        message = await self._receive(stream)
         if message is not None:
-            response = _ENCODER.encode(self.servicer.exchange(message))
+            with self._refusing():
+                answer = self.servicer.exchange(message)
+            response = _ENCODER.encode(answer)
             domain = message.records[0].failure_domain if message.records else ""
             self.on_sent(MessageKind.EXCHANGE, domain, len(response))
             await stream.send_message(response)
 
     async def _forward(self, stream: Stream) -> None:
-        request = await stream.recv_message()
+        request = await self._receive(stream)
         if request is not None:
             response = _ENCODER.encode(await self.servicer.forward(request))
             self.on_sent(MessageKind.FORWARD, request.failure_domain, len(response))
             await stream.send_message(response)
 
     async def _follow(self, stream: Stream) -> None:
-        request = await stream.recv_message()
+        request = await self._receive(stream)
         if request is None:
             return
         domain = request.sender.failure_domain
@@ -137,7 +195,10 @@
 
 
 async def serve(
-    address: str, servicer: FleetServicer, on_sent: SentCallback
+    address: str,
+    servicer: FleetServicer,
+    on_sent: SentCallback,
+    on_refused: RefusedCallback = _ignore,
 ) -> Callable[[], Awaitable[None]]:
     """Start a server for other hosts.
 
@@ -150,13 +211,16 @@
     on_sent : callable
         Called with the kind, the receiver's failure domain and the bytes of each
         message that is sent.
+    on_refused : callable
+        Called with the problem of each message that cannot be decoded.
 
     Returns
     -------
     callable
         Coroutine function that closes the server.
     """
-    server = Server([_Handlers(servicer, on_sent)], codec=MessagePackCodec())
+    handlers = _Handlers(servicer, on_sent, on_refused)
+    server = Server([handlers], codec=MessagePackCodec())
     host, _, port = address.rpartition(":")
     await server.start(host, int(port))
 
@@ -202,8 +266,9 @@
             self._channel, EXCHANGE_PATH, MemberExchange, MemberExchange
         )
         await self._connect()
-        async with asyncio.timeout(timeout):
-            return await method(message)
+        with _call_errors():
+            async with asyncio.timeout(timeout):
+                return await method(message)
 
     async def connect(self) -> None:
         """Open the connection unless it is open.
@@ -233,7 +298,8 @@
         method = UnaryUnaryMethod(
             self._channel, FORWARD_PATH, ForwardedRequest, ForwardedResponse
         )
-        return await method(request)
+        with _call_errors():
+            return await method(request)
 
     async def follow(
         self, request: FollowRequest, update_timeout: float
@@ -256,14 +322,15 @@
             self._channel, FOLLOW_PATH, FollowRequest, FollowUpdate
         )
         await self._connect()
-        async with method.open() as stream:
-            await stream.send_message(request, end=True)
-            while True:
-                async with asyncio.timeout(update_timeout):
-                    update = await stream.recv_message()
-                if update is None:
-                    return
-                yield _decompressed(update)
+        with _call_errors():
+            async with method.open() as stream:
+                await stream.send_message(request, end=True)
+                while True:
+                    async with asyncio.timeout(update_timeout):
+                        update = await stream.recv_message()
+                    if update is None:
+                        return
+                    yield _decompressed(update)
 
     def close(self) -> None:
         """Close the connection."""
--- a/foxtailseam/fleet/tests/test_foreign_messages.py
+++ b/foxtailseam/fleet/tests/test_foreign_messages.py
@@ -31,6 +31,7 @@
 from foxtailseam.platform.tests.test_foreign_input import IgnoredEvents
 from foxtailseam.quarantine import SuspicionNotice, SuspicionState
 from foxtailseam.store import Item, Listing, StoreReplica
+from foxtailseam.utils import is_address
 from foxtailseam.utils.tests._odd_documents import (
     DEPTH,
     EXAMPLES,
@@ -84,12 +85,15 @@
         if message is None:
             return
         host = gossip(OWN_ADDRESS)
-        host.finish(message)
-        response = msgspec.msgpack.encode(host.respond(message))
+        try:
+            host.finish(message)
+            response = msgspec.msgpack.encode(host.respond(message))
+        except _rpc.CALL_ERRORS:
+            # The compressed view is malformed.
+            return
         # What it is told makes a host send nothing that others refuse.
         assert decoded(response, MemberExchange) is not None
-        for address in host.membership.addresses:
-            _rpc.FleetChannel(address, 0.1).close()
+        assert all(map(is_address, host.membership.addresses))
 
     @EXAMPLES
     @given(message_pack_documents(UPDATE) | message_pack_documents(COMPRESSED_UPDATE))
@@ -121,7 +125,7 @@
             host.membership.mark_reached(request.sender)
             assert host.membership.addresses
             assert 0 <= request.position.revision < 2**63
-            _rpc.FleetChannel(request.sender.address, 0.1).close()
+            assert is_address(request.sender.address)
 
     @EXAMPLES
     @given(message_pack_documents(FORWARDED))
@@ -139,8 +143,7 @@
         message = decoded(data, ForwardedResponse)
         if message is not None:
             assert 0 <= message.status < 1000
-            for address in message.helpers:
-                _rpc.FleetChannel(address, 0.1).close()
+            assert all(map(is_address, message.helpers))
 
     def test_changes_that_expand_without_bound_are_refused(self):
         compressor = zlib.compressobj(9)
--- a/foxtailseam/forwarding/_messages.py
+++ b/foxtailseam/forwarding/_messages.py
@@ -2,8 +2,14 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Annotated
+
+from msgspec import Meta
 
 from foxtailseam.http import Headers
+from foxtailseam.utils import Address, Integer, SignedMilliseconds, SmallInteger
+
+Status = Annotated[int, Meta(ge=0, le=999)]
 
 
 class Unavailability(StrEnum):
@@ -50,16 +56,16 @@
         Largest number of searchers of each service that may still be asked.
     """
 
-    sender: str
+    sender: Address
     failure_domain: str
     method: bytes
     target: bytes
     headers: Headers
     body: bytes
-    elapsed_ms: float
-    network_ms: float
-    version: int
-    attempts: int
+    elapsed_ms: SignedMilliseconds
+    network_ms: SignedMilliseconds
+    version: Integer
+    attempts: SmallInteger
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,9 +90,9 @@
         isolated itself.
     """
 
-    status: int = 0
+    status: Status = 0
     headers: Headers = ()
     body: bytes = b""
     unavailable: Unavailability | None = None
-    attempts_run: int = 0
-    helpers: tuple[str, ...] = ()
+    attempts_run: SmallInteger = 0
+    helpers: tuple[Address, ...] = ()
--- a/foxtailseam/front/_peer_requests.py
+++ b/foxtailseam/front/_peer_requests.py
@@ -88,7 +88,7 @@
         message.target,
         message.headers,
         message.body,
-        clock.monotonic() - message.elapsed_ms / 1000,
+        clock.monotonic() - max(0.0, message.elapsed_ms) / 1000,
         message.network_ms / 1000 + HOP_SECONDS,
     )
     context = ForwardContext(message.sender, message.attempts, decline)
--- a/foxtailseam/logs/_catalogue.py
+++ b/foxtailseam/logs/_catalogue.py
@@ -81,6 +81,7 @@
     FOLLOWING_LOST = (503, Severity.WARNING, "a relaying host sends no more updates")
     READING_STARTED = (504, Severity.INFO, "the host started to read the service")
     READING_STOPPED = (505, Severity.INFO, "the host stopped reading the service")
+    PEER_MESSAGE_REFUSED = (506, Severity.WARNING, "another host's message is invalid")
     QUARANTINED = (510, Severity.WARNING, "a request that crashes searchers is refused")
 
     def __init__(self, number: int, severity: Severity, meaning: str):
--- a/foxtailseam/platform/_configuration.py
+++ b/foxtailseam/platform/_configuration.py
@@ -28,9 +28,9 @@
     Name,
     PositiveByteCount,
     PositiveMilliseconds,
-    Sequence,
     SmallInteger,
     ValidationProblem,
+    WholeNumber,
     describe_value,
 )
 
@@ -90,7 +90,7 @@
 
 @dataclass(frozen=True)
 class _ConfigurationDocument:
-    version: Sequence
+    version: WholeNumber
     routes: tuple[_RouteDocument, ...] = ()
     services: tuple[_ServiceDocument, ...] = ()
     limits: _LimitsDocument = field(default_factory=_LimitsDocument)
--- a/foxtailseam/platform/_entries.py
+++ b/foxtailseam/platform/_entries.py
@@ -14,9 +14,9 @@
     DocumentDecoder,
     Name,
     PositiveCount,
-    Sequence,
     SignedMilliseconds,
     ValidationProblem,
+    WholeNumber,
     describe_value,
     shorten,
 )
@@ -43,8 +43,8 @@
     state: _State
     # How much longer the searcher is slow after its start; not enforced as a timeout.
     warmup_left_ms: SignedMilliseconds = 0
-    born: Sequence = 0
-    sequence: Sequence = 0
+    born: WholeNumber = 0
+    sequence: WholeNumber = 0
 
 
 _DECODER = DocumentDecoder(_EntryDocument, MAX_VALUE_BYTES)
--- a/foxtailseam/platform/_store.py
+++ b/foxtailseam/platform/_store.py
@@ -34,7 +34,7 @@
     WatchResult,
     second_greatest,
 )
-from foxtailseam.utils import DocumentDecoder, Sequence, shorten
+from foxtailseam.utils import DocumentDecoder, WholeNumber, shorten
 
 T = TypeVar("T")
 
@@ -63,7 +63,7 @@
 @dataclass(frozen=True)
 class _ItemDocument:
     key: str
-    revision: Sequence
+    revision: WholeNumber
     value: str = ""
     # Only in events: the key was removed at this revision.
     removed: bool = False
@@ -72,14 +72,14 @@
 @dataclass(frozen=True)
 class _Page:
     items: tuple[_ItemDocument, ...]
-    current_rev: Sequence
+    current_rev: WholeNumber
     has_more: bool = False
 
 
 @dataclass(frozen=True)
 class _Events:
     events: tuple[_ItemDocument, ...]
-    current_rev: Sequence
+    current_rev: WholeNumber
 
 
 _PAGE_DECODER = DocumentDecoder(_Page, MAX_RESPONSE_BYTES)
--- a/foxtailseam/quarantine/_controller.py
+++ b/foxtailseam/quarantine/_controller.py
@@ -12,6 +12,7 @@
     SuspicionEvent,
     SuspicionState,
 )
+from foxtailseam.utils import Integer, SignedWholeMilliseconds
 
 # Losses within this time after the first one count as the same loss.
 LOSS_MERGE_WINDOW = timedelta(seconds=1)
@@ -67,8 +68,8 @@
 
     fingerprint: str
     state: SuspicionState
-    remaining_ms: int
-    lost_alone: int
+    remaining_ms: SignedWholeMilliseconds
+    lost_alone: Integer
     stamp: HybridTimestamp
 
 
--- a/foxtailseam/utils/__init__.py
+++ b/foxtailseam/utils/__init__.py
@@ -16,11 +16,11 @@
     PositiveMilliseconds,
     PositiveSeconds,
     Seconds,
-    Sequence,
     SignedMilliseconds,
     SignedWholeMilliseconds,
     SmallInteger,
     WholeMilliseconds,
+    WholeNumber,
     is_address,
 )
 from foxtailseam.utils._decoding import (
@@ -50,7 +50,7 @@
     "PositiveMilliseconds",
     "PositiveSeconds",
     "Seconds",
-    "Sequence",
+    "WholeNumber",
     "SignedMilliseconds",
     "SignedWholeMilliseconds",
     "SmallInteger",
--- a/foxtailseam/utils/_bounded_types.py
+++ b/foxtailseam/utils/_bounded_types.py
@@ -28,7 +28,7 @@
 
 Integer = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 # Revisions, versions and eras.
-Sequence = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+WholeNumber = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
 SmallInteger = Annotated[int, Meta(ge=-(2**31), le=2**31 - 1)]
 Count = Annotated[int, Meta(ge=0, le=2**31 - 1)]
 PositiveCount = Annotated[int, Meta(ge=1, le=2**31 - 1)]
--- a/foxtailseam/utils/_decoding.py
+++ b/foxtailseam/utils/_decoding.py
@@ -78,6 +78,27 @@
         except Exception as error:
             return Err(self._problem(data, name, error))
 
+    def decode_or_raise(self, data: bytes, name: str) -> T:
+        """Return the value of a document, for callers that expect exceptions.
+
+        Parameters
+        ----------
+        data : bytes
+            Any bytes.
+        name : str
+            Name of the document, for the message.
+
+        Raises
+        ------
+        msgspec.DecodeError
+            If `decode` returns a problem.
+        """
+        match self.decode(data, name):
+            case Ok(value):
+                return value
+            case Err(problem):
+                raise msgspec.DecodeError(str(problem))
+
     def _problem(self, data: bytes, name: str, error: Exception) -> ValidationProblem:
         text, _, path = str(error).partition(_AT)
         path = path.rstrip("`")
