Keep a searcher whose address an entry of another writer names

An entry alone does not show that another searcher has ended. Each request names its searcher, and any other one at the address answers 421 without running it; that host then leaves the searcher alone for 10 s. So searchers with one address now stay side by side, in whatever order they are read, and one is removed for another only if it drains or has lapsed and started earlier. Its own entry ends it otherwise, as ever.

A request that was rejected with 421 three times was given up, which is right for overload, not for searchers that are not there: with three such entries of one service a host answered 503. They no longer count for that limit; the retry budget and the ejection bound them.

--- a/foxtailseam/catalogue/_catalogue.py
+++ b/foxtailseam/catalogue/_catalogue.py
@@ -98,8 +98,10 @@
     def upsert(self, entry: SearcherEntry) -> None:
         """Add a published entry, or replace that of the same searcher.
 
-        An address belongs to the searcher that started last: the entry is ignored if a
-        searcher that started later has the same address, else that searcher is removed.
+        Other searchers with the same address stay, since an entry alone does not show
+        that they have ended: each request names its searcher, and any other one at the
+        address rejects it without running it. Those that started earlier and drain or
+        have lapsed are removed.
         """
         self._removed.pop(entry.identifier, None)
         if self._lapsed.pop(entry.identifier, None) is not None:
@@ -108,12 +110,11 @@
             # Only the sequence may differ.
             self._entries[entry.identifier] = entry
             return
-        for other in self._others_with_address(entry):
-            # The address was reused: the searcher that started last owns it.
-            if other.started_ms > entry.started_ms:
-                return
-            self._remove(other.identifier)
         self._entries[entry.identifier] = entry
+        for other in self._others_with_address(entry):
+            is_ending = other.is_draining or other.identifier in self._lapsed
+            if is_ending and other.started_ms < entry.started_ms:
+                self._remove(other.identifier)
         self.listener.searcher_changed(entry)
 
     def mark_missing(self, identifier: str) -> None:
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -288,8 +288,10 @@
         if metadata.has_conditions or attempt.searcher.gate is not None:
             self.dispatcher.record_conditions(attempt.searcher, metadata)
         if metadata.not_run:
-            # A searcher that pauses is not asked again, so these rejections are few.
-            self._rejections += metadata.pause is None
+            # A searcher that pauses, and one at whose address another one is, are not
+            # asked again, so these rejections are few.
+            is_shed = metadata.pause is None and not metadata.is_misdirected
+            self._rejections += is_shed
             failure = (
                 AttemptFailure.MISDIRECTED
                 if metadata.is_misdirected
--- a/foxtailseam/front/tests/test_foreign_input.py
+++ b/foxtailseam/front/tests/test_foreign_input.py
@@ -134,6 +134,33 @@
 
         run_scenario(scenario)
 
+    def test_an_address_is_used_again_while_the_old_entry_is_there(self, run_scenario):
+        async def scenario(deployment):
+            hosts = await start_hosts(deployment)
+            searcher = deployment.searchers["i-single-x"]
+            # It ended without a word, and its address went to one of another service.
+            searcher.identifier = "i-new"
+            entry = searcher.entry("late")
+            entry["born"] += 1000
+            deployment.store.put("servers/i-new", entry)
+            deployment.configure(
+                single_route("read", "idempotent"),
+                single_route("book", "non_idempotent"),
+                single_route("late", "idempotent", service="late"),
+            )
+            for host in hosts:
+
+                async def is_in_force(host=host):
+                    return (await host.get("/late/x"))[0] == 200
+
+                await eventually(is_in_force, CONFIGURATION_SECONDS)
+            for _ in range(10):
+                await check_served(hosts, ["/read/x", "/book/x", "/late/x"])
+            paths = {target for _, target, _ in searcher.runs}
+            assert paths == {"/late/x"}
+
+        run_scenario(scenario)
+
     def test_an_odd_configuration_leaves_the_last_good_one_in_force(self, run_scenario):
         async def scenario(deployment):
             hosts = await start_hosts(deployment)
