Bound for how long another host's word on a searcher or request holds

A notice with an age below 0 lies in the future: the limit of a searcher then outdid all that its answers said for as long, and its leaving never expired and was passed on for ever. A pause, a quarantine or a grace period for lapsed entries of years was kept and passed on likewise. Each of these is within the bounds of its type, so that decoding alone cannot refuse it.

The test lets two hours pass less a moment of an exchange with such notices (the property and an example, which failed before), and checks the grace period in that of any update.

--- a/foxtailseam/catalogue/_catalogue.py
+++ b/foxtailseam/catalogue/_catalogue.py
@@ -148,8 +148,10 @@
     def extend_grace(self, grace: timedelta) -> None:
         """Keep searchers that lapse from now on at least until `grace` has passed.
 
-        If the current grace period ends later, it is not changed.
+        If the current grace period ends later, it is not changed. A grace period
+        longer than `OUTAGE_GRACE_PERIOD` counts as that.
         """
+        grace = min(grace, OUTAGE_GRACE_PERIOD)
         ends_at = self.clock.monotonic() + grace.total_seconds()
         self._grace_ends_at = max(self._grace_ends_at, ends_at)
 
--- a/foxtailseam/conditions/__init__.py
+++ b/foxtailseam/conditions/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from foxtailseam.conditions._model import (
+    MAX_PAUSE,
     Condition,
     Leaving,
     Pause,
@@ -22,6 +23,7 @@
 from foxtailseam.conditions._registry import ConditionRegistry
 
 __all__ = [
+    "MAX_PAUSE",
     "Condition",
     "ConditionNotices",
     "ConditionRegistry",
--- a/foxtailseam/conditions/_model.py
+++ b/foxtailseam/conditions/_model.py
@@ -1,6 +1,7 @@
 """Conditions of one searcher, and how two reports of them merge."""
 
 from dataclasses import dataclass, fields, replace
+from datetime import timedelta
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +82,8 @@
 LEAVING_RETENTION_SECONDS = 3600.0
 
 
+# Longest pause of a searcher that is believed; a longer one counts as this.
+MAX_PAUSE = timedelta(hours=1)
 # Lowest rate other than 0, in requests per second: the interval between two requests
 # can be computed.
 MIN_RATE = 1e-6
--- a/foxtailseam/conditions/_notices.py
+++ b/foxtailseam/conditions/_notices.py
@@ -10,6 +10,7 @@
 from msgspec import Meta
 
 from foxtailseam.conditions._model import (
+    MAX_PAUSE,
     Leaving,
     Pause,
     RateLimit,
@@ -48,7 +49,7 @@
 
     def to_conditions(self, now: float) -> SearcherConditions:
         """Return the conditions that the notice reports at a monotonic time."""
-        observed_at = now - self.age_ms / 1000 - RELAY_SECONDS
+        observed_at = now - max(0, self.age_ms) / 1000 - RELAY_SECONDS
         rate = None if self.limit is None else round_rate(self.limit)
         limit = RateLimit(rate, observed_at)
         return SearcherConditions(self.started_ms, rate_limit=limit)
@@ -74,7 +75,7 @@
 
     def to_conditions(self, now: float) -> SearcherConditions:
         """Return the conditions that the notice reports at a monotonic time."""
-        leaving = Leaving(now - self.age_ms / 1000)
+        leaving = Leaving(now - max(0, self.age_ms) / 1000)
         return SearcherConditions(self.started_ms, leaving=leaving)
 
 
@@ -98,7 +99,8 @@
 
     def to_conditions(self, now: float) -> SearcherConditions:
         """Return the conditions that the notice reports at a monotonic time."""
-        pause = Pause(now + self.remaining_ms / 1000 - RELAY_SECONDS)
+        seconds = min(self.remaining_ms / 1000, MAX_PAUSE.total_seconds())
+        pause = Pause(now + seconds - RELAY_SECONDS)
         return SearcherConditions(self.started_ms, peer_pause=pause)
 
 
--- a/foxtailseam/fleet/_membership.py
+++ b/foxtailseam/fleet/_membership.py
@@ -259,7 +259,7 @@
             if self._merge_record(item.record):
                 self._add_news(item.record.address)
             if item.is_suspected:
-                self._suspect(item.record, item.suspected_ms / 1000)
+                self._suspect(item.record, max(0, item.suspected_ms) / 1000)
 
     def mark_reached(self, record: HostRecord) -> None:
         """Merge the record that a host sent itself.
--- a/foxtailseam/fleet/tests/test_foreign_messages.py
+++ b/foxtailseam/fleet/tests/test_foreign_messages.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import zlib
+from dataclasses import replace
 from datetime import timedelta
 
 import msgspec
@@ -11,6 +12,7 @@
 from hypothesis import example, given
 
 from foxtailseam.catalogue import Catalogue
+from foxtailseam.catalogue._catalogue import OUTAGE_GRACE_PERIOD
 from foxtailseam.clocks import HybridTimestamp
 from foxtailseam.codecs import MessagePackCodec
 from foxtailseam.conditions import LeavingNotice, LimitNotice, PauseNotice
@@ -40,6 +42,8 @@
 from foxtailseam_bench.simulation import VirtualTime
 
 OWN_ADDRESS = "10.0.0.1:1"
+# What a searcher or request is said to be ends within this time.
+LONGEST_SECONDS = 3601.0
 RECORD = HostRecord("10.0.0.2:1", "d1", 100, 5, False, 2)
 EXCHANGE = MemberExchange(
     records=(RECORD, HostRecord("10.0.0.3:1", "d1", 100)),
@@ -95,6 +99,31 @@
         assert decoded(response, MemberExchange) is not None
         assert all(map(is_address, host.membership.addresses))
 
+    @EXAMPLES
+    @example(
+        msgspec.msgpack.encode(
+            replace(
+                EXCHANGE,
+                notices=(replace(EXCHANGE.notices[0], remaining_ms=10**12),),
+                limits=(LimitNotice("i-1", 100, 2.5, -(10**12)),),
+                leaving=(LeavingNotice("i-1", 100, -(10**12)),),
+                pauses=(PauseNotice("i-1", 100, 10**12),),
+            )
+        )
+    )
+    @given(message_pack_documents(EXCHANGE))
+    def test_nothing_that_an_exchange_says_of_searchers_lasts_for_ever(self, data):
+        message = decoded(data, MemberExchange)
+        if message is None:
+            return
+        host = gossip(OWN_ADDRESS)
+        with contextlib.suppress(*_rpc.CALL_ERRORS):
+            host.finish(message)
+        time = host.membership.clock
+        time.run_until(time.monotonic() + LONGEST_SECONDS)
+        assert not host.conditions.notices().all
+        assert not host.quarantine.notices()
+
     @EXAMPLES
     @given(message_pack_documents(UPDATE) | message_pack_documents(COMPRESSED_UPDATE))
     def test_any_update_can_be_applied(self, data):
@@ -108,6 +137,7 @@
         time = VirtualTime()
         catalogue = Catalogue(time, IgnoredEvents())
         catalogue.extend_grace(timedelta(milliseconds=update.grace_ms))
+        assert catalogue.remaining_grace <= OUTAGE_GRACE_PERIOD.total_seconds()
         replica = StoreReplica(lambda change: None)
         changes = [change.to_change(update.era) for change in update.changes]
         items = tuple(change for change in changes if isinstance(change, Item))
--- a/foxtailseam/platform/_headers.py
+++ b/foxtailseam/platform/_headers.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from foxtailseam.conditions import round_rate
+from foxtailseam.conditions import MAX_PAUSE, round_rate
 from foxtailseam.dispatch import MALFORMED_LIMIT, MALFORMED_PAUSE, AnswerMetadata
 from foxtailseam.http import Headers, HttpRequest, render_request_head, strip_hop_by_hop
 
@@ -27,8 +27,6 @@
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 _TRUE = b"1"
-# Longest pause of a searcher that is believed; a longer one counts as this.
-_MAX_PAUSE = timedelta(hours=1)
 # Greatest limit of a searcher that is believed, in requests per second.
 _MAX_RATE = 1e9
 _RETRY_AFTER_FORMAT = b"%.3f"
@@ -209,7 +207,7 @@
         return None
     if not value >= 0:
         return None
-    return timedelta(seconds=min(value, _MAX_PAUSE.total_seconds()))
+    return timedelta(seconds=min(value, MAX_PAUSE.total_seconds()))
 
 
 def _parse_milliseconds(text: bytes) -> timedelta | None:
--- a/foxtailseam/quarantine/_controller.py
+++ b/foxtailseam/quarantine/_controller.py
@@ -20,6 +20,8 @@
 MAX_LOSSES_ALONE = 2
 # Time after which a suspicion expires.
 SUSPICION_TTL = timedelta(minutes=10)
+# Longest time for which the notice of a peer is believed.
+MAX_TTL = timedelta(hours=1)
 # Time for which a clearance is remembered and sent to peers.
 CLEARED_TTL = timedelta(seconds=30)
 # Maximum number of records kept; the oldest one is dropped to make room.
@@ -236,7 +238,7 @@
         return tuple(notice for notice in notices if self._merge_notice(notice))
 
     def _merge_notice(self, notice: SuspicionNotice) -> bool:
-        remaining = timedelta(milliseconds=notice.remaining_ms)
+        remaining = min(timedelta(milliseconds=notice.remaining_ms), MAX_TTL)
         before = self.state(notice.fingerprint)
         record = self._records.get(notice.fingerprint)
         if before is SuspicionState.QUARANTINED or remaining <= timedelta():
