--- a/foxtailseam/conditions/__init__.py
+++ b/foxtailseam/conditions/__init__.py
@@ -6,11 +6,13 @@
 """
 
 from foxtailseam.conditions._model import (
+    MAX_PAUSE,
     Condition,
     Leaving,
     Pause,
     RateLimit,
     SearcherConditions,
+    round_rate,
 )
 from foxtailseam.conditions._notices import (
     ConditionNotices,
@@ -21,6 +23,7 @@
 from foxtailseam.conditions._registry import ConditionRegistry
 
 __all__ = [
+    "MAX_PAUSE",
     "Condition",
     "ConditionNotices",
     "ConditionRegistry",
@@ -31,4 +34,5 @@
     "PauseNotice",
     "RateLimit",
     "SearcherConditions",
+    "round_rate",
 ]
