Bound all that a searcher can send in response to one request, not only the body

Cause: UpstreamConnection bounded the body alone. Header fields were kept without a limit; an unfinished header line or reason phrase grows inside the parser, out of reach of its callbacks; trailers were added to the headers; interim responses, late responses of other requests and chunk extensions could go on for ever. Small chunks of a body were kept in a list, which takes a multiple of their size.

Change: the bytes of an exchange are counted as they are received, those of bodies are taken off; more than 128 KB of the rest (and 8 for each byte of the body, for small chunks), more than 1,024 header fields, 8 MB of the body, or 8 MB of bodies that belong to other requests end the exchange as too large. It may have run, so it is retried only where that is allowed. The parts of a body go into one buffer. A trailer is no header any more: it isn't to be merged into the headers (RFC 9110, 6.5.1).

--- a/foxtailseam/http/_upstream_connection.py
+++ b/foxtailseam/http/_upstream_connection.py
@@ -23,8 +23,15 @@
 # A connection is not reused this close to the server's idle timeout, because
 # the server could close it while the request is in transit.
 IDLE_MARGIN_SECONDS = 0.75
-# Limits the memory that a response of a faulty server can take.
+# Limits of what a faulty server can send in response to one request: the body; the
+# bodies of responses that belong to other requests, together; and all other bytes
+# (heads, trailers, chunk sizes and their extensions), together.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+MAX_FRAMING_BYTES = 128 * 1024
+# Small chunks need this many more bytes of framing for a byte of the body.
+MAX_FRAMING_PER_BODY_BYTE = 8
+# A field takes about 0.2 KB in addition to its bytes.
+MAX_HEADER_FIELDS = 1_024
 _FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUS = (204, 304)
 
@@ -65,8 +72,10 @@
     __slots__ = (
         "_body",
         "_body_size",
+        "_discarded_size",
         "_done",
         "_ends_at_close",
+        "_framing_size",
         "_headers",
         "_idle_seconds",
         "_idle_since",
@@ -112,7 +121,7 @@
         self._done: ResultCallback | None = None
         self._request_identifier = b""
         self._is_head = False
-        self._reset_response()
+        self._reset_exchange()
         self._socket = ClientSocket(
             self,
             settings.address,
@@ -165,7 +174,7 @@
         self._done = done
         if self._parser is None:
             self._parser = httptools.HttpResponseParser(self)
-        self._reset_response()
+        self._reset_exchange()
         self._socket.write(payload)
 
     def abort(self) -> None:
@@ -204,6 +213,7 @@
             # No request is in flight, so these bytes belong to none.
             self._close()
             return
+        self._framing_size += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -212,11 +222,11 @@
                 self._deliver(ExchangeFailure(FailureKind.MALFORMED, sent=True))
                 self._close()
                 return
-        if self._is_too_large:
+        if self._is_complete and not self._is_too_large:
+            self._complete_exchange()
+        elif self._exceeds_limits():
             self._deliver(ExchangeFailure(FailureKind.TOO_LARGE, sent=True))
             self._close()
-        elif self._is_complete:
-            self._complete_exchange()
 
     def on_end(self, error: OSError | None) -> None:
         """Fail a request in flight and close.
@@ -242,8 +252,8 @@
         self._reset_response()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a response header."""
-        if not self._is_complete:
+        """Store a response header; ignore a trailer."""
+        if not self._status:
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -274,10 +284,19 @@
         """Store a part of the body, up to `MAX_RESPONSE_BYTES` in total."""
         if self._is_complete:
             return
-        self._body_size += len(body)
-        self._is_too_large = self._body_size > MAX_RESPONSE_BYTES
-        if not self._is_too_large:
-            self._body.append(body)
+        size = len(body)
+        self._framing_size -= size
+        if self._is_discarded:
+            self._discarded_size += size
+            self._is_too_large = self._discarded_size > MAX_RESPONSE_BYTES
+            return
+        self._body_size += size
+        if self._body_size > MAX_RESPONSE_BYTES:
+            self._is_too_large = True
+        elif self._body_size == size:
+            self._body = body
+        else:
+            self._append(body)
 
     def on_message_complete(self) -> None:
         """Complete the response, or discard it and wait for the expected one."""
@@ -290,16 +309,41 @@
         if not self._parser.should_keep_alive():
             self._must_close = True
 
+    def _reset_exchange(self) -> None:
+        self._framing_size = 0
+        self._discarded_size = 0
+        self._is_too_large = False
+        self._reset_response()
+
     def _reset_response(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        # A buffer from the second part on: a list of small parts takes a multiple of
+        # their size.
+        self._body: bytes | bytearray = b""
         self._body_size = 0
         self._status = 0
         self._response_identifier: bytes | None = None
         self._is_complete = False
         self._is_discarded = False
         self._ends_at_close = False
-        self._is_too_large = False
+
+    def _append(self, body: bytes) -> None:
+        if isinstance(self._body, bytes):
+            self._body = bytearray(self._body)
+        self._body += body
+
+    def _exceeds_limits(self) -> bool:
+        """Return whether the server sent more than a response may take.
+
+        Bytes are counted as they are received, since the parser keeps an unfinished
+        header line to itself.
+        """
+        max_framing = MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_size
+        return (
+            self._is_too_large
+            or self._framing_size > max_framing
+            or len(self._headers) > MAX_HEADER_FIELDS
+        )
 
     def _matches_request(self) -> bool:
         if not self.identifier_header:
@@ -317,7 +361,7 @@
                 self._idle_seconds = float(text)
 
     def _build_response(self) -> HttpResponse:
-        return HttpResponse(self._status, tuple(self._headers), b"".join(self._body))
+        return HttpResponse(self._status, tuple(self._headers), bytes(self._body))
 
     def _complete_exchange(self) -> None:
         response = self._build_response()
