Bound what all connections of a host hold together

Cause: only the bodies of callers' requests had a bound in common. None had the headers of requests (eight of 16 KB wait on each of 1,950 connections), responses of searchers while they come in and until they are passed on, requests that a searcher doesn't read, and responses that a caller doesn't read: asyncio's transport keeps these without a limit, for as long as the caller acknowledges one byte now and then, and further requests on the connection were served meanwhile. An idle connection kept its last response. A query kept the whole parts of its shards, though it needs their digests.

Change: a BufferSpace for each kind, as a share of the host's memory limit. A response that doesn't come in one piece reserves space; the reservation goes with the response and ends when nothing refers to that, whatever way it went. Without space the exchange fails as BUFFER_FULL, which may have run, and counts as an error at the searcher, which never ejects one. A caller that doesn't read gets no further request served, a response for which there is no space is replaced by a 502, and after 30 s the connection is closed. Headers of requests count with 200 bytes a field. The share of the bodies goes from 0.25 to 0.15, since a copy of a body may wait at a searcher, too. Failed exchanges are freed at once: a closed connection drops its parser, which refers to it.

--- a/foxtailseam/dispatch/_attempt_results.py
+++ b/foxtailseam/dispatch/_attempt_results.py
@@ -12,6 +12,7 @@
     FailureKind.CLOSED: AttemptFailure.LOST,
     FailureKind.MALFORMED: AttemptFailure.ERROR,
     FailureKind.TOO_LARGE: AttemptFailure.ERROR,
+    FailureKind.BUFFER_FULL: AttemptFailure.ERROR,
     FailureKind.CANCELLED: AttemptFailure.LOST,
 }
 # Failures after which the searcher may have crashed.
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -112,11 +112,12 @@
         # Calls selected or started that have no result yet, in the order of starting.
         self._waiting: dict[ServiceCall, None] = {}
         self._hedged: set[ServiceCall] = set()
-        self._parts: dict[str, ServiceAnswer] = {}
+        # Digest of the part of each service; the parts themselves are not kept.
+        self._stamps: dict[str, bytes] = {}
         self._top_records = TopRecords(destination.top_k)
         self._part_times: list[float] = []
         self._started_at = times.started_at
-        self._failures: list[ServiceFailure] = []
+        self._failure_reasons: list[FailureReason] = []
         self._missed_goal = False
         self._is_at_goal = False
         self._is_over = False
@@ -124,7 +125,7 @@
     @property
     def included(self) -> int:
         """Return the number of shards that have delivered a part."""
-        return len(self._parts)
+        return len(self._stamps)
 
     def start(self) -> None:
         """Start the calls, or refuse if too few shards can be reached in time."""
@@ -209,7 +210,7 @@
         is_isolated : bool
             Whether open connections do not work either.
         """
-        reachable = len(self._parts)
+        reachable = len(self._stamps)
         if not is_isolated:
             reachable += sum([call.may_have_run for call in self._waiting])
         return reachable < self._min_shards
@@ -243,9 +244,9 @@
         The cause is the reason of the failure, ``deferred`` if the shard was not
         asked, or else ``pending``.
         """
-        causes = Counter(failure.reason.value for failure in self._failures)
+        causes = Counter(reason.value for reason in self._failure_reasons)
         causes["deferred"] = len(self._deferred)
-        missing = len(self.plans) - len(self._parts)
+        missing = len(self.plans) - len(self._stamps)
         causes["pending"] = missing - causes.total()
         return +causes
 
@@ -254,7 +255,7 @@
         return " ".join(
             _describe(call)
             for call in self._calls
-            if call.plan.service not in self._parts
+            if call.plan.service not in self._stamps
         )
 
     def _select_calls(self) -> dict[ServiceCall, Searcher | None]:
@@ -291,7 +292,7 @@
 
     def _is_proven_safe(self) -> bool:
         """Return whether a searcher has answered the query without crashing."""
-        return bool(self._parts)
+        return bool(self._stamps)
 
     def _may_start_more(self) -> bool:
         """Return whether further calls are unlikely to crash more searchers."""
@@ -310,7 +311,7 @@
     def _hedge(self) -> None:
         """Send the hedges that are due and schedule the next check."""
         now = self._now()
-        if not self._parts:
+        if not self._stamps:
             self._report_silence(now)
         next_at = self.times.late_answer_at
         # A query that missed its goal waits for more parts until `late_answer_at`.
@@ -354,32 +355,31 @@
         match result:
             case ServiceAnswer(stamp=stamp, response=response):
                 if response.status < _FIRST_FAILURE_STATUS and stamp:
-                    self._parts[call.plan.service] = result
+                    self._stamps[call.plan.service] = stamp
                     if not self._is_over:
                         self._top_records.add(response.body)
                     self._part_times.append(now - self._started_at)
-                    if len(self._parts) == 1 and not self._is_over:
+                    if len(self._stamps) == 1 and not self._is_over:
                         self._on_first_part()
                 else:
-                    failure = ServiceFailure(FailureReason.ERROR, True, response)
-                    self._failures.append(failure)
-            case ServiceFailure():
-                self._failures.append(result)
+                    self._failure_reasons.append(FailureReason.ERROR)
+            case ServiceFailure(reason=reason):
+                self._failure_reasons.append(reason)
         if not self._is_over and not self._must_wait(now):
             self._evaluate()
 
     def _must_wait(self, now: float) -> bool:
         """Return whether the query certainly has to wait for more answers."""
         return (
-            bool(self._parts and self._waiting)
-            and len(self._parts) + len(self._waiting) >= self._min_shards
+            bool(self._stamps and self._waiting)
+            and len(self._stamps) + len(self._waiting) >= self._min_shards
             and now < self.times.goal_at
         )
 
     def _evaluate(self) -> None:
         if self._is_over:
             return
-        lacking = self._min_shards - len(self._parts) - self._pending_count()
+        lacking = self._min_shards - len(self._stamps) - self._pending_count()
         if lacking > 0 and self._deferred and self._may_start_more():
             self._start_deferred(lacking)
             if self._is_over:
@@ -387,7 +387,7 @@
         times = self.times
         progress = QueryProgress(
             total=len(self.plans),
-            included=len(self._parts),
+            included=len(self._stamps),
             pending=self._pending_count(),
             min_included=self._min_shards,
             now=self._now(),
@@ -405,7 +405,7 @@
                 pass
 
     def _pending_count(self) -> int:
-        if self._parts:
+        if self._stamps:
             return len(self._waiting)
         if self.on_survived is not None:
             # The other calls start only after the first shard has answered.
@@ -418,16 +418,16 @@
         return len(self._waiting) if can_progress else 0
 
     def _answer(self) -> None:
-        parts = list(self._parts.values())
+        stamps = tuple(self._stamps.values())
         merged = MergedAnswer(
-            tuple([part.stamp for part in parts]),
-            len(self.plans) - len(parts),
+            stamps,
+            len(self.plans) - len(stamps),
             self._top_records.join(),
         )
         self._finish(merged)
 
     def _fail(self) -> None:
-        reasons = [failure.reason for failure in self._failures]
+        reasons = self._failure_reasons
         reason = max(
             dict.fromkeys(reasons), key=reasons.count, default=FailureReason.LOST
         )
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -32,6 +32,7 @@
 from foxtailseam.front._quarantine_guard import QuarantineGuard
 from foxtailseam.front._timing import TimingSettings
 from foxtailseam.http import (
+    BufferSpace,
     Call,
     ConnectionPool,
     HttpResponse,
@@ -74,10 +75,14 @@
 # connections; files, listeners and connections to searchers need the rest.
 CALLER_DESCRIPTOR_SHARE = 0.5
 RESERVED_DESCRIPTORS = 200
-# Fraction of the memory limit that buffered request bodies may take together, and those
-# of requests that other hosts have forwarded.
-BODY_MEMORY_SHARE = 0.25
+# Fractions of the memory limit that buffers may take: bodies and headers of callers'
+# requests, bodies of requests that other hosts have forwarded, requests and responses
+# on connections to searchers, and responses that callers have not read.
+BODY_MEMORY_SHARE = 0.15
+HEADER_MEMORY_SHARE = 0.1
 FORWARDED_BODY_MEMORY_SHARE = 0.05
+SEARCHER_MEMORY_SHARE = 0.15
+UNSENT_MEMORY_SHARE = 0.1
 MEGABYTE = 1_000_000
 
 # Time in which a host that starts together with all others waits for their copy of the
@@ -130,6 +135,8 @@
         self._generator = random.Random()
         loop = asyncio.get_running_loop()
         bounds = settings.bounds
+        memory = settings.limits.memory_mb * MEGABYTE
+        self._searcher_space = BufferSpace(int(memory * SEARCHER_MEMORY_SHARE))
         budget_settings = BudgetSettings(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
@@ -322,7 +329,7 @@
         settings = PoolSettings(
             address, limit, CONNECT_TIMEOUT, UNACKNOWLEDGED_TIMEOUT, REQUEST_ID_HEADER
         )
-        return ConnectionPool(settings, self.clock)
+        return ConnectionPool(settings, self.clock, self._searcher_space)
 
     def _run_maintenance(self) -> None:
         self.configuration_manager.catalogue.remove_expired()
@@ -381,6 +388,8 @@
             limits,
             connections=connections,
             buffered_bytes=int(memory * BODY_MEMORY_SHARE),
+            buffered_header_bytes=int(memory * HEADER_MEMORY_SHARE),
+            unsent_bytes=int(memory * UNSENT_MEMORY_SHARE),
         )
 
     def _on_service_state(self, state: FollowerState, reason: str) -> None:
@@ -419,7 +428,11 @@
         metrics.set("service_calls", self._store.calls)
         metrics.set("requests_in_flight", self.front.in_flight)
         metrics.set("processor_seconds", time.process_time())
-        metrics.set("buffered_body_bytes", self._caller_listener.buffered_bytes)
+        listener = self._caller_listener
+        metrics.set("buffered_body_bytes", listener.buffered_bytes)
+        metrics.set("buffered_header_bytes", listener.header_space.reserved)
+        metrics.set("unsent_response_bytes", listener.unsent_space.reserved)
+        metrics.set("buffered_searcher_bytes", self._searcher_space.reserved)
         for name, size in self.dispatcher.traffic.totals.items():
             metrics.set(f"bytes_{name}", size)
         metrics.set("searcher_contact_age_seconds", self.dispatcher.contacts.age)
--- a/foxtailseam/front/_responses.py
+++ b/foxtailseam/front/_responses.py
@@ -83,7 +83,9 @@
         """Return a searcher's response with the hop-by-hop headers removed."""
         response = result.response
         headers = forwarded_headers(response.headers)
-        return HttpResponse(response.status, headers, response.body)
+        return HttpResponse(
+            response.status, headers, response.body, response.reservation
+        )
 
     def failed(self, result: ServiceFailure | NotAnswered) -> HttpResponse:
         """Return the response to a request that failed.
@@ -105,7 +107,9 @@
                 # not run must not be passed on.
                 if status not in _NOT_RUN_STATUSES:
                     headers = forwarded_headers(response.headers)
-                    return HttpResponse(status, headers, response.body)
+                    return HttpResponse(
+                        status, headers, response.body, response.reservation
+                    )
         is_late = result.reason is FailureReason.DEADLINE
         status = GATEWAY_TIMEOUT if is_late else BAD_GATEWAY
         return HttpResponse(status, local_response_headers(self.identifier, None))
--- a/foxtailseam/http/__init__.py
+++ b/foxtailseam/http/__init__.py
@@ -5,6 +5,7 @@
 decision whether a connection may be reused.
 """
 
+from foxtailseam.http._buffer_space import BufferSpace
 from foxtailseam.http._call import Call, ForwardContext
 from foxtailseam.http._caller_connection import ListenerLimits
 from foxtailseam.http._listener import Listener
@@ -28,6 +29,7 @@
 from foxtailseam.http._upstream_connection import UpstreamConnection
 
 __all__ = [
+    "BufferSpace",
     "Call",
     "ConnectionPool",
     "ExchangeFailure",
--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -14,13 +14,21 @@
 import httptools
 
 from foxtailseam.clocks import Clock
+from foxtailseam.http._buffer_space import BufferSpace
 from foxtailseam.http._call import Call
-from foxtailseam.http._messages import HttpRequest, HttpResponse, render_response
+from foxtailseam.http._messages import (
+    HEADER_FIELD_BYTES,
+    HttpRequest,
+    HttpResponse,
+    render_response,
+)
 
 BAD_REQUEST = HttpResponse(400)
 REQUEST_TIMEOUT = HttpResponse(408)
 CONTENT_TOO_LARGE = HttpResponse(413)
 HEADER_TOO_LARGE_STATUS = 431
+# Sent in place of a response for which the buffers have no space.
+RESPONSE_DROPPED = HttpResponse(502)
 # By the time of the retry, the requests whose bodies fill the buffer should have
 # been answered.
 BUFFER_FULL = HttpResponse(503, ((b"Retry-After", b"1"),))
@@ -59,6 +67,14 @@
     buffered_bytes : int
         Maximum total size of the buffered bodies of all requests, in bytes; a
         request whose body exceeds it is rejected with status 503.
+    buffered_header_bytes : int
+        Maximum memory of the headers of all requests, in bytes; a request whose
+        header exceeds it is rejected with status 503.
+    unsent_bytes : int
+        Maximum total size of the responses that callers have not read yet, in bytes;
+        a response that exceeds it is replaced by a 502.
+    response_timeout : timedelta
+        Maximum time from a response to its last byte being sent.
     long_header_status : int
         Status code of the response to a header that is too large.
     """
@@ -70,6 +86,9 @@
     idle_timeout: timedelta = timedelta(seconds=15)
     connections: int = 1_000
     buffered_bytes: int = 64 * 1024 * 1024
+    buffered_header_bytes: int = 32 * 1024 * 1024
+    unsent_bytes: int = 32 * 1024 * 1024
+    response_timeout: timedelta = timedelta(seconds=30)
     long_header_status: int = HEADER_TOO_LARGE_STATUS
 
 
@@ -88,6 +107,9 @@
     handler: Callable[[Call], None]
     on_rejected: Callable[[int], None]
     is_draining: bool
+    # Space for the headers of requests and for responses that callers do not read.
+    header_space: BufferSpace
+    unsent_space: BufferSpace
 
     def reserve(self, size: int) -> bool:
         """Reserve `size` bytes of buffer space; return whether there were enough."""
@@ -125,6 +147,13 @@
         # Buffer space that this connection has reserved at the listener, in bytes.
         self._reserved_bytes = 0
         self._keep_alive_flags: deque[bool] = deque()
+        # Memory that the header of each request that is not answered takes, in bytes.
+        self._header_sizes: deque[int] = deque()
+        # Responses that the caller has not read, in bytes, and when the last one was
+        # written.
+        self._unsent_bytes = 0
+        self._written_at = 0.0
+        self._is_write_paused = False
         self._reset_request()
 
     @property
@@ -158,10 +187,11 @@
         """
         call, self._current_call = self._current_call, None
         self._release(len(call.request.body))
+        self.listener.header_space.reserve(-self._header_sizes.popleft())
         keep_alive = self._keep_alive_flags.popleft()
         close = not keep_alive or self.listener.is_draining
         is_head = call.request.method == b"HEAD"
-        self._transport.write(render_response(response, close, is_head))
+        self._write(response, close, is_head)
         if close:
             self._transport.close()
             return
@@ -182,6 +212,12 @@
             Current monotonic time of the listener's clock, in seconds.
         """
         limits = self.listener.limits
+        if self._unsent_bytes:
+            self._count_unsent()
+            waited = timedelta(seconds=now - self._written_at)
+            if self._unsent_bytes and waited > limits.response_timeout:
+                self._transport.abort()
+                return
         elapsed = timedelta(seconds=now - self._phase_since)
         if self._phase is _Phase.IDLE:
             if self.is_idle and elapsed > limits.idle_timeout:
@@ -223,10 +259,23 @@
         except httptools.HttpParserError:
             self._reject(BAD_REQUEST)
         else:
+            if self._phase is _Phase.HEADER:
+                self._reserve_header(self._received_header_bytes)
             self._check_limits()
         if len(self._queued_requests) >= MAX_QUEUED_REQUESTS:
             self._transport.pause_reading()
 
+    def pause_writing(self) -> None:
+        """Serve no further request until the caller reads."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Serve the next request."""
+        self._is_write_paused = False
+        self._count_unsent()
+        if not self._transport.is_closing():
+            self._serve_next()
+
     def eof_received(self) -> bool:
         """Close the connection: a half-close counts as a disconnect."""
         return False
@@ -235,6 +284,12 @@
         """Release the buffers, drop queued requests and cancel the current one."""
         self.listener.closed(self)
         self._release(self._reserved_bytes)
+        header_sizes = self._header_size + sum(self._header_sizes)
+        self.listener.header_space.reserve(-header_sizes)
+        self._header_size = 0
+        self._header_sizes.clear()
+        self.listener.unsent_space.reserve(-self._unsent_bytes)
+        self._unsent_bytes = 0
         self._queued_requests.clear()
         self._phase = _Phase.FAILED
         call, self._current_call = self._current_call, None
@@ -271,6 +326,7 @@
         if self._phase is _Phase.FAILED:
             return
         self._enter_phase(_Phase.BODY)
+        self._reserve_header(self._parsed_header_bytes + len(self._target))
         host_headers = 0
         expects_continue = False
         for name, value in self._headers:
@@ -316,6 +372,8 @@
             self._arrived_at,
             self._network_delay(),
         )
+        self._header_sizes.append(self._header_size)
+        self._header_size = 0
         self._keep_alive_flags.append(self._parser.should_keep_alive())
         self._queued_requests.append(request)
         self._serve_next()
@@ -333,6 +391,7 @@
         self._body: list[bytes] = []
         self._received_header_bytes = 0
         self._parsed_header_bytes = 0
+        self._header_size = 0
         self._body_size = 0
         self._is_body_too_large = False
         self._is_buffer_full = False
@@ -358,12 +417,35 @@
         elif self._is_buffer_full:
             self._reject(BUFFER_FULL)
 
+    def _reserve_header(self, size: int) -> None:
+        """Reserve the memory for the header of which `size` bytes were received."""
+        size += HEADER_FIELD_BYTES * len(self._headers)
+        if self.listener.header_space.reserve(size - self._header_size):
+            self._header_size = size
+        else:
+            self._is_buffer_full = True
+
+    def _write(self, response: HttpResponse, close: bool, is_head: bool) -> None:
+        space = self.listener.unsent_space
+        if len(response.body) > space.available:
+            response = RESPONSE_DROPPED
+            self.listener.on_rejected(response.status)
+        self._transport.write(render_response(response, close, is_head))
+        if self._transport.get_write_buffer_size() or self._unsent_bytes:
+            self._written_at = self.listener.clock.monotonic()
+            self._count_unsent()
+
+    def _count_unsent(self) -> None:
+        size = self._transport.get_write_buffer_size()
+        self.listener.unsent_space.reserve(size - self._unsent_bytes, is_forced=True)
+        self._unsent_bytes = size
+
     def _release(self, size: int) -> None:
         self._reserved_bytes -= size
         self.listener.release(size)
 
     def _serve_next(self) -> None:
-        if self._current_call is not None:
+        if self._current_call is not None or self._is_write_paused:
             return
         if self._queued_requests:
             self._current_call = Call(self._queued_requests.popleft(), self)
--- a/foxtailseam/http/_client_socket.py
+++ b/foxtailseam/http/_client_socket.py
@@ -29,6 +29,9 @@
     def on_data(self, data: bytes) -> None:
         """Called with received bytes."""
 
+    def on_written(self) -> None:
+        """Called when all bytes are sent that did not fit when they were written."""
+
     def on_end(self, error: OSError | None) -> None:
         """Called when the server has closed (None) or broken the connection.
 
@@ -98,12 +101,16 @@
         except (BlockingIOError, InterruptedError):
             sent = 0
         except OSError as error:
-            self._loop.call_soon(self._end, error)
+            self.fail(error)
             return
         if sent < len(payload):
             self._buffer += memoryview(payload)[sent:]
             self._loop.add_writer(self._socket.fileno(), self._on_writable)
 
+    def fail(self, error: OSError) -> None:
+        """Report to the owner soon that the connection is broken."""
+        self._loop.call_soon(self._end, error)
+
     def close(self) -> None:
         """Close at once and drop unsent bytes; no event follows."""
         self._timer.cancel()
@@ -169,6 +176,7 @@
         del self._buffer[:sent]
         if not self._buffer:
             self._loop.remove_writer(self._socket.fileno())
+            self._owner.on_written()
 
     def _end(self, error: OSError | None) -> None:
         if self.is_open:
--- a/foxtailseam/http/_listener.py
+++ b/foxtailseam/http/_listener.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from foxtailseam.clocks import Clock
+from foxtailseam.http._buffer_space import BufferSpace
 from foxtailseam.http._call import Call
 from foxtailseam.http._caller_connection import CallerConnection, ListenerLimits
 from foxtailseam.launch import BACKLOG, open_listener
@@ -37,6 +38,8 @@
         self.handler = handler
         self.clock = clock
         self.on_rejected = on_rejected
+        self.header_space = BufferSpace()
+        self.unsent_space = BufferSpace()
         self.limits = ListenerLimits()
         self._connections: set[CallerConnection] = set()
         self._socket: socket.socket | None = None
@@ -45,6 +48,17 @@
         self._is_draining = False
         self._buffered_bytes = 0
 
+    @property
+    def limits(self) -> ListenerLimits:
+        """Return the size limits and timeouts."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: ListenerLimits) -> None:
+        self._limits = limits
+        self.header_space.limit = limits.buffered_header_bytes
+        self.unsent_space.limit = limits.unsent_bytes
+
     @property
     def is_draining(self) -> bool:
         """Return whether each connection closes after its next response."""
--- a/foxtailseam/http/_messages.py
+++ b/foxtailseam/http/_messages.py
@@ -1,10 +1,15 @@
 """HTTP requests and responses, and their serialization to HTTP/1.1."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 
+from foxtailseam.http._buffer_space import Reservation
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
+# Memory that a header field takes in addition to its name and value.
+HEADER_FIELD_BYTES = 200
+
 # Headers that are not forwarded: those that apply to a single connection (RFC 9110,
 # section 7.6.1), Content-Length, which is set anew, and Expect, which is answered here.
 _HOP_BY_HOP = frozenset(
@@ -78,11 +83,14 @@
         Connection, which `render_response` adds.
     body : bytes
         Complete body.
+    reservation : Reservation or None
+        Buffer space that a received response takes; None if it needs none.
     """
 
     status: int
     headers: Headers = ()
     body: bytes = b""
+    reservation: Reservation | None = field(default=None, compare=False, repr=False)
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
--- a/foxtailseam/http/_pool.py
+++ b/foxtailseam/http/_pool.py
@@ -9,6 +9,7 @@
 from functools import partial
 
 from foxtailseam.clocks import Clock
+from foxtailseam.http._buffer_space import BufferSpace
 from foxtailseam.http._pool_settings import PoolSettings
 from foxtailseam.http._results import ExchangeFailure, ExchangeResult, FailureKind
 from foxtailseam.http._upstream_connection import (
@@ -99,11 +100,17 @@
         Address, limits and timeouts.
     clock : Clock
         Clock that provides monotonic time in seconds.
+    space : BufferSpace or None
+        Space that requests and responses may take, shared by several pools; None for
+        no bound.
     """
 
-    def __init__(self, settings: PoolSettings, clock: Clock):
+    def __init__(
+        self, settings: PoolSettings, clock: Clock, space: BufferSpace | None = None
+    ):
         self.settings = settings
         self.clock = clock
+        self.space = space or BufferSpace()
         self.opened_connections = 0
         self._limit = settings.limit
         # All connections, those being opened included.
@@ -282,6 +289,7 @@
             self._on_connection_state,
             self._on_opened,
             timeout,
+            self.space,
         )
         self._connections.add(connection)
         self._openings[connection] = on_opened
--- a/foxtailseam/http/_results.py
+++ b/foxtailseam/http/_results.py
@@ -16,6 +16,8 @@
     CLOSED = "closed"
     MALFORMED = "malformed"
     TOO_LARGE = "too-large"
+    # The buffers of this process have no space left for it.
+    BUFFER_FULL = "buffer-full"
     CANCELLED = "cancelled"
 
 
--- a/foxtailseam/http/_upstream_connection.py
+++ b/foxtailseam/http/_upstream_connection.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client connection to an upstream server, without pipelining."""
 
+import errno
 from collections.abc import Callable
 from datetime import timedelta
 from enum import Enum, auto
@@ -7,8 +8,9 @@
 import httptools
 
 from foxtailseam.clocks import Clock
+from foxtailseam.http._buffer_space import BufferSpace, Reservation
 from foxtailseam.http._client_socket import ClientSocket
-from foxtailseam.http._messages import HttpResponse
+from foxtailseam.http._messages import HEADER_FIELD_BYTES, HttpResponse
 from foxtailseam.http._pool_settings import PoolSettings
 from foxtailseam.http._results import (
     ExchangeFailure,
@@ -30,7 +32,6 @@
 MAX_FRAMING_BYTES = 128 * 1024
 # Small chunks need this many more bytes of framing for a byte of the body.
 MAX_FRAMING_PER_BODY_BYTE = 8
-# A field takes about 0.2 KB in addition to its bytes.
 MAX_HEADER_FIELDS = 1_024
 _FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUS = (204, 304)
@@ -67,6 +68,9 @@
         failure if it cannot be opened.
     connect_timeout : timedelta
         Maximum time to open the connection.
+    space : BufferSpace
+        Space for requests that the server does not read and for responses that come
+        in several parts.
     """
 
     __slots__ = (
@@ -88,6 +92,7 @@
         "_must_close",
         "_parser",
         "_request_identifier",
+        "_reservation",
         "_response_identifier",
         "_socket",
         "_state",
@@ -96,6 +101,7 @@
         "identifier_header",
         "on_change",
         "on_opened",
+        "space",
     )
 
     def __init__(
@@ -105,8 +111,10 @@
         on_change: Callable[["UpstreamConnection"], None],
         on_opened: Callable[["UpstreamConnection", FailureKind | None], None],
         connect_timeout: timedelta,
+        space: BufferSpace,
     ):
         self.clock = clock
+        self.space = space
         self.identifier_header = settings.identifier_header
         self.on_change = on_change
         self.on_opened = on_opened
@@ -174,8 +182,9 @@
         self._done = done
         if self._parser is None:
             self._parser = httptools.HttpResponseParser(self)
-        self._reset_exchange()
         self._socket.write(payload)
+        if self._socket.unsent_bytes and not self._reserve():
+            self._socket.fail(OSError(errno.ENOBUFS, "no buffer space"))
 
     def abort(self) -> None:
         """Close immediately; a request in flight fails as cancelled."""
@@ -227,6 +236,14 @@
         elif self._exceeds_limits():
             self._deliver(ExchangeFailure(FailureKind.TOO_LARGE, sent=True))
             self._close()
+        elif not self._reserve():
+            self._deliver(ExchangeFailure(FailureKind.BUFFER_FULL, sent=True))
+            self._close()
+
+    def on_written(self) -> None:
+        """Release the buffer space of the request."""
+        if self._reservation is not None:
+            self._reserve()
 
     def on_end(self, error: OSError | None) -> None:
         """Fail a request in flight and close.
@@ -235,7 +252,9 @@
         server closed the connection without an error.
         """
         if error is not None:
-            self._deliver(ExchangeFailure(FailureKind.RESET, sent=True))
+            is_full = error.errno == errno.ENOBUFS
+            kind = FailureKind.BUFFER_FULL if is_full else FailureKind.RESET
+            self._deliver(ExchangeFailure(kind, sent=True))
         elif self._ends_at_close and not self._is_discarded:
             self._deliver(Received(self._build_response()))
         else:
@@ -245,11 +264,9 @@
     # httptools callbacks
 
     def on_message_begin(self) -> None:
-        """Prepare for a response; one after the complete response is an error."""
+        """Note a response after the complete one, which is an error."""
         if self._is_complete:
             self._must_close = True
-            return
-        self._reset_response()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a response header; ignore a trailer."""
@@ -313,6 +330,7 @@
         self._framing_size = 0
         self._discarded_size = 0
         self._is_too_large = False
+        self._reservation: Reservation | None = None
         self._reset_response()
 
     def _reset_response(self) -> None:
@@ -345,6 +363,15 @@
             or len(self._headers) > MAX_HEADER_FIELDS
         )
 
+    def _reserve(self) -> bool:
+        """Reserve space for what is unsent or unfinished; return whether it fits."""
+        if self._reservation is None:
+            self._reservation = Reservation(self.space)
+        size = self._socket.unsent_bytes + self._body_size
+        size += min(self._framing_size, MAX_FRAMING_BYTES)
+        size += HEADER_FIELD_BYTES * len(self._headers)
+        return self._reservation.resize(size)
+
     def _matches_request(self) -> bool:
         if not self.identifier_header:
             return True
@@ -361,7 +388,11 @@
                 self._idle_seconds = float(text)
 
     def _build_response(self) -> HttpResponse:
-        return HttpResponse(self._status, tuple(self._headers), bytes(self._body))
+        if self._reservation is not None:
+            self._reserve()
+        return HttpResponse(
+            self._status, tuple(self._headers), bytes(self._body), self._reservation
+        )
 
     def _complete_exchange(self) -> None:
         response = self._build_response()
@@ -369,6 +400,7 @@
             # The server would parse the unsent rest of the request body as the
             # next request.
             self._must_close = True
+        self._reset_exchange()
         done, self._done = self._done, None
         if self._must_close or self._is_retired:
             self._close()
@@ -388,4 +420,8 @@
             return
         self._state = ConnectionState.CLOSED
         self._socket.close()
+        # The parser refers to this connection: without it the connection is freed as
+        # soon as nobody uses it any more.
+        self._parser = None
+        self._reset_exchange()
         self.on_change(self)
--- a/foxtailseam/http/tests/test_listener.py
+++ b/foxtailseam/http/tests/test_listener.py
@@ -346,6 +346,91 @@
         )
         assert [call.request.target for call in handler.calls] == [b"/1", b"/2"]
 
+    def test_headers_over_the_buffer_limit_get_503(self):
+        async def scenario(_reader, writer, handler, listener):
+            request = b"GET /%d HTTP/1.1\r\n" + HOST_HEADER + b"\r\n"
+            writer.write(request % 1 + request % 2)
+            while len(handler.calls) < 1 or listener.header_space.reserved < 400:
+                await asyncio.sleep(0.01)
+            reserved = listener.header_space.reserved
+            second_reader, second_writer = await asyncio.open_connection(
+                "127.0.0.1", peer_port(writer)
+            )
+            # Enough without its end.
+            second_writer.write(b"GET /3 HTTP/1.1\r\n" + HOST_HEADER * 2)
+            response = await read_all(second_reader)
+            assert response.startswith(b"HTTP/1.1 503 ")
+            second_writer.close()
+            handler.calls[0].respond(HttpResponse(200))
+            assert listener.header_space.reserved == reserved / 2
+            writer.close()
+            while listener.header_space.reserved:
+                await asyncio.sleep(0.01)
+
+        handler = run(
+            scenario, is_manual=True, limits=replace(LIMITS, buffered_header_bytes=600)
+        )
+        assert [call.request.target for call in handler.calls] == [b"/1", b"/2"]
+
+
+class TestCallersThatDoNotRead:
+    # More than the kernel takes on a connection.
+    BODY = b"b" * 12_000_000
+    REQUEST = b"GET / HTTP/1.1\r\n" + HOST_HEADER + b"\r\n"
+
+    def test_no_further_request_is_served_until_the_response_is_read(self):
+        async def scenario(reader, writer, handler, listener):
+            writer.write(self.REQUEST * 6)
+            while not handler.calls:
+                await asyncio.sleep(0.01)
+            handler.calls[0].respond(HttpResponse(200, (), self.BODY))
+            await asyncio.sleep(0.1)
+            assert len(handler.calls) == 1
+            assert 0 < listener.unsent_space.reserved < len(self.BODY)
+            await reader.readexactly(len(self.BODY))
+            while len(handler.calls) < 2:
+                await asyncio.sleep(0.01)
+            while listener.unsent_space.reserved:
+                await asyncio.sleep(0.01)
+
+        run(scenario, is_manual=True)
+
+    def test_a_response_without_space_is_replaced_by_502(self):
+        async def scenario(_reader, writer, handler, listener):
+            writer.write(self.REQUEST)
+            second_reader, second_writer = await asyncio.open_connection(
+                "127.0.0.1", peer_port(writer)
+            )
+            second_writer.write(self.REQUEST)
+            while len(handler.calls) < 2:
+                await asyncio.sleep(0.01)
+            for call in handler.calls:
+                call.respond(HttpResponse(200, (), self.BODY))
+            response = await second_reader.readuntil(b"\r\n\r\n")
+            assert response.startswith(b"HTTP/1.1 502 ")
+            writer.transport.abort()
+            while listener.unsent_space.reserved:
+                await asyncio.sleep(0.01)
+            second_writer.close()
+
+        limits = replace(LIMITS, unsent_bytes=len(self.BODY))
+        run(scenario, is_manual=True, limits=limits)
+
+    def test_the_connection_is_closed_after_the_response_timeout(self):
+        async def scenario(reader, writer, handler, listener):
+            writer.write(self.REQUEST)
+            while not handler.calls:
+                await asyncio.sleep(0.01)
+            handler.calls[0].respond(HttpResponse(200, (), self.BODY))
+            while listener.unsent_space.reserved:
+                await asyncio.sleep(0.01)
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await reader.readexactly(len(self.BODY))
+
+        timeout = timedelta(milliseconds=300)
+        limits = replace(LIMITS, response_timeout=timeout)
+        run(scenario, is_manual=True, limits=limits)
+
 
 def peer_port(writer):
     return writer.get_extra_info("peername")[1]
