Let each pass over waiting requests end, whatever gates and requests do

Cause: Dispatcher.admit_waiting emptied the queue with `while queue.admit_next()`. A token of a rate limit came back meanwhile, the searcher was open again but without capacity, and each request put itself back into the queue that the loop was emptying. Besides, an abandoned attempt started a pass from within another query's end, so that refusals of many waiting queries nested: RecursionError with 400 queries over two services.

Change: WaitingRequests owns the queues. A pass takes those that wait at its beginning, each at most once; what is added meanwhile waits for the next one. Passes do not nest: one that is asked for during another, or by an abandoned attempt, follows in a later turn of the event loop.

Other loops whose end depends on callbacks or clocks, read one by one: - dispatch/_health._median_ratio, _budget._current_bucket: stop at the entry of this moment, which was appended before. - searchers/_slots._assign_slots: each turn removes the first request or returns. - searchers/_dispatcher.submit: each turn excludes one more searcher; _wait_for_answer: waits in each turn, until the deadline, and hedges are at least MIN_HEDGE_DELAY apart. - http/_pool._discard_expired: each turn removes a connection. - http/_listener._close_server: until the kernel's queue is empty.

--- a/foxtailseam/dispatch/_attempt_sender.py
+++ b/foxtailseam/dispatch/_attempt_sender.py
@@ -148,4 +148,4 @@
             self._record_failure(attempt, AttemptFailure.NO_RESPONSE)
             self.dispatcher.contacts.record_silence(attempt.searcher.identifier)
         attempt.exchange.cancel()
-        self.dispatcher.admit_waiting(self.plan.service)
+        self.dispatcher.waiting.admit_soon(self.plan.service)
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -231,8 +231,8 @@
         if not self._has_untried_searcher():
             self._fail_without_searcher()
             return
-        self._wait_entry = dispatcher.wait_queue(plan.service).add(
-            plan.route.priority, plan.deadline_at, self._on_admitted
+        self._wait_entry = dispatcher.waiting.add(
+            plan.service, plan.route.priority, plan.deadline_at, self._on_admitted
         )
 
     def _on_admitted(self) -> None:
@@ -267,7 +267,7 @@
                 else:
                     self._on_failure(is_unsent=not sent)
         self._release_callbacks()
-        self.dispatcher.admit_waiting(self.plan.service)
+        self.dispatcher.waiting.admit(self.plan.service)
 
     def _release_callbacks(self) -> None:
         """Drop the callbacks of a call that has ended.
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -14,7 +14,8 @@
 from foxtailseam.dispatch._searcher_selection import Candidate, choose_searcher
 from foxtailseam.dispatch._shard_selection import ShardEstimate
 from foxtailseam.dispatch._traffic import TrafficCounter
-from foxtailseam.dispatch._wait_queue import WaitQueue, expected_wait
+from foxtailseam.dispatch._wait_queue import expected_wait
+from foxtailseam.dispatch._waiting_requests import WaitingRequests
 from foxtailseam.dispatch._wire_format import AnswerMetadata, AnswerReader
 from foxtailseam.http import HttpRequest
 from foxtailseam.metrics import Metrics
@@ -26,8 +27,6 @@
 MIN_CONNECTIONS = 2
 # Number of hosts assumed until the actual number is known.
 ASSUMED_HOSTS = 8
-# Maximum number of waiting requests admitted each time a request ends.
-MAX_ADMISSIONS = 4
 
 
 class Dispatcher:
@@ -86,7 +85,9 @@
         self.traffic = TrafficCounter(failure_domain)
         # When this host may send to the searchers that have reported conditions.
         self.gates = SearcherGates(clock, generator, self._find_searcher)
-        self.gates.on_gate_change = self.admit_waiting
+        # Requests that wait for a searcher.
+        self.waiting = WaitingRequests(self, timers)
+        self.gates.on_gate_change = self.waiting.admit
         self._hosts = ASSUMED_HOSTS
         self._searchers: dict[str, Searcher] = {}
         self._by_service: dict[str, dict[str, Searcher]] = {}
@@ -94,7 +95,6 @@
         self._usable: dict[str, tuple[Searcher, ...]] = {}
         self._max_connections: dict[str, int] = {}
         self._budgets: dict[str, ExtraLoadBudget] = {}
-        self._wait_queues: dict[str, WaitQueue] = {}
         self._response_times: dict[str, ResponseTimes] = {}
 
     @property
@@ -140,7 +140,7 @@
             searchers = self._by_service.setdefault(entry.service, {})
             searchers[entry.identifier] = searcher
             self.gates.update(searcher)
-        self.admit_waiting(entry.service)
+        self.waiting.admit(entry.service)
 
     def set_lapsed(self, identifier: str, is_lapsed: bool) -> None:
         """Mark a searcher whose published entry is missing, or clear the mark.
@@ -340,7 +340,7 @@
         if metadata.pause is not None and searcher.gate is not None:
             delay = searcher.gate.pause_ends_at - self.clock.monotonic()
             service = searcher.entry.service
-            self.timers.call_later(max(0.0, delay), self.admit_waiting, service)
+            self.timers.call_later(max(0.0, delay), self.waiting.admit, service)
 
     def _find_searcher(self, identifier: str) -> Searcher | None:
         return self._searchers.get(identifier)
@@ -353,10 +353,6 @@
             self._budgets[service] = budget
         return budget
 
-    def wait_queue(self, service: str) -> WaitQueue:
-        """Return the queue of requests waiting for a searcher of a service."""
-        return self._wait_queues.setdefault(service, WaitQueue())
-
     def response_times(self, route: Route) -> ResponseTimes:
         """Return the response time statistics of a route."""
         times = self._response_times.get(route.name)
@@ -377,33 +373,12 @@
         deadline_at : float
             Deadline of the request on the monotonic clock, in seconds.
         """
-        queue = self._wait_queues.get(service)
-        ahead = queue.count_ahead(route.priority, deadline_at) if queue else 0
+        ahead = self.waiting.count_ahead(service, route.priority, deadline_at)
         if not ahead:
             return 0.0
         slots = sum(searcher.entry.slots for searcher in self.open_searchers(service))
         return expected_wait(ahead, slots, self.response_times(route).median)
 
-    def admit_waiting(self, service: str) -> None:
-        """Admit waiting requests of a service while a searcher has spare capacity.
-
-        All are admitted, to be refused, if no searcher is open.
-        """
-        queue = self._wait_queues.get(service)
-        if not queue:
-            return
-        if self.usable_searchers(service) and not self.open_searchers(service):
-            while queue.admit_next():
-                pass
-            return
-        # Bounded because a request that has already tried every searcher with
-        # spare capacity is queued again at once.
-        for _ in range(MAX_ADMISSIONS):
-            if not any(item.has_capacity for item in self.open_searchers(service)):
-                return
-            if not queue.admit_next():
-                return
-
     def _connection_limit(self, service: str) -> int:
         max_connections = self._max_connections.get(service, 0)
         if not max_connections:
--- a/foxtailseam/dispatch/_wait_queue.py
+++ b/foxtailseam/dispatch/_wait_queue.py
@@ -2,7 +2,7 @@
 
 import heapq
 from collections.abc import Callable
-from itertools import count
+from itertools import chain, count
 
 # Bounds of the retry delay given to a refused caller, in seconds.
 MIN_RETRY_AFTER = 0.05
@@ -42,16 +42,23 @@
             on_admitted()
 
 
+# Priority, deadline, sequence number and entry.
+_HeapItem = tuple[int, float, int, WaitEntry]
+
+
 class WaitQueue:
     """Priority queue of requests, ordered by priority, deadline and arrival."""
 
     def __init__(self):
-        self._heap: list[tuple[int, float, int, WaitEntry]] = []
+        self._heap: list[_HeapItem] = []
+        # Entries added during a pass, which does not admit them.
+        self._added_in_pass: list[_HeapItem] = []
+        self._is_in_pass = False
         self._sequence = count()
 
     def __bool__(self) -> bool:
         """Return whether there are entries, withdrawn ones included."""
-        return bool(self._heap)
+        return bool(self._heap or self._added_in_pass)
 
     def add(
         self, priority: int, deadline_at: float, on_admitted: Callable[[], None]
@@ -73,17 +80,46 @@
             Entry by which the request can be withdrawn.
         """
         entry = WaitEntry(on_admitted)
-        heapq.heappush(self._heap, (priority, deadline_at, next(self._sequence), entry))
+        item = (priority, deadline_at, next(self._sequence), entry)
+        if self._is_in_pass:
+            self._added_in_pass.append(item)
+        else:
+            heapq.heappush(self._heap, item)
         return entry
 
-    def admit_next(self) -> bool:
-        """Admit the first waiting request; return whether there was one."""
-        while self._heap:
-            entry = heapq.heappop(self._heap)[-1]
-            if entry.is_waiting:
+    def admit(self, may_admit: Callable[[], bool], max_requests: float) -> None:
+        """Admit waiting requests in order, each at most once, while `may_admit`.
+
+        Requests that are added meanwhile wait for the next pass, so a pass ends
+        whatever the callbacks do. A pass within a pass does nothing.
+
+        Parameters
+        ----------
+        may_admit : callable
+            Returns whether another request may be admitted.
+        max_requests : float
+            Maximum number of requests to admit; may be infinite.
+        """
+        if self._is_in_pass:
+            return
+        self._is_in_pass = True
+        admitted = 0
+        try:
+            while self._heap and admitted < max_requests and may_admit():
+                entry = heapq.heappop(self._heap)[-1]
+                admitted += entry.is_waiting
                 entry.admit()
-                return True
-        return False
+        finally:
+            self._is_in_pass = False
+            added, self._added_in_pass = self._added_in_pass, []
+            for item in added:
+                heapq.heappush(self._heap, item)
+
+    def discard_withdrawn(self) -> None:
+        """Remove the entries that were withdrawn."""
+        if not self._is_in_pass:
+            self._heap = [item for item in self._heap if item[-1].is_waiting]
+            heapq.heapify(self._heap)
 
     def count_ahead(self, priority: int, deadline_at: float) -> int:
         """Return the number of requests that would be admitted before a new one.
@@ -98,7 +134,9 @@
         return sum(
             entry.is_waiting
             and (other_priority, other_deadline_at) <= (priority, deadline_at)
-            for other_priority, other_deadline_at, _, entry in self._heap
+            for other_priority, other_deadline_at, _, entry in chain(
+                self._heap, self._added_in_pass
+            )
         )
 
 
--- a/foxtailseam/dispatch/tests/test_decisions.py
+++ b/foxtailseam/dispatch/tests/test_decisions.py
@@ -384,8 +384,7 @@
             queue.add(
                 priority, deadline, lambda p=priority, d=deadline: order.append((p, d))
             )
-        while queue.admit_next():
-            pass
+        queue.admit(lambda: True, math.inf)
         assert order == [(1, 3.0), (1, 9.0), (2, 0.5), (2, 1.0)]
 
     def test_cancelled_entry_is_not_admitted(self):
@@ -394,9 +393,11 @@
         queue.add(1, 2.0, lambda: order.append("stayed"))
         entry.cancel()
         assert queue.count_ahead(1, 5.0) == 1
-        assert queue.admit_next()
+        queue.admit(lambda: True, 1)
         assert order == ["stayed"]
-        assert not queue.admit_next()
+        queue.admit(lambda: True, 1)
+        assert order == ["stayed"]
+        assert not queue
 
     @given(st.integers(0, 500), st.integers(0, 50), st.floats(0.001, 2))
     def test_retry_delay_stays_within_bounds(self, ahead, slots, median_time):
