Pause between updates to followers while the replica has no revision

Seen by reading, not in a run of hosts: Relay.updates goes on at once while the replica is ahead of what was sent, and only an update with a revision counts as sent. A replica at revision 0 of a later era (a service that names an era but no revision) would send the same update without end and without handing back the processor where the stream does not block.

Change: without a revision, the next update waits for a change or the interval, as others do. The test failed before: the second update came at once.

--- a/foxtailseam/fleet/_relay.py
+++ b/foxtailseam/fleet/_relay.py
@@ -95,7 +95,8 @@
                 sent = max(sent, update.position)
                 is_first = False
             changed = self._changed
-            if self.replica.position > sent:
+            # Without a revision nothing counts as sent, so this would never end.
+            if update.revision and self.replica.position > sent:
                 continue
             try:
                 async with asyncio.timeout(self.update_interval.total_seconds()):
--- a/foxtailseam/fleet/tests/test_relay.py
+++ b/foxtailseam/fleet/tests/test_relay.py
@@ -34,6 +34,22 @@
         self.time.run_until(self.time.monotonic() + seconds)
 
 
+class TestUpdates:
+    def test_era_without_a_revision_is_not_sent_without_pause(self):
+        async def main():
+            source = Source()
+            source.relay.replica.apply_listing(Listing((), Position(1, 0)))
+            updates = source.relay.updates(FollowRequest(RECORD, 5))
+            await anext(updates)
+            pending = asyncio.ensure_future(anext(updates))
+            await asyncio.sleep(0.05)
+            is_waiting = not pending.done()
+            pending.cancel()
+            return is_waiting
+
+        assert asyncio.run(main())
+
+
 class TestAges:
     def test_a_follower_hears_at_once_that_the_copy_was_in_sync(self):
         async def main():
