Cancel what a call has not sent when the call ends

Cause: SingleQuery left attempts in progress for GRACE_SECONDS after the result, to spare their connections, also those whose connection was still being opened: the result said that nothing had run, and the exchange could still run. A hedge, or a shard's attempt, that waited for its connection was sent after the answer in the same way, and a shard's call could retry in these 0.25 s.

Change: ServiceCall._end is the one place in which a call ends, with an answer, a failure, a cancellation or because its query has ended (`close`, used by GatherQuery for calls without a result). It withdraws the request from the queue and cancels each exchange that was not sent, before the result is built, so `may_have_run` is final. Attempts that were sent keep the grace. Hand-over and stop cancel the whole query, as before. The pool is unchanged: it keeps a connection that opens for a cancelled exchange.

--- a/foxtailseam/dispatch/_attempt_sender.py
+++ b/foxtailseam/dispatch/_attempt_sender.py
@@ -139,6 +139,12 @@
         if attempt.searcher.health.record_failure(failure):
             self.dispatcher.on_ejected(attempt.searcher)
 
+    def _withdraw_unsent(self) -> None:
+        """Abandon the attempts whose connections are still being opened."""
+        for attempt in list(self._running.values()):
+            if not attempt.exchange.is_sent:
+                self._abandon(attempt)
+
     def _abandon(self, attempt: Attempt) -> None:
         del self._running[id(attempt)]
         now = self.dispatcher.clock.monotonic()
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -192,13 +192,16 @@
 
     def cancel(self) -> None:
         """Cancel the call and close the connections of its attempts in progress."""
-        self._is_over = True
-        if self._wait_entry is not None:
-            self._wait_entry.cancel()
+        self._end()
         for attempt in list(self._running.values()):
             self._abandon(attempt)
         self._release_callbacks()
 
+    def close(self) -> None:
+        """End the call without a result; what was sent may still be answered."""
+        self._end()
+        self._release_callbacks()
+
     @property
     def is_held(self) -> bool:
         """Return whether the call waits for `resume` after the loss of a searcher."""
@@ -315,7 +318,7 @@
         attempt.searcher.health.record_response(seconds, median_time, now)
         self._response_times.record(seconds)
         if not self._is_over:
-            self._is_over = True
+            self._end()
             answer = ServiceAnswer(
                 attempt.searcher.entry.identifier, metadata.stamp, response
             )
@@ -385,12 +388,18 @@
         wait = self.dispatcher.closed_wait(self.plan.service)
         return timedelta(seconds=clamp_retry_after(wait, MAX_KNOWN_RETRY_AFTER))
 
-    def _fail(self) -> None:
-        if self._is_over:
-            return
+    def _end(self) -> None:
+        """Let the call send nothing more, so that what it says of its runs is final."""
         self._is_over = True
         if self._wait_entry is not None:
             self._wait_entry.cancel()
+        if self._running:
+            self._withdraw_unsent()
+
+    def _fail(self) -> None:
+        if self._is_over:
+            return
+        self._end()
         failure = ServiceFailure(
             self._failure_reason,
             self.may_have_run,
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -373,7 +373,8 @@
         deadline_at : float
             Deadline of the request on the monotonic clock, in seconds.
         """
-        ahead = self.waiting.count_ahead(service, route.priority, deadline_at)
+        queue = self.waiting.queues.get(service)
+        ahead = queue.count_ahead(route.priority, deadline_at) if queue else 0
         if not ahead:
             return 0.0
         slots = sum(searcher.entry.slots for searcher in self.open_searchers(service))
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -439,11 +439,10 @@
 
     def _finish(self, result: GatherResult) -> None:
         self._stop()
+        for call in (*self._waiting, *self._deferred):
+            call.close()
         if any(call.is_running for call in self._calls):
             self.dispatcher.timers.call_later(GRACE_SECONDS, self._cancel_calls)
-        for call in (*self._waiting, *self._deferred):
-            if not call.is_running:
-                call.cancel()
         self.on_result(result)
 
     def _stop(self) -> None:
--- a/foxtailseam/dispatch/_waiting_requests.py
+++ b/foxtailseam/dispatch/_waiting_requests.py
@@ -38,12 +38,17 @@
         Searchers of each service.
     timers : Timers
         Scheduler of delayed calls.
+
+    Attributes
+    ----------
+    queues : dict of str to WaitQueue
+        Queue of each service for which a request has waited.
     """
 
     def __init__(self, registry: SearcherRegistry, timers: Timers):
         self.registry = registry
         self.timers = timers
-        self._queues: dict[str, WaitQueue] = {}
+        self.queues: dict[str, WaitQueue] = {}
         self._is_admitting = False
         # Services whose next pass is scheduled.
         self._scheduled: set[str] = set()
@@ -58,33 +63,18 @@
         on_admitted: Callable[[], None],
     ) -> WaitEntry:
         """Add a request to the queue of a service; see `WaitQueue.add`."""
-        queue = self._queues.get(service)
+        queue = self.queues.get(service)
         if queue is None:
-            queue = self._queues[service] = WaitQueue()
+            queue = self.queues[service] = WaitQueue()
         self._schedule_check(service)
         return queue.add(priority, deadline_at, on_admitted)
 
-    def count_ahead(self, service: str, priority: int, deadline_at: float) -> int:
-        """Return the number of requests that would be admitted before a new one.
-
-        Parameters
-        ----------
-        service : str
-            Service of the new request.
-        priority : int
-            Priority of the new request; lower values are admitted first.
-        deadline_at : float
-            Deadline of the new request, in seconds of the clock.
-        """
-        queue = self._queues.get(service)
-        return queue.count_ahead(priority, deadline_at) if queue else 0
-
     def admit(self, service: str) -> None:
         """Admit waiting requests of a service while a searcher has spare capacity.
 
         All are admitted, to be refused, if no searcher is open.
         """
-        if not self._queues.get(service):
+        if not self.queues.get(service):
             return
         if self._is_admitting:
             self.admit_soon(service)
@@ -93,7 +83,7 @@
 
     def admit_soon(self, service: str) -> None:
         """Admit waiting requests of a service in a later turn of the event loop."""
-        if self._queues.get(service) and service not in self._scheduled:
+        if self.queues.get(service) and service not in self._scheduled:
             self._scheduled.add(service)
             self.timers.call_later(0.0, self._run_scheduled, service)
 
@@ -102,7 +92,7 @@
         self.admit(service)
 
     def _pass_over(self, service: str, max_requests: float) -> None:
-        queue = self._queues[service]
+        queue = self.queues[service]
         self._is_admitting = True
         try:
             if self._is_closed(service):
@@ -129,7 +119,7 @@
     def _check(self, service: str) -> None:
         """Admit waiting requests, also behind some that have tried what is free."""
         self._checked.discard(service)
-        queue = self._queues[service]
+        queue = self.queues[service]
         queue.discard_withdrawn()
         if queue:
             self._schedule_check(service)
--- a/foxtailseam/dispatch/tests/_stubs.py
+++ b/foxtailseam/dispatch/tests/_stubs.py
@@ -46,7 +46,8 @@
     def open(self):
         if not (self.is_sent or self.is_cancelled or self.done is None):
             self.is_sent = True
-            self.pool.payloads.append(self.payload())
+            self.payload_sent = self.payload()
+            self.pool.payloads.append(self.payload_sent)
 
     def cancel(self):
         self.is_cancelled = True
