Answer 502 where a searcher has run the request and says 408 or 429

To a caller these statuses promise that the request has not run, so it sent it again.

Cause: ServiceCall._on_response took each status below 500 for an answer; the filter of ResponseBuilder.failed applied to failures only, so in effect to 503.

Change: an answer with a status that promises "not run" counts as run and failed unless it says that it was not executed (421 says so by itself, as before). A request that is not idempotent then gets 502 without the searcher's stamp, since a stamp with another status would be a false statement of the searcher; an idempotent one goes to another searcher within max_attempts and the budget first. A response with 408, 421 or 429 that another host passes on can only come from a searcher through an earlier release: 502, too.

Evidence: the tests by status failed before, as did the one with events in random order.

--- a/foxtailseam/dispatch/__init__.py
+++ b/foxtailseam/dispatch/__init__.py
@@ -24,6 +24,7 @@
 )
 from foxtailseam.dispatch._query import NotAnswered, Query, QueryTimes
 from foxtailseam.dispatch._results import (
+    NOT_RUN_STATUSES,
     FailureReason,
     ServiceAnswer,
     ServiceFailure,
@@ -45,6 +46,7 @@
 __all__ = [
     "MALFORMED_LIMIT",
     "MALFORMED_PAUSE",
+    "NOT_RUN_STATUSES",
     "AnswerDelay",
     "AnswerMetadata",
     "AnswerReader",
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -14,6 +14,7 @@
 from foxtailseam.dispatch._health import AttemptFailure
 from foxtailseam.dispatch._hedging import HedgeInputs, hedge_delay, min_hedge_delay
 from foxtailseam.dispatch._results import (
+    NOT_RUN_STATUSES,
     FailureReason,
     ServiceAnswer,
     ServiceFailure,
@@ -305,7 +306,9 @@
             self._on_failure(is_unsent=False)
             return
         self._run_count += 1
-        if response.status >= FIRST_SERVER_ERROR:
+        # The caller would take these statuses as a promise that it has not run.
+        is_misleading = response.status in NOT_RUN_STATUSES
+        if response.status >= FIRST_SERVER_ERROR or is_misleading:
             if metadata.pause is None:
                 self._record_failure(attempt, AttemptFailure.ERROR)
             self._failure_reason = FailureReason.ERROR
--- a/foxtailseam/dispatch/_results.py
+++ b/foxtailseam/dispatch/_results.py
@@ -6,6 +6,9 @@
 
 from foxtailseam.http import HttpResponse
 
+# Statuses that state to a caller that its request has not run and will not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class FailureReason(StrEnum):
     """Reason why a request was not answered."""
--- a/foxtailseam/front/_peer_requests.py
+++ b/foxtailseam/front/_peer_requests.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from foxtailseam.clocks import Clock
-from foxtailseam.dispatch import FailureReason, NotAnswered
+from foxtailseam.dispatch import NOT_RUN_STATUSES, FailureReason, NotAnswered
 from foxtailseam.forwarding import (
     Forwarded,
     ForwardedRequest,
@@ -116,5 +116,10 @@
         case Forwarded(is_refused=True) if may_have_run:
             # The other host cannot know that the request may have run here.
             return NotAnswered(FailureReason.ISOLATED, True)
+        case Forwarded(is_refused=False, response=response) if (
+            response.status in NOT_RUN_STATUSES
+        ):
+            # An earlier release passes this on from a searcher that may have run it.
+            return NotAnswered(FailureReason.ERROR, True)
         case Forwarded():
             return None
--- a/foxtailseam/front/_responses.py
+++ b/foxtailseam/front/_responses.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from foxtailseam.dispatch import (
+    NOT_RUN_STATUSES,
     FailureReason,
     MergedAnswer,
     NotAnswered,
@@ -22,8 +23,6 @@
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
-# Statuses that state that the request was not run.
-_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Retry-After of a refusal whose result carries no delay of its own.
 _DEFAULT_RETRY_AFTER = {
     FailureReason.NO_SEARCHER: timedelta(milliseconds=500),
@@ -103,7 +102,7 @@
             case ServiceFailure(response=HttpResponse(status=status) as response):
                 # The request may have run, so a searcher's statement that it was
                 # not run must not be passed on.
-                if status not in _NOT_RUN_STATUSES:
+                if status not in NOT_RUN_STATUSES:
                     headers = forwarded_headers(response.headers)
                     return HttpResponse(status, headers, response.body)
         is_late = result.reason is FailureReason.DEADLINE
--- a/foxtailseam/front/tests/test_unsent_requests.py
+++ b/foxtailseam/front/tests/test_unsent_requests.py
@@ -7,7 +7,10 @@
 from hypothesis import strategies as st
 
 from foxtailseam.dispatch.tests._stubs import StubPool
-from foxtailseam.http import ExchangeFailure, FailureKind, find_header
+from foxtailseam.forwarding import Forwarded
+from foxtailseam.front._peer_requests import to_failure
+from foxtailseam.front._responses import ResponseBuilder
+from foxtailseam.http import ExchangeFailure, FailureKind, HttpResponse, find_header
 from foxtailseam.platform import parse_response_headers
 from foxtailseam.reachability import LinkChange, LinkEvidence, LinkState
 from foxtailseam_bench.simulation import SimulatedTier, VirtualTime
@@ -176,6 +179,44 @@
         assert deployment.sent(call) == sent
 
 
+class TestStatusOfSearcher:
+    # A request to both shards fails once one of them has answered twice.
+    @pytest.mark.parametrize(
+        ("path", "sent"), [("/book/1", 1), ("/read/1", 2), ("/all/1", 3)]
+    )
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    def test_a_request_that_has_run_is_not_called_not_run(self, path, sent, status):
+        deployment = OpeningDeployment()
+        call = deployment.tiers[0].send(path)
+        while call.response is None:
+            deployment.open_all()
+            deployment.pending[0].answer(status, (b"Foxtailseam-Server-Stamp", b"1"))
+        assert call.response.status == 502
+        stamp = find_header(call.response.headers, b"foxtailseam-server-stamp")
+        assert stamp is None
+        assert deployment.sent(call) == sent
+
+    @pytest.mark.parametrize("status", [408, 421, 429, 503])
+    def test_a_request_that_was_rejected_is_refused_or_served_by_another(self, status):
+        deployment = OpeningDeployment()
+        call = deployment.tiers[0].send("/book/1")
+        for rejects in (True, False):
+            deployment.open_all()
+            (exchange,) = deployment.pending
+            if rejects:
+                exchange.answer(status, NOT_EXECUTED)
+        exchange.answer(200, (b"Foxtailseam-Server-Stamp", b"1"))
+        assert call.response.status == 200
+
+    @pytest.mark.parametrize("status", [408, 421, 429])
+    def test_status_that_an_earlier_release_passes_on_is_not_called_not_run(
+        self, status
+    ):
+        response = HttpResponse(status, ((b"Foxtailseam-Server-Stamp", b"1"),))
+        failure = to_failure(Forwarded("host-1", response), may_have_run=False)
+        assert ResponseBuilder(b"1").failed(failure).status == 502
+
+
 class RandomEvents:
     """Draws what happens to requests, and remembers which may have run."""
 
@@ -226,7 +267,7 @@
         exchange = self.pick(sent)
         if exchange is None:
             return
-        status = self.pick([200, 404, 421, 500, 503])
+        status = self.pick([200, 404, 408, 421, 429, 500, 503])
         headers = [(b"Foxtailseam-Server-Stamp", b"1")]
         if self.pick([True, False]) and status != 200:
             headers.append(NOT_EXECUTED)
