--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -14,6 +14,7 @@
 from foxtailseam.dispatch._health import AttemptFailure
 from foxtailseam.dispatch._hedging import HedgeInputs, hedge_delay, min_hedge_delay
 from foxtailseam.dispatch._results import (
+    NOT_RUN_STATUSES,
     FailureReason,
     ServiceAnswer,
     ServiceFailure,
@@ -192,13 +193,16 @@
 
     def cancel(self) -> None:
         """Cancel the call and close the connections of its attempts in progress."""
-        self._is_over = True
-        if self._wait_entry is not None:
-            self._wait_entry.cancel()
+        self._end()
         for attempt in list(self._running.values()):
             self._abandon(attempt)
         self._release_callbacks()
 
+    def close(self) -> None:
+        """End the call without a result; what was sent may still be answered."""
+        self._end()
+        self._release_callbacks()
+
     @property
     def is_held(self) -> bool:
         """Return whether the call waits for `resume` after the loss of a searcher."""
@@ -231,8 +235,8 @@
         if not self._has_untried_searcher():
             self._fail_without_searcher()
             return
-        self._wait_entry = dispatcher.wait_queue(plan.service).add(
-            plan.route.priority, plan.deadline_at, self._on_admitted
+        self._wait_entry = dispatcher.waiting.add(
+            plan.service, plan.route.priority, plan.deadline_at, self._on_admitted
         )
 
     def _on_admitted(self) -> None:
@@ -267,7 +271,7 @@
                 else:
                     self._on_failure(is_unsent=not sent)
         self._release_callbacks()
-        self.dispatcher.admit_waiting(self.plan.service)
+        self.dispatcher.waiting.admit(self.plan.service)
 
     def _release_callbacks(self) -> None:
         """Drop the callbacks of a call that has ended.
@@ -304,7 +308,9 @@
             self._on_failure(is_unsent=False)
             return
         self._run_count += 1
-        if response.status >= FIRST_SERVER_ERROR:
+        # The caller would take these statuses as a promise that it has not run.
+        is_misleading = response.status in NOT_RUN_STATUSES
+        if response.status >= FIRST_SERVER_ERROR or is_misleading:
             if metadata.pause is None:
                 self._record_failure(attempt, AttemptFailure.ERROR)
             self._failure_reason = FailureReason.ERROR
@@ -317,7 +323,7 @@
         attempt.searcher.health.record_response(seconds, median_time, now)
         self._response_times.record(seconds)
         if not self._is_over:
-            self._is_over = True
+            self._end()
             answer = ServiceAnswer(
                 attempt.searcher.entry.identifier, metadata.stamp, response
             )
@@ -387,12 +393,18 @@
         wait = self.dispatcher.closed_wait(self.plan.service)
         return timedelta(seconds=clamp_retry_after(wait, MAX_KNOWN_RETRY_AFTER))
 
-    def _fail(self) -> None:
-        if self._is_over:
-            return
+    def _end(self) -> None:
+        """Let the call send nothing more, so that what it says of its runs is final."""
         self._is_over = True
         if self._wait_entry is not None:
             self._wait_entry.cancel()
+        if self._running:
+            self._withdraw_unsent()
+
+    def _fail(self) -> None:
+        if self._is_over:
+            return
+        self._end()
         failure = ServiceFailure(
             self._failure_reason,
             self.may_have_run,
