Move the planned stop into a module; no other host's answer can break it off

The stop awaited the exchanges in which a host says that it leaves.

front/_shutdown.py has the times of all steps (plan_shutdown, from the signal on, shortened where the grace is shorter than 6 s) and carries them out; leaving goes on beside it, and its error is logged (110). A clock that jumps over several steps, as after a suspension, leaves time to read between.

Evidence: TestShutdown runs it with a leave that raises and one that never ends. Not shown with processes: no peer of ours answers so.

--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -30,6 +30,7 @@
 from foxtailseam.front._host_log import HostLog
 from foxtailseam.front._overload_guard import OverloadGuard
 from foxtailseam.front._quarantine_guard import QuarantineGuard
+from foxtailseam.front._shutdown import Shutdown, plan_shutdown
 from foxtailseam.front._timing import TimingSettings
 from foxtailseam.http import (
     Call,
@@ -87,17 +88,8 @@
 FLEET_CHECK_SECONDS = 1.0
 # Lower bound of the number of hosts that budgets and connections are divided by.
 MIN_HOSTS = 4
-# The load balancer removes a host after two failed readiness checks, which it sends
-# once a second.
-BALANCER_LAG_SECONDS = 2.3
-# Time in which responses close their connections before the listening socket closes.
-CONNECTION_CLOSE_SECONDS = 0.4
-# Time in which a caller whose connection was just made sends its first request.
-FIRST_REQUEST_SECONDS = 0.3
-# Part of the grace period before SIGKILL that is kept for failing the requests that
-# are still running.
-GRACE_MARGIN_SECONDS = 0.5
-DRAIN_POLL_SECONDS = 0.02
+# Time in which the last responses to other hosts are sent.
+LAST_RESPONSES_SECONDS = 0.02
 # A replica of the configuration service that was last known to be in sync longer ago
 # than this may lack newer changes.
 MAX_CURRENT_AGE_SECONDS = 3.0
@@ -291,32 +283,23 @@
         await self._metrics_listener.start(f"{settings.address}:{METRICS_PORT}")
 
     async def _drain(self) -> None:
-        stopped_at = self.clock.monotonic()
+        grace = self.settings.bounds.shutdown_grace
+        schedule = plan_shutdown(self.clock.monotonic(), grace)
         self._is_stopping = True
         self.front.peers.is_stopping = True
         self.log.write(EventCode.PROCESS_DRAINING, in_flight=self.front.in_flight)
         self._log_readiness_change()
-        await self._fleet.leave()
-        elapsed = self.clock.monotonic() - stopped_at
-        await asyncio.sleep(max(0.0, BALANCER_LAG_SECONDS - elapsed))
-        self._caller_listener.drain()
-        await asyncio.sleep(CONNECTION_CLOSE_SECONDS)
-        await self._caller_listener.stop_accepting()
-        await asyncio.sleep(FIRST_REQUEST_SECONDS)
-        self._caller_listener.close_idle()
-        grace = (
-            self.settings.bounds.shutdown_grace.total_seconds() - GRACE_MARGIN_SECONDS
+        shutdown = Shutdown(
+            schedule,
+            self._caller_listener,
+            lambda: self.front.in_flight,
+            self.front.abort_all,
+            self._fleet.leave,
+            self.clock,
+            self.log,
         )
-        while self._caller_listener.in_flight or self.front.in_flight:
-            if self.clock.monotonic() - stopped_at > grace:
-                left = max(self._caller_listener.in_flight, self.front.in_flight)
-                self.log.write(EventCode.DRAIN_BOUND_REACHED, in_flight=left)
-                self.front.abort_all()
-                break
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
-        self._caller_listener.stop()
-        # Lets the last responses be sent.
-        await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await shutdown.run()
+        await asyncio.sleep(LAST_RESPONSES_SECONDS)
 
     def _open_pool(self, address: str, limit: int) -> ConnectionPool:
         settings = PoolSettings(
