Stop a host only once requests on their way are read and responses are sent

The stop counted a connection as done while the body of its request still arrived, and as soon as a response was handed to the transport. So with nothing else running it ended 3 s after SIGTERM: bodies that arrived slowly were cut (3 of 3, to be whole 3.3 to 4.5 s after SIGTERM), and so was a response that its caller read late (8 MB, nothing arrived whole). At the end of the grace a request that was half read was cut, too (2 of 2).

A connection is finished when no request is being read, queued or run and nothing is unsent; the stop waits for that. At the end of the grace what has not arrived whole gets 503 with Retry-After: it did not run. After a rejection the connection reads and drops the rest for half a second before it closes, as closing with unread bytes resets it: a caller that was still sending the body of a rejected request got a broken pipe (413, the same with 408 and 503).

--- a/foxtailseam/front/_shutdown.py
+++ b/foxtailseam/front/_shutdown.py
@@ -129,13 +129,14 @@
         if self._unfinished:
             self.log.write(EventCode.DRAIN_BOUND_REACHED, in_flight=self._unfinished)
             self.abort()
+            listener.reject_incomplete()
             await self._poll_until(schedule.exit_at)
         listener.stop()
         leaving.cancel()
 
     @property
     def _unfinished(self) -> int:
-        return max(self.listener.in_flight, self.count_running())
+        return max(self.listener.unfinished, self.count_running())
 
     async def _wait_for_step(self, at: float) -> None:
         delay = at - self.clock.monotonic()
--- a/foxtailseam/front/tests/test_planned_stop.py
+++ b/foxtailseam/front/tests/test_planned_stop.py
@@ -14,7 +14,7 @@
     gather_route,
     single_route,
 )
-from foxtailseam.front.tests._stopping import NO_ANSWER, Stop, StopCaller
+from foxtailseam.front.tests._stopping import NO_ANSWER, NOT_RUN, Stop, StopCaller
 from foxtailseam_bench.platform_deployment import eventually
 
 LONG_MS = 20_000
@@ -46,7 +46,120 @@
     assert not cut, f"{len(cut)} of {len(exchanges)} have no answer: {cut}"
 
 
+def check_refused_did_not_run(deployment, exchanges):
+    bodies = {body for _, _, body in runs(deployment, "single")}
+    refused = {item.name for item in exchanges if item.status in NOT_RUN}
+    ran = [
+        item
+        for item in refused
+        if item.split()[1:] and item.split()[1].encode() in bodies
+    ]
+    assert not ran
+
+
+class TestSearchersThatHang:
+    def test_each_request_is_answered_by_the_end_of_the_grace(self, run_scenario):
+        async def late(stop, seconds, path, body):
+            await stop.at(seconds)
+            caller = await stop.open()
+            return await caller.ask(path, body)
+
+        async def kept(stop, caller, seconds, body):
+            await stop.at(seconds)
+            return await caller.ask("/book/x", body)
+
+        async def slow_body(stop, seconds, pieces):
+            """Send the body in pieces; all but the last within the grace."""
+            await stop.at(seconds)
+            body = f"slow{seconds}-{pieces}".encode().ljust(40, b".")
+            caller = await stop.open()
+            caller.send("/book/x", body, body[:1])
+            answer = asyncio.create_task(caller.read(f"slow {body.decode()}"))
+            size = -(-len(body) // pieces)
+            for start in range(1, len(body), size):
+                await asyncio.sleep(0.2)
+                if answer.done():
+                    break
+                caller.write(body[start : start + size])
+            return await answer
+
+        async def quiet(stop, opened_at, sent_at):
+            await stop.at(opened_at)
+            caller = await stop.open()
+            await stop.at(sent_at)
+            return await caller.ask("/book/x", f"quiet{sent_at}".encode())
+
+        async def scenario(deployment):
+            host = await start_host(deployment)
+            stop = Stop(host)
+            kept_callers = [await stop.open() for _ in range(6)]
+            for caller in kept_callers:
+                assert (await caller.ask("/read/x")).status == 200
+            set_seconds(deployment, 30.0)
+            for number in range(24):
+                stop.add(late(stop, 0, "/book/x", f"first{number}".encode()))
+            for _ in range(8):
+                stop.add(late(stop, 0, "/all/q", b""))
+                stop.add(late(stop, 0, "/read/x", b""))
+            await asyncio.sleep(0.3)
+            stop.signal()
+            for seconds in (0.5, 1.5, 2.0, 2.4, 2.6):
+                stop.add(late(stop, seconds, "/book/x", f"late{seconds}".encode()))
+                stop.add(late(stop, seconds, "/all/q", b""))
+                caller = kept_callers.pop()
+                stop.add(kept(stop, caller, seconds, f"kept{seconds}".encode()))
+            for seconds, pieces in ((0.5, 40), (1.0, 15), (2.5, 10), (2.5, 40)):
+                stop.add(slow_body(stop, seconds, pieces))
+            stop.add(quiet(stop, 2.5, 2.8))
+            exchanges = await stop.exchanges()
+            check_all_answered(exchanges)
+            check_refused_did_not_run(deployment, exchanges)
+
+        run_scenario(scenario)
+
+
 class TestWorkThatEnds:
+    def test_bodies_that_arrive_late_in_the_grace_are_served(self, run_scenario):
+        async def ask(stop, seconds, done_at):
+            await stop.at(seconds)
+            body = f"body{seconds}-{done_at}".encode()
+            caller = await stop.open()
+            caller.send("/book/x", body, body[:3])
+            await stop.at(done_at)
+            caller.write(body[3:])
+            return await caller.read(f"slow {body.decode()}")
+
+        async def scenario(deployment):
+            host = await start_host(deployment)
+            set_seconds(deployment, 0.2)
+            stop = Stop(host)
+            stop.signal()
+            for seconds, done_at in ((0.5, 3.3), (2.5, 3.3), (2.6, 4.5)):
+                stop.add(ask(stop, seconds, done_at))
+            exchanges = await stop.exchanges()
+            assert [item.status for item in exchanges] == [200] * 3
+
+        run_scenario(scenario)
+
+    def test_an_answer_that_is_read_slowly_is_sent_whole(self, run_scenario):
+        async def scenario(deployment):
+            host = await start_host(deployment)
+            for searcher in deployment.searchers.values():
+                searcher.records = b"r" * 8_000_000
+            stop = Stop(host)
+            caller = await stop.open()
+            stop.signal()
+            await stop.at(2.5)
+            caller.send("/read/x")
+            caller.pause_reading()
+            await stop.at(4.5)
+            caller.resume_reading()
+            stop.add(caller.read("large"))
+            (exchange,) = await stop.exchanges()
+            assert (exchange.status, len(exchange.body)) == (200, 8_000_000)
+
+        run_scenario(scenario)
+
     def test_it_is_served_beside_other_signals_and_a_change_of_the_configuration(
         self, run_scenario
     ):
--- a/foxtailseam/front/tests/test_shutdown.py
+++ b/foxtailseam/front/tests/test_shutdown.py
@@ -36,7 +36,7 @@
     """A listener without connections that counts its steps."""
 
     def __init__(self):
-        self.in_flight = 0
+        self.unfinished = 0
         self.steps = []
 
     def drain(self):
@@ -48,6 +48,9 @@
     def close_idle(self):
         self.steps.append("close_idle")
 
+    def reject_incomplete(self):
+        self.steps.append("reject_incomplete")
+
     def stop(self):
         self.steps.append("stop")
 
@@ -94,7 +97,7 @@
     def test_requests_that_still_run_are_failed_before_the_end(self):
         listener = IdleListener()
         log = self.run(listener, self.leave, running=2)
-        assert listener.steps[3:] == ["abort", "stop"]
+        assert listener.steps[3:] == ["abort", "reject_incomplete", "stop"]
         assert (EventCode.DRAIN_BOUND_REACHED, {"request": "", "in_flight": 2}) in (
             log.events
         )
--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -24,11 +24,16 @@
 # By the time of the retry, the requests whose bodies fill the buffer should have
 # been answered.
 BUFFER_FULL = HttpResponse(503, ((b"Retry-After", b"1"),))
+# Another host can take the request at once.
+STOPPING = HttpResponse(503, ((b"Retry-After", b"0.05"),))
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 # Time that sent response data may stay unacknowledged by the caller before the
 # connection is closed.
 UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=6)
+# Time in seconds in which the rest of a rejected request is read and dropped. Closing a
+# connection with unread bytes resets it, and the caller may lose the response.
+LINGER_SECONDS = 0.5
 # Pipelined requests that are queued on one connection before reading pauses.
 MAX_QUEUED_REQUESTS = 8
 # Bytes of a header line besides name and value: colon, space, CR and LF.
@@ -78,6 +83,12 @@
     HEADER = auto()
     BODY = auto()
     FAILED = auto()
+    # The response to a rejected request is written; the rest of the request is dropped.
+    LINGERING = auto()
+
+
+_ENDED = frozenset({_Phase.FAILED, _Phase.LINGERING})
+_INCOMPLETE = frozenset({_Phase.HEADER, _Phase.BODY})
 
 
 class ConnectionOwner(Protocol):
@@ -136,6 +147,14 @@
             and not self._queued_requests
         )
 
+    @property
+    def is_finished(self) -> bool:
+        """Return whether no request is due a response and all responses are sent."""
+        is_due = self._phase in _INCOMPLETE or self.in_flight > 0
+        is_lingering = self._phase is _Phase.LINGERING
+        is_unsent = self._transport.get_write_buffer_size() > 0
+        return not (is_due or is_lingering or is_unsent)
+
     @property
     def was_used(self) -> bool:
         """Return whether a complete request was received."""
@@ -173,6 +192,11 @@
         """Close the connection once all written data is sent."""
         self._transport.close()
 
+    def reject_incomplete(self) -> None:
+        """Answer a request that has not arrived whole, as the host stops."""
+        if self._phase in _INCOMPLETE:
+            self._reject(STOPPING)
+
     def enforce_timeouts(self, now: float) -> None:
         """Close an idle connection, or reject a request, that timed out.
 
@@ -183,7 +207,10 @@
         """
         limits = self.listener.limits
         elapsed = timedelta(seconds=now - self._phase_since)
-        if self._phase is _Phase.IDLE:
+        if self._phase is _Phase.LINGERING:
+            if elapsed.total_seconds() > LINGER_SECONDS:
+                self.close()
+        elif self._phase is _Phase.IDLE:
             if self.is_idle and elapsed > limits.idle_timeout:
                 self.close()
         elif (self._phase is _Phase.HEADER and elapsed > limits.header_timeout) or (
@@ -208,7 +235,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and enforce the size limits."""
-        if self._phase is _Phase.FAILED:
+        if self._phase in _ENDED:
             return
         if self._phase in (_Phase.IDLE, _Phase.HEADER):
             self._received_header_bytes += len(data)
@@ -245,7 +272,7 @@
 
     def on_message_begin(self) -> None:
         """Start a new request and its header timeout."""
-        if self._phase is _Phase.FAILED:
+        if self._phase in _ENDED:
             return
         received_header_bytes = self._received_header_bytes
         self._reset_request()
@@ -268,7 +295,7 @@
         The header must have one Host field, and the target must start with a
         slash.
         """
-        if self._phase is _Phase.FAILED:
+        if self._phase in _ENDED:
             return
         self._enter_phase(_Phase.BODY)
         host_headers = 0
@@ -301,10 +328,10 @@
 
     def on_message_complete(self) -> None:
         """Queue a complete request to be served."""
-        if self._phase is _Phase.FAILED:
+        if self._phase in _ENDED:
             return
         self._check_limits()
-        if self._phase is _Phase.FAILED:
+        if self._phase in _ENDED:
             return
         self._enter_phase(_Phase.IDLE)
         self._received_header_bytes = 0
@@ -344,7 +371,7 @@
         self._phase_since = self.listener.clock.monotonic()
 
     def _check_limits(self) -> None:
-        if self._phase is _Phase.FAILED:
+        if self._phase in _ENDED:
             return
         limit = self.listener.limits.header_bytes
         parsed_bytes = self._parsed_header_bytes + len(self._target)
@@ -382,7 +409,8 @@
     def _send_error(self, response: HttpResponse) -> None:
         self.listener.on_rejected(response.status)
         self._transport.write(render_response(response, close=True, is_head=False))
-        self._transport.close()
+        self._transport.write_eof()
+        self._enter_phase(_Phase.LINGERING)
 
 
 def _kernel_rtt(sock: socket.socket) -> float | None:
--- a/foxtailseam/http/_listener.py
+++ b/foxtailseam/http/_listener.py
@@ -60,6 +60,11 @@
         """Return the number of requests that were read but not answered yet."""
         return sum(connection.in_flight for connection in self._connections)
 
+    @property
+    def unfinished(self) -> int:
+        """Return the number of connections with a request or an unsent response."""
+        return sum(not connection.is_finished for connection in self._connections)
+
     async def start(
         self, address: str, listening_socket: socket.socket | None = None
     ) -> None:
@@ -101,6 +106,11 @@
             if connection.is_idle:
                 connection.close()
 
+    def reject_incomplete(self) -> None:
+        """Answer the requests that have not arrived whole; none of them runs."""
+        for connection in list(self._connections):
+            connection.reject_incomplete()
+
     def stop(self) -> None:
         """Stop accepting connections and close all of them."""
         if self._server is not None:
--- a/foxtailseam/http/tests/test_listener.py
+++ b/foxtailseam/http/tests/test_listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import socket
+import time
 from dataclasses import replace
 from datetime import timedelta
 from types import SimpleNamespace
@@ -314,6 +315,74 @@
 
         run(scenario)
 
+    def test_a_request_that_has_not_arrived_whole_is_told_that_it_did_not_run(self):
+        async def scenario(reader, writer, handler, listener):
+            writer.write(b"POST / HTTP/1.1\r\n" + HOST_HEADER)
+            writer.write(b"Content-Length: 5\r\n\r\nab")
+            await asyncio.sleep(0.05)
+            listener.drain()
+            await listener.stop_accepting()
+            listener.close_idle()
+            assert listener.unfinished == 1
+            listener.reject_incomplete()
+            writer.write(b"cde")
+            response = await read_all(reader)
+            assert response.startswith(b"HTTP/1.1 503")
+            assert b"Retry-After: 0.05" in response
+            writer.close()
+            await asyncio.sleep(0.05)
+            assert listener.unfinished == 0
+
+        assert run(scenario).calls == []
+
+    def test_a_response_that_is_not_sent_yet_is_unfinished(self):
+        size = 16_000_000
+
+        async def scenario(reader, writer, handler, listener):
+            writer.transport.pause_reading()
+            writer.write(b"GET / HTTP/1.1\r\n" + HOST_HEADER + b"\r\n")
+            await asyncio.sleep(0.05)
+            listener.drain()
+            handler.calls[0].respond(HttpResponse(200, (), b"r" * size))
+            await asyncio.sleep(0.05)
+            assert (listener.in_flight, listener.unfinished) == (0, 1)
+            writer.transport.resume_reading()
+            assert len(await read_all(reader)) > size
+            assert listener.unfinished == 0
+
+        run(scenario, is_manual=True)
+
+
+class TestRestOfARejectedRequest:
+    HEAD = b"POST / HTTP/1.1\r\n" + HOST_HEADER + b"Content-Length: 1001\r\n\r\n"
+
+    def test_it_does_not_reset_the_connection(self):
+        async def scenario(reader, writer, handler, listener):
+            sock = socket.create_connection(writer.get_extra_info("peername"))
+
+            def send_on():
+                with sock:
+                    sock.sendall(self.HEAD)
+                    for _ in range(5):
+                        time.sleep(0.02)
+                        sock.sendall(b"x" * 100)
+                    return sock.recv(1000)
+
+            response = await asyncio.to_thread(send_on)
+            assert response.startswith(b"HTTP/1.1 413")
+
+        run(scenario)
+
+    def test_a_connection_that_stays_open_is_closed_soon(self):
+        async def scenario(reader, writer, handler, listener):
+            writer.write(self.HEAD)
+            await read_all(reader)
+            assert listener.unfinished == 1
+            await asyncio.sleep(1.0)
+            assert listener.unfinished == 0
+
+        run(scenario)
+
 
 class TestMemory:
     def test_body_over_the_buffer_limit_gets_503(self):
