Answer all pipelined requests before a stopping host closes their connection

The response that closes is now the last one: one that is followed by a request that was read, or is being read, does not close.

--- a/foxtailseam/front/tests/test_planned_stop.py
+++ b/foxtailseam/front/tests/test_planned_stop.py
@@ -68,6 +68,10 @@
             await stop.at(seconds)
             return await caller.ask("/book/x", body)
 
+        async def pipelined(caller, body):
+            caller.send("/book/x", body)
+            return await caller.read(f"pipelined {body.decode()}")
+
         async def slow_body(stop, seconds, pieces):
             """Send the body in pieces; all but the last within the grace."""
             await stop.at(seconds)
@@ -108,6 +112,10 @@
                 stop.add(late(stop, seconds, "/all/q", b""))
                 caller = kept_callers.pop()
                 stop.add(kept(stop, caller, seconds, f"kept{seconds}".encode()))
+            caller = kept_callers.pop()
+            for number in range(3):
+                stop.add(pipelined(caller, f"pipe{number}".encode()))
+                await asyncio.sleep(0)
             for seconds, pieces in ((0.5, 40), (1.0, 15), (2.5, 10), (2.5, 40)):
                 stop.add(slow_body(stop, seconds, pieces))
             stop.add(quiet(stop, 2.5, 2.8))
@@ -160,6 +168,25 @@
 
         run_scenario(scenario)
 
+    def test_pipelined_requests_are_answered_before_the_connection_closes(
+        self, run_scenario
+    ):
+        async def scenario(deployment):
+            host = await start_host(deployment)
+            set_seconds(deployment, 0.3)
+            stop = Stop(host)
+            caller = await stop.open()
+            stop.signal()
+            await stop.at(2.5)
+            for number in range(3):
+                caller.send("/book/x", f"pipe{number}".encode())
+            exchanges = [await caller.read("pipelined") for _ in range(3)]
+            assert [item.status for item in exchanges] == [200] * 3
+            assert [item.closes for item in exchanges] == [False, False, True]
+            await stop.exchanges()
+
+        run_scenario(scenario)
+
     def test_it_is_served_beside_other_signals_and_a_change_of_the_configuration(
         self, run_scenario
     ):
--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -178,7 +178,8 @@
         call, self._current_call = self._current_call, None
         self._release(len(call.request.body))
         keep_alive = self._keep_alive_flags.popleft()
-        close = not keep_alive or self.listener.is_draining
+        has_next = self._queued_requests or self._phase in _INCOMPLETE
+        close = not keep_alive or (self.listener.is_draining and not has_next)
         is_head = call.request.method == b"HEAD"
         self._transport.write(render_response(response, close, is_head))
         if close:
--- a/foxtailseam/http/tests/test_listener.py
+++ b/foxtailseam/http/tests/test_listener.py
@@ -352,6 +352,26 @@
 
         run(scenario, is_manual=True)
 
+    def test_the_last_pipelined_response_closes_the_connection(self):
+        async def scenario(reader, writer, handler, listener):
+            for target in (b"/1", b"/2"):
+                writer.write(
+                    b"GET " + target + b" HTTP/1.1\r\n" + HOST_HEADER + b"\r\n"
+                )
+            writer.write(b"POST /3 HTTP/1.1\r\n" + HOST_HEADER)
+            await asyncio.sleep(0.05)
+            listener.drain()
+            for number in range(2):
+                handler.calls[number].respond(HttpResponse(200))
+            writer.write(b"Content-Length: 1\r\n\r\nx")
+            await asyncio.sleep(0.05)
+            handler.calls[2].respond(HttpResponse(200))
+            responses = await read_all(reader)
+            assert responses.count(b"HTTP/1.1 200") == 3
+            assert responses.count(b"Connection: close") == 1
+
+        run(scenario, is_manual=True)
+
 
 class TestRestOfARejectedRequest:
     HEAD = b"POST / HTTP/1.1\r\n" + HOST_HEADER + b"Content-Length: 1001\r\n\r\n"
