Refuse what a stopping host can't answer in time, and end the rest with the grace

What callers saw: requests that came late in the grace of a planned stop were passed on although their work could not end before the process: they were cut, at the end, also those that may not be repeated.

From SIGTERM on no new request has a deadline after the end of the grace less half a second, and one whose route's usual response time (0.9 quantile) is longer than what is left is refused at once: 503 with Retry-After 0.05, reason `stopping`, not run. So another host can still run it.

--- a/foxtailseam/dispatch/_results.py
+++ b/foxtailseam/dispatch/_results.py
@@ -21,6 +21,7 @@
     OVERLOADED = "overloaded"
     QUARANTINED = "quarantined"
     ISOLATED = "isolated"
+    STOPPING = "stopping"
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -29,6 +29,7 @@
 from foxtailseam.front._responses import ResponseBuilder
 from foxtailseam.front._routed_request import RoutedRequest
 from foxtailseam.front._running_requests import RunningRequests
+from foxtailseam.front._shutdown import ShutdownLimit
 from foxtailseam.front._startup_queue import StartupQueue
 from foxtailseam.front._timing import TimingSettings, query_times
 from foxtailseam.http import Call, HttpResponse
@@ -108,6 +109,7 @@
         self.quarantine_guard = quarantine_guard
         self._answer_delay = AnswerDelay(timing.processing_time.total_seconds())
         self._startup_queue = StartupQueue(clock, dispatcher.timers)
+        self._shutdown_limit = ShutdownLimit(dispatcher)
         self.peers = PeerForwarding(dispatcher, configuration_manager)
         self._request_log = RequestLog(
             log, metrics, clock, configuration_manager, dispatcher.contacts
@@ -160,13 +162,28 @@
         if self._startup_queue.waiting:
             self._startup_queue.release(self.serve)
 
+    def stop_by(self, ends_at: float) -> None:
+        """Take only requests that can be answered by a point in time.
+
+        Parameters
+        ----------
+        ends_at : float
+            Monotonic time in seconds by which the process must have stopped.
+        """
+        self._shutdown_limit.ends_at = ends_at
+        self.peers.is_stopping = True
+
     def abort_all(self) -> None:
         """Cancel and fail every running request, as the process must stop."""
         for routed, query in self._running:
-            may_have_run = query.may_have_run
-            query.cancel()
-            result = NotAnswered(FailureReason.DEADLINE, may_have_run)
-            self._finish(routed, routed.responses.failed(result), result)
+            self._abort(routed, query)
+
+    def _abort(self, routed: RoutedRequest, query: AnyQuery) -> None:
+        may_have_run = query.may_have_run
+        query.cancel()
+        reason = FailureReason.DEADLINE if may_have_run else FailureReason.STOPPING
+        result = NotAnswered(reason, may_have_run)
+        self._finish(routed, routed.responses.failed(result), result)
 
     def _reject_unconfigured(self, call: Call) -> None:
         metadata = parse_request_headers(call.request.headers)
@@ -209,10 +226,17 @@
             refusal = responses.refused(RETRY_AFTER_STALE)
             self._reject(call, metadata, "no service has a positive weight", refusal)
             return
+        limit = self._shutdown_limit
+        is_too_late = times.deadline_at > limit.ends_at and not limit.can_answer(route)
+        if times.deadline_at > limit.ends_at:
+            times = limit.shorten(times)
         version = self.configuration_manager.version
         routed = RoutedRequest(
             call, responses, route, services, times, metadata, version
         )
+        if is_too_late:
+            self._refuse(routed, FailureReason.STOPPING, None)
+            return
         if times.deadline_at <= self.clock.monotonic():
             self._refuse(routed, FailureReason.DEADLINE, None)
             return
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -286,7 +286,7 @@
         grace = self.settings.bounds.shutdown_grace
         schedule = plan_shutdown(self.clock.monotonic(), grace)
         self._is_stopping = True
-        self.front.peers.is_stopping = True
+        self.front.stop_by(schedule.end_requests_at)
         self.log.write(EventCode.PROCESS_DRAINING, in_flight=self.front.in_flight)
         self._log_readiness_change()
         shutdown = Shutdown(
--- a/foxtailseam/front/_responses.py
+++ b/foxtailseam/front/_responses.py
@@ -37,6 +37,8 @@
     FailureReason.OVERLOADED: timedelta(milliseconds=200),
     FailureReason.QUARANTINED: timedelta(seconds=2),
     FailureReason.ISOLATED: timedelta(milliseconds=300),
+    # Another host can take it at once.
+    FailureReason.STOPPING: timedelta(milliseconds=50),
 }
 
 
--- a/foxtailseam/front/_shutdown.py
+++ b/foxtailseam/front/_shutdown.py
@@ -1,13 +1,16 @@
-"""Planned shutdown of a host, step by step."""
+"""Planned shutdown of a host: its steps, and which requests it still takes."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from foxtailseam.clocks import Clock
+from foxtailseam.dispatch import Dispatcher, QueryTimes
 from foxtailseam.http import Listener
 from foxtailseam.logs import EventCode, LogWriter
+from foxtailseam.routing import Route
 from foxtailseam.utils import describe_error
 
 # Grace period for which the times below are meant; a shorter one shortens them all.
@@ -26,6 +29,8 @@
 # After a suspension several steps are due at once; callers' bytes are read in between.
 MIN_STEP_SECONDS = 0.05
 POLL_SECONDS = 0.02
+# Quantile of a route's response times that a new request must have time for.
+RESPONSE_QUANTILE = 0.9
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +81,48 @@
     )
 
 
+class ShutdownLimit:
+    """Limits new requests to what can be answered before the host ends.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Knows the response times of the routes.
+
+    Attributes
+    ----------
+    ends_at : float
+        Monotonic time by which every request has its response, in seconds; infinite
+        unless the host shuts down.
+    """
+
+    def __init__(self, dispatcher: Dispatcher):
+        self.dispatcher = dispatcher
+        self.ends_at = math.inf
+
+    def can_answer(self, route: Route) -> bool:
+        """Return whether a new request is likely to be answered before the end.
+
+        Parameters
+        ----------
+        route : Route
+            Route of the request.
+        """
+        times = self.dispatcher.response_times(route)
+        left = self.ends_at - self.dispatcher.clock.monotonic()
+        return times.quantile(RESPONSE_QUANTILE) < left
+
+    def shorten(self, times: QueryTimes) -> QueryTimes:
+        """Return the times of a request without what lies after the end."""
+        return replace(
+            times,
+            goal_at=min(times.goal_at, self.ends_at),
+            goal_limit_at=min(times.goal_limit_at, self.ends_at),
+            late_answer_at=min(times.late_answer_at, self.ends_at),
+            deadline_at=min(times.deadline_at, self.ends_at),
+        )
+
+
 class Shutdown:
     """Ends the work of a host step by step, so that each request gets a response.
 
--- a/foxtailseam/front/tests/test_shutdown.py
+++ b/foxtailseam/front/tests/test_shutdown.py
@@ -1,4 +1,4 @@
-"""Tests of the steps of a shutdown."""
+"""Tests of the steps of a shutdown and of the requests that a stopping host takes."""
 
 import asyncio
 from datetime import timedelta
@@ -8,6 +8,7 @@
 from foxtailseam.clocks import SystemClock
 from foxtailseam.front._shutdown import Shutdown, plan_shutdown
 from foxtailseam.logs import EventCode
+from foxtailseam_bench.simulation import simulated_service
 from foxtailseam_bench.simulation._tier import RecordingLog
 
 
@@ -32,6 +33,43 @@
         assert long.end_requests_at == pytest.approx(29.5)
 
 
+class TestRequestsOfAStoppingHost:
+    @pytest.fixture
+    def tier(self):
+        with simulated_service(1, 2, 0.1, 600, kind="non_idempotent") as (tier,):
+            yield tier
+
+    def arrivals(self, tier):
+        return sum(len(searcher.arrivals) for searcher in tier.searchers["records"])
+
+    def test_one_that_usually_takes_longer_than_is_left_is_refused_at_once(self, tier):
+        tier.load("/read/x", 10, 0.0, 5.0)
+        tier.time.run_until(6.0)
+        arrived = self.arrivals(tier)
+        tier.front.stop_by(6.05)
+        call = tier.send("/read/late")
+        assert call.response.status == 503
+        assert call.answered_at == call.sent_at
+        assert self.arrivals(tier) == arrived
+
+    def test_one_that_can_be_answered_is_served(self, tier):
+        tier.load("/read/x", 10, 0.0, 5.0)
+        tier.time.run_until(6.0)
+        tier.front.stop_by(8.5)
+        call = tier.send("/read/late", deadline_ms=4_000)
+        tier.time.run_until(8.5)
+        assert call.response.status == 200
+
+    def test_it_is_answered_by_the_end_although_its_timeout_is_later(self, tier):
+        for searcher in tier.searchers["records"]:
+            searcher.is_unresponsive = True
+        tier.front.stop_by(2.5)
+        call = tier.send("/read/late", deadline_ms=4_000)
+        tier.time.run_until(5.0)
+        assert call.response.status == 504
+        assert call.answered_at == pytest.approx(2.5)
+
+
 class IdleListener:
     """A listener without connections that counts its steps."""
 
