Send no waiting request to a searcher while a stop fails the others

What callers saw: at the end of the grace requests that had waited for a searcher, which had not run and may not be repeated, were sent after all and cut in the same moment: 504 in place of 503, and work that nobody waits for at the searchers. `abort_all` cancelled one after the other; each that was cancelled freed a slot, which was given to one that waited.

Those that wait are ended first. One that ends while others are cancelled is not ended twice.

--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -175,8 +175,12 @@
 
     def abort_all(self) -> None:
         """Cancel and fail every running request, as the process must stop."""
-        for routed, query in self._running:
-            self._abort(routed, query)
+        # Those that wait for a searcher first, so that none is sent in the place of
+        # one that was cancelled.
+        for routed, query in sorted(self._running, key=_may_have_run):
+            # The end of a request may have ended others that waited for it.
+            if routed in self._running:
+                self._abort(routed, query)
 
     def _abort(self, routed: RoutedRequest, query: AnyQuery) -> None:
         may_have_run = query.may_have_run
@@ -408,6 +412,11 @@
         return self.peers.accept(message, done, self.serve)
 
 
+def _may_have_run(running: tuple[RoutedRequest, AnyQuery]) -> bool:
+    _, query = running
+    return query.may_have_run
+
+
 def _is_overload(result: AnyResult) -> bool:
     match result:
         case NotAnswered(reason=reason):
--- a/foxtailseam/front/tests/test_shutdown.py
+++ b/foxtailseam/front/tests/test_shutdown.py
@@ -69,6 +69,19 @@
         assert call.response.status == 504
         assert call.answered_at == pytest.approx(2.5)
 
+    @pytest.mark.parametrize("count", [1, 12, 60])
+    def test_none_is_sent_while_the_others_are_failed(self, tier, count):
+        for searcher in tier.searchers["records"]:
+            searcher.slowness = 1000.0
+        calls = [tier.send("/read/x", deadline_ms=4_000) for _ in range(count)]
+        tier.time.run_until(1.0)
+        arrived = self.arrivals(tier)
+        tier.front.abort_all()
+        tier.time.run_until(1.5)
+        assert self.arrivals(tier) == arrived
+        statuses = [call.response.status for call in calls]
+        assert sorted(statuses) == [503] * (count - arrived) + [504] * arrived
+
 
 class IdleListener:
     """A listener without connections that counts its steps."""
