--- a/foxtailseam/dispatch/_results.py
+++ b/foxtailseam/dispatch/_results.py
@@ -24,6 +24,7 @@
     OVERLOADED = "overloaded"
     QUARANTINED = "quarantined"
     ISOLATED = "isolated"
+    STOPPING = "stopping"
 
 
 @dataclass(frozen=True, slots=True)
