--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -5,12 +5,12 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from dataclasses import replace
 from enum import StrEnum
-from typing import Protocol
+from typing import Any, Protocol
 
 import msgspec
 from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler, Status
-from grpclib.exceptions import GRPCError
+from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
 from foxtailseam.codecs import MessagePackCodec
@@ -22,6 +22,7 @@
 )
 from foxtailseam.forwarding import ForwardedRequest, ForwardedResponse
 from foxtailseam.launch import BACKLOG, open_listener
+from foxtailseam.utils import shorten
 
 _ENCODER = msgspec.msgpack.Encoder()
 EXCHANGE_PATH = "/foxtailseam.Fleet/Exchange"
@@ -32,48 +33,57 @@
 _NO_HANDLER_MESSAGE = "Missing content-type header"
 
 
-class CallError(Exception):
-    """A call failed: the other host is unreachable, too slow or misbehaving.
+class MalformedAnswerError(Exception):
+    """The other host's answer does not follow the protocol."""
 
-    Parameters
-    ----------
-    cause : Exception
-        What the connection, the RPC library or the decoder raised.
-    """
 
-    def __init__(self, cause: Exception):
-        super().__init__(str(cause))
-        self.cause = cause
+# Exceptions of a call if the other host is unreachable, too slow or misbehaving.
+CALL_ERRORS = (
+    OSError,
+    TimeoutError,
+    GRPCError,
+    StreamTerminatedError,
+    msgspec.MsgspecError,
+    MalformedAnswerError,
+)
+
+
+def is_unimplemented(error: Exception) -> bool:
+    """Return whether the other host has no handler for the call; nothing ran then."""
+    match error:
+        case GRPCError(status=Status.UNIMPLEMENTED):
+            return True
+        case GRPCError(status=Status.UNKNOWN, message=message):
+            return message == _NO_HANDLER_MESSAGE
+        case _:
+            return False
+
 
-    @property
-    def reason(self) -> str:
-        """Return the type of the cause."""
-        return type(self.cause).__name__
+def breaks_connection(error: Exception) -> bool:
+    """Return whether an error of one call ends the others on its connection, too."""
+    return not isinstance(error, (GRPCError, msgspec.MsgspecError))
 
-    @property
-    def is_unimplemented(self) -> bool:
-        """Return whether the other host lacks a handler for it; nothing ran then."""
-        match self.cause:
-            case GRPCError(status=Status.UNIMPLEMENTED):
-                return True
-            case GRPCError(status=Status.UNKNOWN, message=message):
-                return message == _NO_HANDLER_MESSAGE
-            case _:
-                return False
 
-    @property
-    def breaks_connection(self) -> bool:
-        """Return whether it ends the other calls on its connection, too."""
-        return not isinstance(self.cause, (GRPCError, msgspec.MsgspecError))
+def describe_call_error(error: Exception) -> str:
+    """Return the type of an error and, if that tells little, its text."""
+    name = type(error).__name__
+    if isinstance(error, (msgspec.MsgspecError, MalformedAnswerError)):
+        return shorten(f"{name}: {error}")
+    return name
 
 
 @contextlib.contextmanager
-def _calling() -> Iterator[None]:
-    """Raise each error as a `CallError`, since only the other host's can occur."""
+def _call_errors() -> Iterator[None]:
+    """Raise one of `CALL_ERRORS` for any error.
+
+    grpclib raises others, such as AssertionError, for an answer that ends early.
+    """
     try:
         yield
+    except CALL_ERRORS:
+        raise
     except Exception as error:
-        raise CallError(error) from error
+        raise MalformedAnswerError(f"{type(error).__name__}: {error}") from error
 
 
 def _decompressed(update: FollowUpdate) -> FollowUpdate:
@@ -107,12 +117,24 @@
 
 # Called with the kind of a message, the failure domain of its receiver and its bytes.
 SentCallback = Callable[[MessageKind, str, int], None]
+# Called with the reason why a message of another host was refused.
+RefusedCallback = Callable[[str], None]
+
+
+def _ignore(problem: str) -> None:
+    pass
 
 
 class _Handlers:
-    def __init__(self, servicer: FleetServicer, on_sent: SentCallback):
+    def __init__(
+        self,
+        servicer: FleetServicer,
+        on_sent: SentCallback,
+        on_refused: RefusedCallback = _ignore,
+    ):
         self.servicer = servicer
         self.on_sent = on_sent
+        self.on_refused = on_refused
 
     def __mapping__(self) -> dict[str, Handler]:
         return {
@@ -130,23 +152,38 @@
             ),
         }
 
+    @contextlib.contextmanager
+    def _refusing(self) -> Iterator[None]:
+        """End the call if its message is malformed."""
+        try:
+            yield
+        except msgspec.MsgspecError as error:
+            self.on_refused(str(error))
+            raise GRPCError(Status.INVALID_ARGUMENT, "malformed message") from error
+
+    async def _receive(self, stream: Stream) -> Any:
+        with self._refusing():
+            return await stream.recv_message()
+
     async def _exchange(self, stream: Stream) -> None:
-        message = await stream.recv_message()
+        message = await self._receive(stream)
         if message is not None:
-            response = _ENCODER.encode(self.servicer.exchange(message))
+            with self._refusing():
+                answer = self.servicer.exchange(message)
+            response = _ENCODER.encode(answer)
             domain = message.records[0].failure_domain if message.records else ""
             self.on_sent(MessageKind.EXCHANGE, domain, len(response))
             await stream.send_message(response)
 
     async def _forward(self, stream: Stream) -> None:
-        request = await stream.recv_message()
+        request = await self._receive(stream)
         if request is not None:
             response = _ENCODER.encode(await self.servicer.forward(request))
             self.on_sent(MessageKind.FORWARD, request.failure_domain, len(response))
             await stream.send_message(response)
 
     async def _follow(self, stream: Stream) -> None:
-        request = await stream.recv_message()
+        request = await self._receive(stream)
         if request is None:
             return
         domain = request.sender.failure_domain
@@ -159,7 +196,10 @@
 
 
 async def serve(
-    address: str, servicer: FleetServicer, on_sent: SentCallback
+    address: str,
+    servicer: FleetServicer,
+    on_sent: SentCallback,
+    on_refused: RefusedCallback = _ignore,
 ) -> Callable[[], Awaitable[None]]:
     """Start a server for other hosts.
 
@@ -172,6 +212,8 @@
     on_sent : callable
         Called with the kind, the receiver's failure domain and the bytes of each
         message that is sent.
+    on_refused : callable
+        Called with the problem of each message that cannot be decoded.
 
     Returns
     -------
@@ -183,7 +225,8 @@
     ListenError
         If the address cannot be listened on.
     """
-    server = Server([_Handlers(servicer, on_sent)], codec=MessagePackCodec())
+    handlers = _Handlers(servicer, on_sent, on_refused)
+    server = Server([handlers], codec=MessagePackCodec())
     await server.start(sock=open_listener(address), backlog=BACKLOG)
 
     async def stop() -> None:
@@ -221,14 +264,14 @@
 
         Raises
         ------
-        CallError
-            If the call fails.
+        Exception
+            One of `CALL_ERRORS`.
         """
         method = UnaryUnaryMethod(
             self._channel, EXCHANGE_PATH, MemberExchange, MemberExchange
         )
-        with _calling():
-            await self._connect()
+        await self._connect()
+        with _call_errors():
             async with asyncio.timeout(timeout):
                 return await method(message)
 
@@ -237,11 +280,10 @@
 
         Raises
         ------
-        CallError
-            If the call fails.
+        Exception
+            One of `CALL_ERRORS`.
         """
-        with _calling():
-            await self._connect()
+        await self._connect()
 
     async def forward(self, request: ForwardedRequest) -> ForwardedResponse:
         """Ask the other host to serve a request and return the response.
@@ -255,13 +297,13 @@
 
         Raises
         ------
-        CallError
-            If the call fails.
+        Exception
+            One of `CALL_ERRORS`.
         """
         method = UnaryUnaryMethod(
             self._channel, FORWARD_PATH, ForwardedRequest, ForwardedResponse
         )
-        with _calling():
+        with _call_errors():
             return await method(request)
 
     async def follow(
@@ -278,14 +320,14 @@
 
         Raises
         ------
-        CallError
-            If the call fails or an update does not come in time.
+        Exception
+            One of `CALL_ERRORS`; `TimeoutError` if an update does not come in time.
         """
         method = UnaryStreamMethod(
             self._channel, FOLLOW_PATH, FollowRequest, FollowUpdate
         )
-        with _calling():
-            await self._connect()
+        await self._connect()
+        with _call_errors():
             async with method.open() as stream:
                 await stream.send_message(request, end=True)
                 while True:
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -30,6 +30,7 @@
 from foxtailseam.front._responses import ResponseBuilder
 from foxtailseam.front._routed_request import RoutedRequest
 from foxtailseam.front._running_requests import RunningRequests
+from foxtailseam.front._shutdown import ShutdownLimit
 from foxtailseam.front._startup_queue import StartupQueue
 from foxtailseam.front._timing import TimingSettings, query_times
 from foxtailseam.http import Call, HttpResponse
@@ -110,6 +111,7 @@
         self.quarantine_guard = quarantine_guard
         self._answer_delay = AnswerDelay(timing.processing_time.total_seconds())
         self._startup_queue = StartupQueue(clock, dispatcher.timers)
+        self._shutdown_limit = ShutdownLimit(dispatcher)
         self.peers = PeerForwarding(dispatcher, configuration_manager)
         self._request_log = RequestLog(
             log, metrics, clock, configuration_manager, dispatcher.contacts
@@ -173,13 +175,32 @@
         if self._startup_queue.waiting:
             self._startup_queue.release(self.serve)
 
+    def stop_by(self, ends_at: float) -> None:
+        """Take only requests that can be answered by a point in time.
+
+        Parameters
+        ----------
+        ends_at : float
+            Monotonic time in seconds by which the process must have stopped.
+        """
+        self._shutdown_limit.ends_at = ends_at
+        self.peers.is_stopping = True
+
     def abort_all(self) -> None:
         """Cancel and fail every running request, as the process must stop."""
-        for routed, query in self._running:
-            may_have_run = query.may_have_run
-            query.cancel()
-            result = NotAnswered(FailureReason.DEADLINE, may_have_run)
-            self._finish(routed, routed.responses.failed(result), result)
+        # Those that wait for a searcher first, so that none is sent in the place of
+        # one that was cancelled.
+        for routed, query in sorted(self._running, key=_may_have_run):
+            # The end of a request may have ended others that waited for it.
+            if routed in self._running:
+                self._abort(routed, query)
+
+    def _abort(self, routed: RoutedRequest, query: AnyQuery) -> None:
+        may_have_run = query.may_have_run
+        query.cancel()
+        reason = FailureReason.DEADLINE if may_have_run else FailureReason.STOPPING
+        result = NotAnswered(reason, may_have_run)
+        self._finish(routed, routed.responses.failed(result), result)
 
     def _reject_unconfigured(self, call: Call) -> None:
         metadata = parse_request_headers(call.request.headers)
@@ -222,10 +243,17 @@
             refusal = responses.refused(RETRY_AFTER_STALE)
             self._reject(call, metadata, "no service has a positive weight", refusal)
             return
+        limit = self._shutdown_limit
+        is_too_late = times.deadline_at > limit.ends_at and not limit.can_answer(route)
+        if times.deadline_at > limit.ends_at:
+            times = limit.shorten(times)
         version = self.configuration_manager.version
         routed = RoutedRequest(
             call, responses, route, services, times, metadata, version
         )
+        if is_too_late:
+            self._refuse(routed, FailureReason.STOPPING, None)
+            return
         if times.deadline_at <= self.clock.monotonic():
             self._refuse(routed, FailureReason.DEADLINE, None)
             return
@@ -406,6 +434,11 @@
         return self.peers.accept(message, done, self.serve)
 
 
+def _may_have_run(running: tuple[RoutedRequest, AnyQuery]) -> bool:
+    _, query = running
+    return query.may_have_run
+
+
 def _is_overload(result: AnyResult) -> bool:
     match result:
         case NotAnswered(reason=reason):
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -28,8 +28,10 @@
 from foxtailseam.front._process_failure import ProcessFailure
 from foxtailseam.front._quarantine_guard import QuarantineGuard
 from foxtailseam.front._settings_file import read_settings
+from foxtailseam.front._shutdown import Shutdown, plan_shutdown
 from foxtailseam.front._timing import TimingSettings
 from foxtailseam.http import (
+    BufferSpace,
     Call,
     ConnectionPool,
     HttpResponse,
@@ -78,10 +80,14 @@
 # connections; files, listeners and connections to searchers need the rest.
 CALLER_DESCRIPTOR_SHARE = 0.5
 RESERVED_DESCRIPTORS = 200
-# Fraction of the memory limit that buffered request bodies may take together, and those
-# of requests that other hosts have forwarded.
-BODY_MEMORY_SHARE = 0.25
+# Fractions of the memory limit that buffers may take: bodies and headers of callers'
+# requests, bodies of requests that other hosts have forwarded, requests and responses
+# on connections to searchers, and responses that callers have not read.
+BODY_MEMORY_SHARE = 0.15
+HEADER_MEMORY_SHARE = 0.1
 FORWARDED_BODY_MEMORY_SHARE = 0.05
+SEARCHER_MEMORY_SHARE = 0.15
+UNSENT_MEMORY_SHARE = 0.1
 MEGABYTE = 1_000_000
 
 # Time in which a host that starts together with all others waits for their copy of the
@@ -90,17 +96,8 @@
 MAINTENANCE_INTERVAL = timedelta(milliseconds=250)
 # Lower bound of the number of hosts that budgets and connections are divided by.
 MIN_HOSTS = 4
-# The load balancer removes a host after two failed readiness checks, which it sends
-# once a second.
-BALANCER_LAG_SECONDS = 2.3
-# Time in which responses close their connections before the listening socket closes.
-CONNECTION_CLOSE_SECONDS = 0.4
-# Time in which a caller whose connection was just made sends its first request.
-FIRST_REQUEST_SECONDS = 0.3
-# Part of the grace period before SIGKILL that is kept for failing the requests that
-# are still running.
-GRACE_MARGIN_SECONDS = 0.5
-DRAIN_POLL_SECONDS = 0.02
+# Time in which the last responses to other hosts are sent.
+LAST_RESPONSES_SECONDS = 0.02
 # A replica of the configuration service that was last known to be in sync longer ago
 # than this may lack newer changes.
 MAX_CURRENT_AGE_SECONDS = 3.0
@@ -136,6 +133,8 @@
         )
         loop = asyncio.get_running_loop()
         bounds = settings.bounds
+        memory = settings.limits.memory_mb * MEGABYTE
+        self._searcher_space = BufferSpace(int(memory * SEARCHER_MEMORY_SHARE))
         budget_settings = BudgetSettings(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
@@ -267,18 +266,15 @@
             and not self._is_stopping
         )
 
-    async def run(self, early_signals: EarlySignals | None = None) -> ExitCode:
+    async def run(self, early_signals: EarlySignals | None = None) -> None:
         """Serve until SIGTERM or SIGINT, then drain the requests in flight.
 
+        An error that ends the process is logged.
+
         Parameters
         ----------
         early_signals : EarlySignals or None
             Signals that have arrived before.
-
-        Returns
-        -------
-        ExitCode
-            Exit code of the process; an error that ends it is logged.
         """
         self._loop_errors.install(asyncio.get_running_loop())
         try:
@@ -286,12 +282,11 @@
         except Exception as error:
             failure = ProcessFailure(error, self._has_started)
             self.log.write(EventCode.PROCESS_FAILED, **failure.describe())
-            return failure.exit_code
+            raise
         finally:
             self._processor_watch.stop()
             self._loop_errors.remove()
             self.log.flush()
-        return ExitCode.STOPPED
 
     async def _run(self, early_signals: EarlySignals) -> None:
         stop = asyncio.Event()
@@ -306,6 +301,7 @@
             process=os.getpid(),
             callers=self.settings.callers,
             failure_domain=self.settings.failure_domain,
+            ignored_seeds=self.settings.ignored_seeds,
         )
         await stop.wait()
         await self._drain()
@@ -333,38 +329,29 @@
         await self._metrics_listener.start(f"{settings.address}:{METRICS_PORT}")
 
     async def _drain(self) -> None:
-        stopped_at = self.clock.monotonic()
+        grace = self.settings.bounds.shutdown_grace
+        schedule = plan_shutdown(self.clock.monotonic(), grace)
         self._is_stopping = True
-        self.front.peers.is_stopping = True
+        self.front.stop_by(schedule.end_requests_at)
         self.log.write(EventCode.PROCESS_DRAINING, in_flight=self.front.in_flight)
         self._log_readiness_change()
-        await self._fleet.leave()
-        elapsed = self.clock.monotonic() - stopped_at
-        await asyncio.sleep(max(0.0, BALANCER_LAG_SECONDS - elapsed))
-        self._caller_listener.drain()
-        await asyncio.sleep(CONNECTION_CLOSE_SECONDS)
-        await self._caller_listener.stop_accepting()
-        await asyncio.sleep(FIRST_REQUEST_SECONDS)
-        self._caller_listener.close_idle()
-        grace = (
-            self.settings.bounds.shutdown_grace.total_seconds() - GRACE_MARGIN_SECONDS
+        shutdown = Shutdown(
+            schedule,
+            self._caller_listener,
+            lambda: self.front.in_flight,
+            self.front.abort_all,
+            self._fleet.leave,
+            self.clock,
+            self.log,
         )
-        while self._caller_listener.in_flight or self.front.in_flight:
-            if self.clock.monotonic() - stopped_at > grace:
-                left = max(self._caller_listener.in_flight, self.front.in_flight)
-                self.log.write(EventCode.DRAIN_BOUND_REACHED, in_flight=left)
-                self.front.abort_all()
-                break
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
-        self._caller_listener.stop()
-        # Lets the last responses be sent.
-        await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await shutdown.run()
+        await asyncio.sleep(LAST_RESPONSES_SECONDS)
 
     def _open_pool(self, address: str, limit: int) -> ConnectionPool:
         settings = PoolSettings(
             address, limit, CONNECT_TIMEOUT, UNACKNOWLEDGED_TIMEOUT, REQUEST_ID_HEADER
         )
-        return ConnectionPool(settings, self.clock)
+        return ConnectionPool(settings, self.clock, self._searcher_space)
 
     def _log_readiness_change(self) -> None:
         if self.is_ready != self._is_ready:
@@ -409,6 +396,8 @@
             limits,
             connections=connections,
             buffered_bytes=int(memory * BODY_MEMORY_SHARE),
+            buffered_header_bytes=int(memory * HEADER_MEMORY_SHARE),
+            unsent_bytes=int(memory * UNSENT_MEMORY_SHARE),
         )
 
     def _on_service_state(self, state: FollowerState, reason: str) -> None:
@@ -448,7 +437,11 @@
         metrics.set("tasks_failing", self._failures.failing)
         metrics.set("requests_in_flight", self.front.in_flight)
         metrics.set("processor_seconds", time.process_time())
-        metrics.set("buffered_body_bytes", self._caller_listener.buffered_bytes)
+        listener = self._caller_listener
+        metrics.set("buffered_body_bytes", listener.buffered_bytes)
+        metrics.set("buffered_header_bytes", listener.header_space.reserved)
+        metrics.set("unsent_response_bytes", listener.unsent_space.reserved)
+        metrics.set("buffered_searcher_bytes", self._searcher_space.reserved)
         for name, size in self.dispatcher.traffic.totals.items():
             metrics.set(f"bytes_{name}", size)
         metrics.set("searcher_contact_age_seconds", self.dispatcher.contacts.age)
@@ -468,7 +461,9 @@
                 self.settings = result.unwrap()
                 self._fleet.seeds = self.settings.seeds
                 self.log.write(
-                    EventCode.SETTINGS_RELOADED, seeds=len(self.settings.seeds)
+                    EventCode.SETTINGS_RELOADED,
+                    seeds=len(self.settings.seeds),
+                    ignored_seeds=self.settings.ignored_seeds,
                 )
             case result:
                 problem = str(result.unwrap_err())
--- a/foxtailseam/front/_process.py
+++ b/foxtailseam/front/_process.py
@@ -30,6 +30,11 @@
         Socket that already listens for callers; None to open one at the start.
     early_signals : EarlySignals or None
         Signals that arrive before the host can handle them.
+
+    Raises
+    ------
+    ImportError
+        If a module is missing that is imported late; it is logged.
     """
     # The log of failures before the host, which has a log of its own, exists.
     log = LogWriter(sys.stdout.fileno(), "", SuspendAwareClock())
@@ -67,4 +72,10 @@
         failure = ProcessFailure(error, has_started=False)
         log.write(EventCode.PROCESS_FAILED, **failure.describe())
         return failure.exit_code
-    return await host.run(early_signals)
+    try:
+        await host.run(early_signals)
+    except ImportError:
+        raise
+    except Exception as error:
+        return ProcessFailure(error, has_started=True).exit_code
+    return ExitCode.STOPPED
--- a/foxtailseam/front/_settings_file.py
+++ b/foxtailseam/front/_settings_file.py
@@ -5,7 +5,12 @@
 
 from result import Err, Result
 
-from foxtailseam.platform import SETTINGS_VARIABLE, HostSettings, decode_settings
+from foxtailseam.platform import (
+    MAX_SETTINGS_BYTES,
+    SETTINGS_VARIABLE,
+    HostSettings,
+    decode_settings,
+)
 from foxtailseam.utils import ValidationProblem
 
 
@@ -19,7 +24,8 @@
     """
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
-        text = path.read_bytes()
+        with path.open("rb") as file:
+            text = file.read(MAX_SETTINGS_BYTES + 1)
     except OSError as error:
         return Err(ValidationProblem("settings file", str(error), "a readable file"))
     return decode_settings(text)
--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -14,16 +14,26 @@
 import httptools
 
 from foxtailseam.clocks import Clock
+from foxtailseam.http._buffer_space import BufferSpace
 from foxtailseam.http._call import Call
-from foxtailseam.http._messages import HttpRequest, HttpResponse, render_response
+from foxtailseam.http._messages import (
+    HEADER_FIELD_BYTES,
+    HttpRequest,
+    HttpResponse,
+    render_response,
+)
 
 BAD_REQUEST = HttpResponse(400)
 REQUEST_TIMEOUT = HttpResponse(408)
 CONTENT_TOO_LARGE = HttpResponse(413)
 HEADER_TOO_LARGE_STATUS = 431
+# Sent in place of a response for which the buffers have no space.
+RESPONSE_DROPPED = HttpResponse(502)
 # By the time of the retry, the requests whose bodies fill the buffer should have
 # been answered.
 BUFFER_FULL = HttpResponse(503, ((b"Retry-After", b"1"),))
+# Another host can take the request at once.
+STOPPING = HttpResponse(503, ((b"Retry-After", b"0.05"),))
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 # The handler failed, so it is not known whether the request was run.
@@ -32,6 +42,9 @@
 # Time that sent response data may stay unacknowledged by the caller before the
 # connection is closed.
 UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=6)
+# Time in seconds in which the rest of a rejected request is read and dropped. Closing a
+# connection with unread bytes resets it, and the caller may lose the response.
+LINGER_SECONDS = 0.5
 # Pipelined requests that are queued on one connection before reading pauses.
 MAX_QUEUED_REQUESTS = 8
 # Bytes of a header line besides name and value: colon, space, CR and LF.
@@ -62,6 +75,14 @@
     buffered_bytes : int
         Maximum total size of the buffered bodies of all requests, in bytes; a
         request whose body exceeds it is rejected with status 503.
+    buffered_header_bytes : int
+        Maximum memory of the headers of all requests, in bytes; a request whose
+        header exceeds it is rejected with status 503.
+    unsent_bytes : int
+        Maximum total size of the responses that callers have not read yet, in bytes;
+        a response that exceeds it is replaced by a 502.
+    response_timeout : timedelta
+        Maximum time from a response to its last byte being sent.
     long_header_status : int
         Status code of the response to a header that is too large.
     """
@@ -73,6 +94,9 @@
     idle_timeout: timedelta = timedelta(seconds=15)
     connections: int = 1_000
     buffered_bytes: int = 64 * 1024 * 1024
+    buffered_header_bytes: int = 32 * 1024 * 1024
+    unsent_bytes: int = 32 * 1024 * 1024
+    response_timeout: timedelta = timedelta(seconds=30)
     long_header_status: int = HEADER_TOO_LARGE_STATUS
 
 
@@ -81,6 +105,12 @@
     HEADER = auto()
     BODY = auto()
     FAILED = auto()
+    # The response to a rejected request is written; the rest of the request is dropped.
+    LINGERING = auto()
+
+
+_ENDED = frozenset({_Phase.FAILED, _Phase.LINGERING})
+_INCOMPLETE = frozenset({_Phase.HEADER, _Phase.BODY})
 
 
 class ConnectionOwner(Protocol):
@@ -92,6 +122,9 @@
     on_rejected: Callable[[int], None]
     on_error: Callable[[Exception], None]
     is_draining: bool
+    # Space for the headers of requests and for responses that callers do not read.
+    header_space: BufferSpace
+    unsent_space: BufferSpace
 
     def reserve(self, size: int) -> bool:
         """Reserve `size` bytes of buffer space; return whether there were enough."""
@@ -129,6 +162,13 @@
         # Buffer space that this connection has reserved at the listener, in bytes.
         self._reserved_bytes = 0
         self._keep_alive_flags: deque[bool] = deque()
+        # Memory that the header of each request that is not answered takes, in bytes.
+        self._header_sizes: deque[int] = deque()
+        # Responses that the caller has not read, in bytes, and when the last one was
+        # written.
+        self._unsent_bytes = 0
+        self._written_at = 0.0
+        self._is_write_paused = False
         self._reset_request()
 
     @property
@@ -140,6 +180,14 @@
             and not self._queued_requests
         )
 
+    @property
+    def is_finished(self) -> bool:
+        """Return whether no request is due a response and all responses are sent."""
+        is_due = self._phase in _INCOMPLETE or self.in_flight > 0
+        is_lingering = self._phase is _Phase.LINGERING
+        is_unsent = self._transport.get_write_buffer_size() > 0
+        return not (is_due or is_lingering or is_unsent)
+
     @property
     def was_used(self) -> bool:
         """Return whether a complete request was received."""
@@ -162,10 +210,12 @@
         """
         call, self._current_call = self._current_call, None
         self._release(len(call.request.body))
+        self.listener.header_space.reserve(-self._header_sizes.popleft())
         keep_alive = self._keep_alive_flags.popleft()
-        close = not keep_alive or self.listener.is_draining
+        has_next = self._queued_requests or self._phase in _INCOMPLETE
+        close = not keep_alive or (self.listener.is_draining and not has_next)
         is_head = call.request.method == b"HEAD"
-        self._transport.write(self._render(response, close, is_head))
+        self._write(response, close, is_head)
         if close:
             self._transport.close()
             return
@@ -177,6 +227,11 @@
         """Close the connection once all written data is sent."""
         self._transport.close()
 
+    def reject_incomplete(self) -> None:
+        """Answer a request that has not arrived whole, as the host stops."""
+        if self._phase in _INCOMPLETE:
+            self._reject(STOPPING)
+
     def enforce_timeouts(self, now: float) -> None:
         """Close an idle connection, or reject a request, that timed out.
 
@@ -186,8 +241,17 @@
             Current monotonic time of the listener's clock, in seconds.
         """
         limits = self.listener.limits
+        if self._unsent_bytes:
+            self._count_unsent()
+            waited = timedelta(seconds=now - self._written_at)
+            if self._unsent_bytes and waited > limits.response_timeout:
+                self._transport.abort()
+                return
         elapsed = timedelta(seconds=now - self._phase_since)
-        if self._phase is _Phase.IDLE:
+        if self._phase is _Phase.LINGERING:
+            if elapsed.total_seconds() > LINGER_SECONDS:
+                self.close()
+        elif self._phase is _Phase.IDLE:
             if self.is_idle and elapsed > limits.idle_timeout:
                 self.close()
         elif (self._phase is _Phase.HEADER and elapsed > limits.header_timeout) or (
@@ -212,7 +276,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and enforce the size limits."""
-        if self._phase is _Phase.FAILED:
+        if self._phase in _ENDED:
             return
         if self._phase in (_Phase.IDLE, _Phase.HEADER):
             self._received_header_bytes += len(data)
@@ -227,10 +291,23 @@
         except httptools.HttpParserError:
             self._reject(BAD_REQUEST)
         else:
+            if self._phase is _Phase.HEADER:
+                self._reserve_header(self._received_header_bytes)
             self._check_limits()
         if len(self._queued_requests) >= MAX_QUEUED_REQUESTS:
             self._transport.pause_reading()
 
+    def pause_writing(self) -> None:
+        """Serve no further request until the caller reads."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Serve the next request."""
+        self._is_write_paused = False
+        self._count_unsent()
+        if not self._transport.is_closing():
+            self._serve_next()
+
     def eof_received(self) -> bool:
         """Close the connection: a half-close counts as a disconnect."""
         return False
@@ -239,6 +316,12 @@
         """Release the buffers, drop queued requests and cancel the current one."""
         self.listener.closed(self)
         self._release(self._reserved_bytes)
+        header_sizes = self._header_size + sum(self._header_sizes)
+        self.listener.header_space.reserve(-header_sizes)
+        self._header_size = 0
+        self._header_sizes.clear()
+        self.listener.unsent_space.reserve(-self._unsent_bytes)
+        self._unsent_bytes = 0
         self._queued_requests.clear()
         self._phase = _Phase.FAILED
         call, self._current_call = self._current_call, None
@@ -249,7 +332,7 @@
 
     def on_message_begin(self) -> None:
         """Start a new request and its header timeout."""
-        if self._phase is _Phase.FAILED:
+        if self._phase in _ENDED:
             return
         received_header_bytes = self._received_header_bytes
         self._reset_request()
@@ -272,9 +355,10 @@
         The header must have one Host field, and the target must start with a
         slash.
         """
-        if self._phase is _Phase.FAILED:
+        if self._phase in _ENDED:
             return
         self._enter_phase(_Phase.BODY)
+        self._reserve_header(self._parsed_header_bytes + len(self._target))
         host_headers = 0
         expects_continue = False
         for name, value in self._headers:
@@ -305,10 +389,10 @@
 
     def on_message_complete(self) -> None:
         """Queue a complete request to be served."""
-        if self._phase is _Phase.FAILED:
+        if self._phase in _ENDED:
             return
         self._check_limits()
-        if self._phase is _Phase.FAILED:
+        if self._phase in _ENDED:
             return
         self._enter_phase(_Phase.IDLE)
         self._received_header_bytes = 0
@@ -320,6 +404,8 @@
             self._arrived_at,
             self._network_delay(),
         )
+        self._header_sizes.append(self._header_size)
+        self._header_size = 0
         self._keep_alive_flags.append(self._parser.should_keep_alive())
         self._queued_requests.append(request)
         self._serve_next()
@@ -337,6 +423,7 @@
         self._body: list[bytes] = []
         self._received_header_bytes = 0
         self._parsed_header_bytes = 0
+        self._header_size = 0
         self._body_size = 0
         self._is_body_too_large = False
         self._is_buffer_full = False
@@ -348,7 +435,7 @@
         self._phase_since = self.listener.clock.monotonic()
 
     def _check_limits(self) -> None:
-        if self._phase is _Phase.FAILED:
+        if self._phase in _ENDED:
             return
         limit = self.listener.limits.header_bytes
         parsed_bytes = self._parsed_header_bytes + len(self._target)
@@ -362,12 +449,35 @@
         elif self._is_buffer_full:
             self._reject(BUFFER_FULL)
 
+    def _reserve_header(self, size: int) -> None:
+        """Reserve the memory for the header of which `size` bytes were received."""
+        size += HEADER_FIELD_BYTES * len(self._headers)
+        if self.listener.header_space.reserve(size - self._header_size):
+            self._header_size = size
+        else:
+            self._is_buffer_full = True
+
+    def _write(self, response: HttpResponse, close: bool, is_head: bool) -> None:
+        space = self.listener.unsent_space
+        if len(response.body) > space.available:
+            response = RESPONSE_DROPPED
+            self.listener.on_rejected(response.status)
+        self._transport.write(self._render(response, close, is_head))
+        if self._transport.get_write_buffer_size() or self._unsent_bytes:
+            self._written_at = self.listener.clock.monotonic()
+            self._count_unsent()
+
+    def _count_unsent(self) -> None:
+        size = self._transport.get_write_buffer_size()
+        self.listener.unsent_space.reserve(size - self._unsent_bytes, is_forced=True)
+        self._unsent_bytes = size
+
     def _release(self, size: int) -> None:
         self._reserved_bytes -= size
         self.listener.release(size)
 
     def _serve_next(self) -> None:
-        if self._current_call is not None:
+        if self._current_call is not None or self._is_write_paused:
             return
         if self._queued_requests:
             self._current_call = Call(self._queued_requests.popleft(), self)
@@ -400,7 +510,8 @@
     def _send_error(self, response: HttpResponse) -> None:
         self.listener.on_rejected(response.status)
         self._transport.write(render_response(response, close=True, is_head=False))
-        self._transport.close()
+        self._transport.write_eof()
+        self._enter_phase(_Phase.LINGERING)
 
 
 def _kernel_rtt(sock: socket.socket) -> float | None:
--- a/foxtailseam/http/_listener.py
+++ b/foxtailseam/http/_listener.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from foxtailseam.clocks import Clock
+from foxtailseam.http._buffer_space import BufferSpace
 from foxtailseam.http._call import Call
 from foxtailseam.http._caller_connection import CallerConnection, ListenerLimits
 from foxtailseam.launch import BACKLOG, open_listener
@@ -48,6 +49,8 @@
         self.clock = clock
         self.on_rejected = on_rejected
         self.on_error = on_error
+        self.header_space = BufferSpace()
+        self.unsent_space = BufferSpace()
         self.limits = ListenerLimits()
         self._connections: set[CallerConnection] = set()
         self._socket: socket.socket | None = None
@@ -56,6 +59,17 @@
         self._is_draining = False
         self._buffered_bytes = 0
 
+    @property
+    def limits(self) -> ListenerLimits:
+        """Return the size limits and timeouts."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: ListenerLimits) -> None:
+        self._limits = limits
+        self.header_space.limit = limits.buffered_header_bytes
+        self.unsent_space.limit = limits.unsent_bytes
+
     @property
     def is_draining(self) -> bool:
         """Return whether each connection closes after its next response."""
@@ -71,6 +85,11 @@
         """Return the number of requests that were read but not answered yet."""
         return sum(connection.in_flight for connection in self._connections)
 
+    @property
+    def unfinished(self) -> int:
+        """Return the number of connections with a request or an unsent response."""
+        return sum(not connection.is_finished for connection in self._connections)
+
     async def start(
         self, address: str, listening_socket: socket.socket | None = None
     ) -> None:
@@ -112,6 +131,11 @@
             if connection.is_idle:
                 connection.close()
 
+    def reject_incomplete(self) -> None:
+        """Answer the requests that have not arrived whole; none of them runs."""
+        for connection in list(self._connections):
+            connection.reject_incomplete()
+
     def stop(self) -> None:
         """Stop accepting connections and close all of them."""
         if self._server is not None:
--- a/foxtailseam/launch/_exit_codes.py
+++ b/foxtailseam/launch/_exit_codes.py
@@ -1,5 +1,6 @@
 """Exit codes of the process of a host."""
 
+import os
 from enum import IntEnum
 
 
@@ -9,7 +10,7 @@
     STOPPED = 0
     FAILED = 1
     USAGE = 2
-    PACKAGE_MISSING = 10
     SETTINGS_INVALID = 11
     ADDRESS_UNAVAILABLE = 12
     LOOP_STUCK = 13
+    PACKAGE_MISSING = os.EX_CONFIG
--- a/foxtailseam/launch/_failure.py
+++ b/foxtailseam/launch/_failure.py
@@ -13,7 +13,7 @@
 MAX_TEXT_LENGTH = 200
 
 
-def report_failure(phase: str, code: ExitCode, error: Exception) -> None:
+def log_failure(phase: str, code: ExitCode, error: Exception) -> None:
     """Write the event of a failed start to standard output.
 
     Parameters
