Draw copies of odd values in the property tests of foreign input

A change to a drawn list or map changed it for all later examples; hypothesis reported inconsistent data in a run by hand with 5,000 examples a test (TestSettings).

--- a/foxtailseam/utils/tests/_odd_documents.py
+++ b/foxtailseam/utils/tests/_odd_documents.py
@@ -96,7 +96,8 @@
     document = copy.deepcopy(valid)
     for _ in range(draw(st.integers(0, 2))):
         path = draw(st.sampled_from(list(_paths(document))))
-        value = draw(st.sampled_from(odd))
+        # A copy, since the next change may be within it.
+        value = copy.deepcopy(draw(st.sampled_from(odd)))
         document = _replaced(document, path, value, draw(st.integers(0, 9)))
     data = encode(document)
     if draw(st.integers(0, 4)) == 0 and data:
