List all keys after a watch whose response is unusable

Cause: the changes since the reader's position took more than the 8 MB of a response. The follower repeated a failed watch from the same position, whatever had failed, so that it failed for ever; the hosts that follow it were told of nothing.

Change: a StoreFailure says whether the same read would fail again (too large, malformed). After such a watch the follower lists all keys, of which a listing has the newest change alone, and watches on from there. While watch after watch is unusable, the listings between them don't end the backoff: it doubles from 0.25 s up to 1 s, so that the calls stay few and a version is in force within its 3 s. A listing is bounded by 48 MB in all.

--- a/foxtailseam/platform/_store.py
+++ b/foxtailseam/platform/_store.py
@@ -12,6 +12,7 @@
 from foxtailseam.http import (
     ConnectionPool,
     ExchangeFailure,
+    FailureKind,
     HttpResponse,
     PoolSettings,
     Received,
@@ -45,6 +46,10 @@
 # A watch holds one connection; a listing may use another at the same time.
 _MAX_CONNECTIONS = 3
 _MAX_PAGES = 2_000
+# Limit of the responses of all pages of a listing together.
+_MAX_LISTING_BYTES = 48 * 1024 * 1024
+# Failures of an exchange that the same call is likely to meet again.
+_LASTING_FAILURES = frozenset({FailureKind.TOO_LARGE, FailureKind.MALFORMED})
 
 
 @dataclass(frozen=True)
@@ -71,6 +76,7 @@
 
 _PAGE_DECODER = msgspec.json.Decoder(_Page)
 _EVENTS_DECODER = msgspec.json.Decoder(_Events)
+_MALFORMED = StoreFailure("malformed", would_repeat=True)
 
 
 class PlatformStore:
@@ -100,6 +106,7 @@
     async def list_items(self) -> Listing | StoreFailure:
         """Return all existing keys, read page by page."""
         items: list[Item] = []
+        size = 0
         first: Position | None = None
         query = {"path_prefix": ""}
         for _ in range(_MAX_PAGES):
@@ -108,9 +115,12 @@
                 return response
             if response.status != _OK:
                 return StoreFailure(str(response.status))
+            size += len(response.body)
+            if size > _MAX_LISTING_BYTES:
+                return StoreFailure(FailureKind.TOO_LARGE, would_repeat=True)
             page = _decode(_PAGE_DECODER, response.body)
             if page is None:
-                return StoreFailure("malformed")
+                return _MALFORMED
             era = self._era
             first = first or Position(era, page.current_rev)
             if first.era != era:
@@ -148,7 +158,7 @@
             return StoreFailure(str(response.status))
         events = _decode(_EVENTS_DECODER, response.body)
         if events is None:
-            return StoreFailure("malformed")
+            return _MALFORMED
         era = self._era
         changes = tuple(_to_change(event, era) for event in events.events)
         return WatchResult(changes, Position(era, events.current_rev))
@@ -169,7 +179,7 @@
                 problem = self._read_era(response)
                 return StoreFailure(problem) if problem else response
             case ExchangeFailure(kind=kind):
-                return StoreFailure(kind)
+                return StoreFailure(kind, would_repeat=kind in _LASTING_FAILURES)
 
     def _read_era(self, response: HttpResponse) -> str:
         """Keep the era of a response; return why the response is unusable, if it is.
--- a/foxtailseam/platform/tests/test_store.py
+++ b/foxtailseam/platform/tests/test_store.py
@@ -6,7 +6,7 @@
 import pytest
 
 from foxtailseam.clocks import SystemClock
-from foxtailseam.platform import PlatformStore
+from foxtailseam.platform import PlatformStore, _store
 from foxtailseam.store import (
     HistoryCompacted,
     Item,
@@ -88,3 +88,31 @@
             return await client.list_items()
 
         assert run(scenario) == StoreFailure(reason)
+
+
+class TestLargeResponses:
+    def test_a_watch_over_the_limit_says_that_it_would_repeat(self):
+        async def scenario(stand_in, client):
+            stand_in.put("a", b"0")
+            listing = await client.list_items()
+            for _ in range(10):
+                stand_in.put("a", b"x" * 1_000_000)
+            result = await client.watch(listing.position, WAIT)
+            # Only the newest of the ten versions.
+            return result, await client.list_items()
+
+        result, listing = run(scenario)
+        assert result == StoreFailure("too-large", would_repeat=True)
+        assert [len(item.value) for item in listing.items] == [1_000_000]
+
+    def test_a_listing_is_bounded_in_all(self, monkeypatch):
+        monkeypatch.setattr(_store, "_MAX_LISTING_BYTES", 3_000_000)
+
+        async def scenario(stand_in, client):
+            for number in range(300):
+                stand_in.put(f"key-{number:03}", b"x" * 10_000)
+            return await client.list_items(), stand_in.calls
+
+        result, calls = run(scenario)
+        assert result == StoreFailure("too-large", would_repeat=True)
+        assert calls == 5
--- a/foxtailseam/store/_client.py
+++ b/foxtailseam/store/_client.py
@@ -41,9 +41,13 @@
     ----------
     reason : str
         HTTP status code, kind of exchange failure, or defect of the response.
+    would_repeat : bool
+        Whether the same read is likely to fail again, for example because its response
+        is too large.
     """
 
     reason: str
+    would_repeat: bool = False
 
 
 class StoreClient(Protocol):
--- a/foxtailseam/store/_follower.py
+++ b/foxtailseam/store/_follower.py
@@ -20,6 +20,8 @@
 # A watch is overdue, so that the replica may be out of date, when it was not answered
 # this long after the service should have ended it.
 OVERDUE_SECONDS = 0.3
+# Further failures in a row do not lengthen the backoff.
+MAX_COUNTED_FAILURES = 16
 # Reason of a failure: the response is of an earlier era than the replica.
 OLDER_ERA = "older era"
 
@@ -40,6 +42,9 @@
         Time from the start of a read that failed to the next read, after the first
         failure, and the longest one. It doubles with each further failure; jitter
         shortens it by up to 40 %.
+    max_listing_backoff : timedelta
+        Longest time from the start of a watch whose response is unusable to the listing
+        that takes its place.
     min_pause : timedelta
         Shortest pause between a read that failed and the next one, before jitter.
     """
@@ -48,6 +53,7 @@
     batch_delay: timedelta = timedelta(milliseconds=200)
     initial_backoff: timedelta = timedelta(milliseconds=250)
     max_backoff: timedelta = timedelta(seconds=2)
+    max_listing_backoff: timedelta = timedelta(seconds=1)
     min_pause: timedelta = timedelta(milliseconds=250)
 
 
@@ -130,6 +136,8 @@
         self.on_failure = on_failure
         self._state = FollowerState.UNKNOWN
         self._failures = 0
+        # Watches in a row whose responses were unusable, listings between them aside.
+        self._unusable_watches = 0
         self._in_sync_at = float("-inf")
         self._read_started_at = float("-inf")
 
@@ -156,7 +164,8 @@
 
         The first listing is skipped if the replica already has a position to watch
         from. When the service does not have the changes since the last known position,
-        or came back from an older copy, all keys are listed again.
+        cannot return them in one response, or came back from an older copy, all keys
+        are listed again.
         """
         try:
             while True:
@@ -183,10 +192,11 @@
                 return False
 
     async def _watch(self) -> None:
-        """Watch until the history is compacted or the service starts another era.
+        """Watch until only a listing can bring the replica in sync again.
 
-        After a failure it watches again from the same position, because a failure
-        alone does not require a new listing.
+        That is when the history is compacted, the service starts another era, or the
+        same watch would fail again: a listing has only the newest change of each key.
+        After another failure it watches again from the same position.
         """
         while True:
             self._read_started_at = self.clock.monotonic()
@@ -203,11 +213,15 @@
                     return
                 case WatchResult(changes=changes, position=position):
                     self.replica.apply(changes, position)
+                    self._unusable_watches = 0
                     self._on_success()
                     if changes:
                         await self.sleep(self.settings.batch_delay.total_seconds())
                 case HistoryCompacted():
                     return
+                case StoreFailure(reason=reason, would_repeat=True):
+                    await self._on_unusable_watch(reason)
+                    return
                 case StoreFailure(reason=reason):
                     await self._on_failure(reason)
 
@@ -223,22 +237,32 @@
         self._set_state(FollowerState.IN_SYNC, "")
 
     async def _on_failure(self, reason: str) -> None:
+        self._failures = min(self._failures + 1, MAX_COUNTED_FAILURES)
+        await self._back_off(reason, self._failures, self.settings.max_backoff)
+
+    async def _on_unusable_watch(self, reason: str) -> None:
+        """Back off longer after each one: successful listings are no reason not to."""
+        self._unusable_watches = min(self._unusable_watches + 1, MAX_COUNTED_FAILURES)
+        longest = self.settings.max_listing_backoff
+        await self._back_off(reason, self._unusable_watches, longest)
+
+    async def _back_off(self, reason: str, failures: int, longest: timedelta) -> None:
         self._set_state(FollowerState.LOST, reason)
         elapsed = self.clock.monotonic() - self._read_started_at
-        pause = self._compute_pause(elapsed)
-        self._failures = min(self._failures + 1, 16)
-        self.on_failure(ReadFailure(reason, elapsed, self._failures, pause))
+        pause = self._compute_pause(elapsed, failures, longest)
+        self.on_failure(ReadFailure(reason, elapsed, failures, pause))
         await self.sleep(pause)
 
-    def _compute_pause(self, elapsed: float) -> float:
+    def _compute_pause(
+        self, elapsed: float, failures: int, longest: timedelta
+    ) -> float:
         """Return the seconds to wait after a failed read.
 
         Time that the read took counts: the host must not wait for its timeout and then
         for the whole backoff, since the service may be back in the meantime.
         """
         initial = self.settings.initial_backoff.total_seconds()
-        longest = self.settings.max_backoff.total_seconds()
-        backoff = min(longest, initial * 2**self._failures)
+        backoff = min(longest.total_seconds(), initial * 2 ** (failures - 1))
         pause = max(self.settings.min_pause.total_seconds(), backoff - elapsed)
         return pause * self.generator.uniform(0.6, 1.0)
 
--- a/foxtailseam/store/tests/test_follower.py
+++ b/foxtailseam/store/tests/test_follower.py
@@ -248,6 +248,34 @@
         assert client.calls == [("watch", at(5))]
 
 
+class TestUnusableWatch:
+    """A watch fails in a way in which it would fail again, such as by its size."""
+
+    TOO_LARGE = StoreFailure("too-large", would_repeat=True)
+    NEWER = Listing((Item("a", b"2", at(40)),), at(40))
+
+    def test_after_a_storm_of_large_changes_a_listing_brings_the_newest(self):
+        script = (LISTING, self.TOO_LARGE, self.NEWER)
+        state, _, replica, calls, states, pauses = run_follower(*script)
+        assert calls == ["list", ("watch", at(5)), "list", ("watch", at(40))]
+        assert (FollowerState.LOST, "too-large") in states
+        assert state is FollowerState.IN_SYNC
+        assert replica.items == self.NEWER.items
+        assert sum(pauses) <= 0.25
+
+    def test_listings_become_rare_while_each_watch_fails(self):
+        script = [LISTING, *[self.TOO_LARGE, self.NEWER] * 8]
+        *_, pauses = run_follower(*script)
+        assert sum(pauses) >= 4.0
+        assert max(pauses) < CONFIGURATION_SECONDS - 1.5
+
+    def test_a_sound_watch_ends_the_backoff(self):
+        sound = WatchResult((), at(41))
+        script = [LISTING, *[self.TOO_LARGE, self.NEWER] * 5, sound, self.TOO_LARGE]
+        *_, pauses = run_follower(*script)
+        assert pauses[-1] <= 0.25
+
+
 class TestEra:
     """The service comes back from an older copy of its data."""
 
