--- a/foxtailseam/platform/_store.py
+++ b/foxtailseam/platform/_store.py
@@ -2,11 +2,13 @@
 
 import binascii
 from base64 import b64decode
+from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import TypeVar
 from urllib.parse import urlencode
 
-import msgspec
+from result import Err, Ok
 
 from foxtailseam.clocks import Clock
 from foxtailseam.http import (
@@ -20,15 +22,22 @@
     render_request_head,
 )
 from foxtailseam.store import (
+    IMPLAUSIBLE_REVISION,
+    MAX_REVISION_STEP,
     Change,
     HistoryCompacted,
     Item,
     Listing,
     Position,
+    PositionCheck,
     Removal,
     StoreFailure,
     WatchResult,
+    second_greatest,
 )
+from foxtailseam.utils import DocumentDecoder, WholeNumber, shorten
+
+T = TypeVar("T")
 
 _OK = 200
 _GONE = 410
@@ -50,12 +59,16 @@
 _MAX_LISTING_BYTES = 48 * 1024 * 1024
 # Failures of an exchange that the same call is likely to meet again.
 _LASTING_FAILURES = frozenset({FailureKind.TOO_LARGE, FailureKind.MALFORMED})
+# Longest body that is decoded.
+MAX_RESPONSE_BYTES = 67_108_864
+# Characters of the reason why a response is unusable.
+_MAX_REASON_LENGTH = 100
 
 
 @dataclass(frozen=True)
 class _ItemDocument:
     key: str
-    revision: int
+    revision: WholeNumber
     value: str = ""
     # Only in events: the key was removed at this revision.
     removed: bool = False
@@ -64,19 +77,18 @@
 @dataclass(frozen=True)
 class _Page:
     items: tuple[_ItemDocument, ...]
-    current_rev: int
+    current_rev: WholeNumber
     has_more: bool = False
 
 
 @dataclass(frozen=True)
 class _Events:
     events: tuple[_ItemDocument, ...]
-    current_rev: int
+    current_rev: WholeNumber
 
 
-_PAGE_DECODER = msgspec.json.Decoder(_Page)
-_EVENTS_DECODER = msgspec.json.Decoder(_Events)
-_MALFORMED = StoreFailure("malformed", would_repeat=True)
+_PAGE_DECODER = DocumentDecoder(_Page, MAX_RESPONSE_BYTES)
+_EVENTS_DECODER = DocumentDecoder(_Events, MAX_RESPONSE_BYTES)
 
 
 class PlatformStore:
@@ -93,7 +105,7 @@
     def __init__(self, address: str, clock: Clock):
         self.address = address
         self.calls = 0
-        self._era = 0
+        self._check = PositionCheck()
         settings = PoolSettings(
             address,
             _MAX_CONNECTIONS,
@@ -119,9 +131,12 @@
             if size > _MAX_LISTING_BYTES:
                 return StoreFailure(FailureKind.TOO_LARGE, would_repeat=True)
             page = _decode(_PAGE_DECODER, response.body)
-            if page is None:
-                return _MALFORMED
-            era = self._era
+            if isinstance(page, StoreFailure):
+                return page
+            problem = self._check_page(page, query.get("after"))
+            if problem:
+                return StoreFailure(problem)
+            era = self._check.era
             first = first or Position(era, page.current_rev)
             if first.era != era:
                 # The pages are of different copies of the data.
@@ -130,7 +145,7 @@
                 Item(i.key, _decode_value(i.value), Position(era, i.revision))
                 for i in page.items
             )
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 return Listing(tuple(items), first)
             query["after"] = page.items[-1].key
         return StoreFailure("too many pages")
@@ -157,9 +172,14 @@
         if response.status != _OK:
             return StoreFailure(str(response.status))
         events = _decode(_EVENTS_DECODER, response.body)
-        if events is None:
-            return _MALFORMED
-        era = self._era
+        if isinstance(events, StoreFailure):
+            return events
+        problem = self._check.check_revision(events.current_rev, after.revision)
+        if problem:
+            return StoreFailure(problem)
+        if _has_implausible_item(events.events, events.current_rev):
+            return StoreFailure(IMPLAUSIBLE_REVISION, would_repeat=True)
+        era = self._check.era
         changes = tuple(_to_change(event, era) for event in events.events)
         return WatchResult(changes, Position(era, events.current_rev))
 
@@ -191,17 +211,31 @@
             return ""
         if not text.isdigit() or len(text) > _MAX_ERA_DIGITS:
             return "malformed era"
-        if int(text) < self._era:
-            return "older era"
-        self._era = int(text)
-        return ""
+        return self._check.check_era(int(text))
 
+    def _check_page(self, page: _Page, after: str | None) -> str:
+        """Return why a page of a listing is unusable, if it is."""
+        if page.has_more and (not page.items or page.items[-1].key == after):
+            return "no next page"
+        if _has_implausible_item(page.items, page.current_rev):
+            return IMPLAUSIBLE_REVISION
+        known = second_greatest(item.revision for item in page.items)
+        return self._check.check_revision(page.current_rev, known)
 
-def _decode(decoder: msgspec.json.Decoder, body: bytes) -> _Page | _Events | None:
-    try:
-        return decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
+
+def _has_implausible_item(items: Iterable[_ItemDocument], revision: int) -> bool:
+    """Return whether an item is far newer than the service says to be."""
+    newest = max((item.revision for item in items), default=0)
+    return newest > revision + MAX_REVISION_STEP
+
+
+def _decode(decoder: DocumentDecoder[T], body: bytes) -> T | StoreFailure:
+    match decoder.decode(body, "malformed response"):
+        case Ok(document):
+            return document
+        case Err(problem):
+            reason = shorten(str(problem), _MAX_REASON_LENGTH)
+            return StoreFailure(reason, would_repeat=True)
 
 
 def _to_change(event: _ItemDocument, era: int) -> Change:
