Serve a caller's connection on after a request that asks for an upgrade

Found by the new tests besides: a body of such a request was lost, so a POST reached the searcher with an empty one; more than a few hundred pipelined requests in one read ended in a RecursionError, which closed the connection with 400; requests that were read after a response with `Connection: close`, as on a host that stops, were still run, unanswered.

Cause: the parser stops at an upgrade and takes what follows, the body included, for the other protocol; the connection entered the phase in which nothing more is read, and relied on the keep-alive flag of a request that had already been answered. Each response served the next queued request from within the previous one.

Change: the head is parsed again without its Upgrade headers, by a new parser, so the request is read as any other, the connection goes on, and all timeouts apply. CONNECT, the one method that cannot be read without an upgrade, is rejected with 400. Queued requests are served in a loop, nothing is served after a response that closes, and a connection is rejected once at most.

--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -16,6 +16,7 @@
 from foxtailseam.clocks import Clock
 from foxtailseam.http._call import Call
 from foxtailseam.http._messages import HttpRequest, HttpResponse, render_response
+from foxtailseam.http._upgrade import head_without_upgrade
 
 BAD_REQUEST = HttpResponse(400)
 REQUEST_TIMEOUT = HttpResponse(408)
@@ -25,6 +26,7 @@
 # been answered.
 BUFFER_FULL = HttpResponse(503, ((b"Retry-After", b"1"),))
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+CONNECT_METHOD = b"CONNECT"
 
 # Time that sent response data may stay unacknowledged by the caller before the
 # connection is closed.
@@ -125,6 +127,7 @@
         # Buffer space that this connection has reserved at the listener, in bytes.
         self._reserved_bytes = 0
         self._keep_alive_flags: deque[bool] = deque()
+        self._is_serving = False
         self._reset_request()
 
     @property
@@ -163,6 +166,9 @@
         is_head = call.request.method == b"HEAD"
         self._transport.write(render_response(response, close, is_head))
         if close:
+            # Nothing that follows is served.
+            self._phase = _Phase.FAILED
+            self._queued_requests.clear()
             self._transport.close()
             return
         if self._phase is _Phase.IDLE:
@@ -213,13 +219,7 @@
         if self._phase in (_Phase.IDLE, _Phase.HEADER):
             self._received_header_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # Protocol upgrades are not supported, but the request was read: it is
-            # answered, and the connection closes after it.
-            if self._keep_alive_flags:
-                self._keep_alive_flags[-1] = False
-            self._phase = _Phase.FAILED
+            self._parse(data)
         except httptools.HttpParserError:
             self._reject(BAD_REQUEST)
         else:
@@ -227,6 +227,32 @@
         if len(self._queued_requests) >= MAX_QUEUED_REQUESTS:
             self._transport.pause_reading()
 
+    def _parse(self, data: bytes | memoryview) -> None:
+        """Parse received bytes, past the heads of requests that ask for an upgrade."""
+        while data and self._phase is not _Phase.FAILED:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                # The parser takes what follows, even a body, for the other protocol.
+                data = memoryview(data)[upgrade.args[0] :]
+                self._ignore_upgrade()
+
+    def _ignore_upgrade(self) -> None:
+        """Parse the head that was just read again, without its Upgrade headers."""
+        method = self._parser.get_method()
+        if method == CONNECT_METHOD:
+            self._reject(BAD_REQUEST)
+            return
+        head = head_without_upgrade(
+            method,
+            self._target,
+            self._parser.get_http_version(),
+            tuple(self._headers),
+        )
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(head)
+
     def eof_received(self) -> bool:
         """Close the connection: a half-close counts as a disconnect."""
         return False
@@ -244,13 +270,14 @@
     # httptools callbacks
 
     def on_message_begin(self) -> None:
-        """Start a new request and its header timeout."""
+        """Start a new request and its header timeout, or one that is parsed again."""
         if self._phase is _Phase.FAILED:
             return
         received_header_bytes = self._received_header_bytes
         self._reset_request()
         self._received_header_bytes = received_header_bytes
-        self._enter_phase(_Phase.HEADER)
+        if self._phase is not _Phase.HEADER:
+            self._enter_phase(_Phase.HEADER)
         self._arrived_at = self._phase_since
 
     def on_url(self, url: bytes) -> None:
@@ -268,7 +295,7 @@
         The header must have one Host field, and the target must start with a
         slash.
         """
-        if self._phase is _Phase.FAILED:
+        if self._phase is _Phase.FAILED or self._parser.should_upgrade():
             return
         self._enter_phase(_Phase.BODY)
         host_headers = 0
@@ -300,8 +327,8 @@
             self._is_buffer_full = True
 
     def on_message_complete(self) -> None:
-        """Queue a complete request to be served."""
-        if self._phase is _Phase.FAILED:
+        """Queue a complete request to be served, unless its head is parsed again."""
+        if self._phase is _Phase.FAILED or self._parser.should_upgrade():
             return
         self._check_limits()
         if self._phase is _Phase.FAILED:
@@ -363,18 +390,29 @@
         self.listener.release(size)
 
     def _serve_next(self) -> None:
-        if self._current_call is not None:
+        if self._is_serving:
+            # A response to the request that is being passed on: the loop goes on.
             return
-        if self._queued_requests:
-            self._current_call = Call(self._queued_requests.popleft(), self)
-            if not self._transport.is_reading():
-                self._transport.resume_reading()
-            self.listener.handler(self._current_call)
-        elif self._error_response is not None:
-            self._send_error(self._error_response)
+        self._is_serving = True
+        try:
+            while self._queued_requests and self._current_call is None:
+                self._serve(self._queued_requests.popleft())
+        finally:
+            self._is_serving = False
+        if self._current_call is None and self._error_response is not None:
+            response, self._error_response = self._error_response, None
+            self._send_error(response)
+
+    def _serve(self, request: HttpRequest) -> None:
+        self._current_call = Call(request, self)
+        if not self._transport.is_reading():
+            self._transport.resume_reading()
+        self.listener.handler(self._current_call)
 
     def _reject(self, response: HttpResponse) -> None:
         """Send an error after all outstanding responses, and close."""
+        if self._phase is _Phase.FAILED:
+            return
         self._phase = _Phase.FAILED
         self._error_response = response
         self._serve_next()
