--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -22,6 +22,7 @@
     HttpResponse,
     render_response,
 )
+from foxtailseam.http._upgrade import head_without_upgrade
 
 BAD_REQUEST = HttpResponse(400)
 REQUEST_TIMEOUT = HttpResponse(408)
@@ -35,6 +36,7 @@
 # Another host can take the request at once.
 STOPPING = HttpResponse(503, ((b"Retry-After", b"0.05"),))
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+CONNECT_METHOD = b"CONNECT"
 
 # Time that sent response data may stay unacknowledged by the caller before the
 # connection is closed.
@@ -165,6 +167,8 @@
         self._unsent_bytes = 0
         self._written_at = 0.0
         self._is_write_paused = False
+        self._header_size = 0
+        self._is_serving = False
         self._reset_request()
 
     @property
@@ -208,11 +212,19 @@
         self._release(len(call.request.body))
         self.listener.header_space.reserve(-self._header_sizes.popleft())
         keep_alive = self._keep_alive_flags.popleft()
-        has_next = self._queued_requests or self._phase in _INCOMPLETE
+        has_next = (
+            self._queued_requests
+            or self._phase in _INCOMPLETE
+            or self._error_response is not None
+        )
         close = not keep_alive or (self.listener.is_draining and not has_next)
         is_head = call.request.method == b"HEAD"
         self._write(response, close, is_head)
         if close:
+            # Nothing that follows is served.
+            self._phase = _Phase.FAILED
+            self._queued_requests.clear()
+            self._error_response = None
             self._transport.close()
             return
         if self._phase is _Phase.IDLE:
@@ -277,13 +289,7 @@
         if self._phase in (_Phase.IDLE, _Phase.HEADER):
             self._received_header_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # Protocol upgrades are not supported, but the request was read: it is
-            # answered, and the connection closes after it.
-            if self._keep_alive_flags:
-                self._keep_alive_flags[-1] = False
-            self._phase = _Phase.FAILED
+            self._parse(data)
         except httptools.HttpParserError:
             self._reject(BAD_REQUEST)
         else:
@@ -293,6 +299,32 @@
         if len(self._queued_requests) >= MAX_QUEUED_REQUESTS:
             self._transport.pause_reading()
 
+    def _parse(self, data: bytes | memoryview) -> None:
+        """Parse received bytes, past the heads of requests that ask for an upgrade."""
+        while data and self._phase not in _ENDED:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                # The parser takes what follows, even a body, for the other protocol.
+                data = memoryview(data)[upgrade.args[0] :]
+                self._ignore_upgrade()
+
+    def _ignore_upgrade(self) -> None:
+        """Parse the head that was just read again, without its Upgrade headers."""
+        method = self._parser.get_method()
+        if method == CONNECT_METHOD:
+            self._reject(BAD_REQUEST)
+            return
+        head = head_without_upgrade(
+            method,
+            self._target,
+            self._parser.get_http_version(),
+            tuple(self._headers),
+        )
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(head)
+
     def pause_writing(self) -> None:
         """Serve no further request until the caller reads."""
         self._is_write_paused = True
@@ -327,13 +359,14 @@
     # httptools callbacks
 
     def on_message_begin(self) -> None:
-        """Start a new request and its header timeout."""
+        """Start a new request and its header timeout, or one that is parsed again."""
         if self._phase in _ENDED:
             return
         received_header_bytes = self._received_header_bytes
         self._reset_request()
         self._received_header_bytes = received_header_bytes
-        self._enter_phase(_Phase.HEADER)
+        if self._phase is not _Phase.HEADER:
+            self._enter_phase(_Phase.HEADER)
         self._arrived_at = self._phase_since
 
     def on_url(self, url: bytes) -> None:
@@ -351,7 +384,7 @@
         The header must have one Host field, and the target must start with a
         slash.
         """
-        if self._phase in _ENDED:
+        if self._phase in _ENDED or self._parser.should_upgrade():
             return
         self._enter_phase(_Phase.BODY)
         self._reserve_header(self._parsed_header_bytes + len(self._target))
@@ -384,8 +417,8 @@
             self._is_buffer_full = True
 
     def on_message_complete(self) -> None:
-        """Queue a complete request to be served."""
-        if self._phase in _ENDED:
+        """Queue a complete request to be served, unless its head is parsed again."""
+        if self._phase in _ENDED or self._parser.should_upgrade():
             return
         self._check_limits()
         if self._phase in _ENDED:
@@ -419,7 +452,6 @@
         self._body: list[bytes] = []
         self._received_header_bytes = 0
         self._parsed_header_bytes = 0
-        self._header_size = 0
         self._body_size = 0
         self._is_body_too_large = False
         self._is_buffer_full = False
@@ -472,19 +504,34 @@
         self._reserved_bytes -= size
         self.listener.release(size)
 
+    @property
+    def _may_serve(self) -> bool:
+        return self._current_call is None and not self._is_write_paused
+
     def _serve_next(self) -> None:
-        if self._current_call is not None or self._is_write_paused:
+        if self._is_serving:
+            # A response to the request that is being passed on: the loop goes on.
             return
-        if self._queued_requests:
-            self._current_call = Call(self._queued_requests.popleft(), self)
-            if not self._transport.is_reading():
-                self._transport.resume_reading()
-            self.listener.handler(self._current_call)
-        elif self._error_response is not None:
-            self._send_error(self._error_response)
+        self._is_serving = True
+        try:
+            while self._may_serve and self._queued_requests:
+                self._serve(self._queued_requests.popleft())
+        finally:
+            self._is_serving = False
+        if self._may_serve and self._error_response is not None:
+            response, self._error_response = self._error_response, None
+            self._send_error(response)
+
+    def _serve(self, request: HttpRequest) -> None:
+        self._current_call = Call(request, self)
+        if not self._transport.is_reading():
+            self._transport.resume_reading()
+        self.listener.handler(self._current_call)
 
     def _reject(self, response: HttpResponse) -> None:
         """Send an error after all outstanding responses, and close."""
+        if self._phase in _ENDED:
+            return
         self._phase = _Phase.FAILED
         self._error_response = response
         self._serve_next()
