--- a/foxtailseam/platform/_store.py
+++ b/foxtailseam/platform/_store.py
@@ -14,6 +14,7 @@
 from foxtailseam.http import (
     ConnectionPool,
     ExchangeFailure,
+    FailureKind,
     HttpResponse,
     PoolSettings,
     Received,
@@ -54,6 +55,10 @@
 # A watch holds one connection; a listing may use another at the same time.
 _MAX_CONNECTIONS = 3
 _MAX_PAGES = 2_000
+# Limit of the responses of all pages of a listing together.
+_MAX_LISTING_BYTES = 48 * 1024 * 1024
+# Failures of an exchange that the same call is likely to meet again.
+_LASTING_FAILURES = frozenset({FailureKind.TOO_LARGE, FailureKind.MALFORMED})
 # Longest body that is decoded.
 MAX_RESPONSE_BYTES = 67_108_864
 # Characters of the reason why a response is unusable.
@@ -113,6 +118,7 @@
     async def list_items(self) -> Listing | StoreFailure:
         """Return all existing keys, read page by page."""
         items: list[Item] = []
+        size = 0
         first: Position | None = None
         query = {"path_prefix": ""}
         for _ in range(_MAX_PAGES):
@@ -121,6 +127,9 @@
                 return response
             if response.status != _OK:
                 return StoreFailure(str(response.status))
+            size += len(response.body)
+            if size > _MAX_LISTING_BYTES:
+                return StoreFailure(FailureKind.TOO_LARGE, would_repeat=True)
             page = _decode(_PAGE_DECODER, response.body)
             if isinstance(page, StoreFailure):
                 return page
@@ -166,8 +175,10 @@
         if isinstance(events, StoreFailure):
             return events
         problem = self._check.check_revision(events.current_rev, after.revision)
-        if problem or _has_implausible_item(events.events, events.current_rev):
-            return StoreFailure(problem or IMPLAUSIBLE_REVISION)
+        if problem:
+            return StoreFailure(problem)
+        if _has_implausible_item(events.events, events.current_rev):
+            return StoreFailure(IMPLAUSIBLE_REVISION, would_repeat=True)
         era = self._check.era
         changes = tuple(_to_change(event, era) for event in events.events)
         return WatchResult(changes, Position(era, events.current_rev))
@@ -188,7 +199,7 @@
                 problem = self._read_era(response)
                 return StoreFailure(problem) if problem else response
             case ExchangeFailure(kind=kind):
-                return StoreFailure(kind)
+                return StoreFailure(kind, would_repeat=kind in _LASTING_FAILURES)
 
     def _read_era(self, response: HttpResponse) -> str:
         """Keep the era of a response; return why the response is unusable, if it is.
@@ -223,7 +234,8 @@
         case Ok(document):
             return document
         case Err(problem):
-            return StoreFailure(shorten(str(problem), _MAX_REASON_LENGTH))
+            reason = shorten(str(problem), _MAX_REASON_LENGTH)
+            return StoreFailure(reason, would_repeat=True)
 
 
 def _to_change(event: _ItemDocument, era: int) -> Change:
