Count a request as run when handling its response fails

A request that may not be repeated was answered 503, which promises that it didn't run, at its deadline, although a searcher had run it: an exception while its response was handled (by a searcher's header that nobody foresaw, say) came after the attempt had left the running ones and before it was counted. One run before the change: 503 with Retry-After after 0.6 s, one run at a searcher. The test fails without the change for both types of route.

--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -248,6 +248,18 @@
         del self._running[id(attempt)]
         now = self.dispatcher.clock.monotonic()
         seconds = attempt.searcher.end_request(attempt.number, now)
+        try:
+            self._on_result(attempt, seconds, result, now)
+        except Exception:
+            self._on_unforeseen_error()
+            raise
+        finally:
+            self._release_callbacks()
+            self.dispatcher.waiting.admit(self.plan.service)
+
+    def _on_result(
+        self, attempt: Attempt, seconds: float, result: ExchangeResult, now: float
+    ) -> None:
         contacts = self.dispatcher.contacts
         match result:
             case Received(response=response):
@@ -270,8 +282,12 @@
                     self.on_held()
                 else:
                     self._on_failure(is_unsent=not sent)
-        self._release_callbacks()
-        self.dispatcher.waiting.admit(self.plan.service)
+
+    def _on_unforeseen_error(self) -> None:
+        """Retry or end the call after a result, which may be of a request that ran."""
+        self._run_count += 1
+        self._failure_reason = FailureReason.ERROR
+        self._on_failure(is_unsent=False)
 
     def _release_callbacks(self) -> None:
         """Drop the callbacks of a call that has ended.
--- a/foxtailseam/front/tests/test_unforeseen_failures.py
+++ b/foxtailseam/front/tests/test_unforeseen_failures.py
@@ -86,6 +86,28 @@
 
         run_scenario(scenario)
 
+    @pytest.mark.parametrize(
+        ("path", "expected", "runs"), [("/book/x", 502, 1), ("/read/x", 200, 2)]
+    )
+    def test_a_response_whose_handling_fails_is_of_a_request_that_ran(
+        self, run_scenario, path, expected, runs
+    ):
+        method = "foxtailseam.dispatch._call:ServiceCall._on_response"
+
+        async def scenario(deployment):
+            host = await deployment.start_host(failing=(method, 1))
+            await host.wait_until_ready()
+            async with asyncio.timeout(0.5):
+                status, _, _ = await host.get(path, "POST")
+            assert status == expected
+            assert sum(len(s.runs) for s in deployment.searchers.values()) == runs
+            assert (await host.get(path, "POST"))[0] == 200
+            metrics = await host.metrics()
+            assert metrics["requests_in_flight"] == 0
+            assert metrics["callback_failures_total"] == 1
+
+        run_scenario(scenario)
+
 
 class SilentPeer:
     """Ends each gossip call with status 0 and no message."""
