--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -249,7 +249,15 @@
         now = self.dispatcher.clock.monotonic()
         seconds = attempt.searcher.end_request(attempt.number, now)
         try:
-            self._on_result(attempt, seconds, result, now)
+            match result:
+                case Received(response=response):
+                    self.dispatcher.contacts.record_response(now)
+                    self.dispatcher.traffic.add_answer(
+                        attempt.searcher, len(response.body), self._is_over
+                    )
+                    self._on_response(attempt, seconds, response, now)
+                case ExchangeFailure():
+                    self._on_exchange_failure(attempt, result, now)
         except Exception:
             self._on_unforeseen_error()
             raise
@@ -257,31 +265,24 @@
             self._release_callbacks()
             self.dispatcher.waiting.admit(self.plan.service)
 
-    def _on_result(
-        self, attempt: Attempt, seconds: float, result: ExchangeResult, now: float
+    def _on_exchange_failure(
+        self, attempt: Attempt, failure: ExchangeFailure, now: float
     ) -> None:
+        kind, sent = failure.kind, failure.sent
         contacts = self.dispatcher.contacts
-        match result:
-            case Received(response=response):
-                contacts.record_response(now)
-                self.dispatcher.traffic.add_answer(
-                    attempt.searcher, len(response.body), self._is_over
-                )
-                self._on_response(attempt, seconds, response, now)
-            case ExchangeFailure(kind=kind, sent=sent):
-                record_failed_contact(contacts, attempt.searcher.identifier, kind, now)
-                attempt.outcome = kind
-                self._record_failure(attempt, ATTEMPT_FAILURES[kind])
-                self._run_count += sent
-                if sent:
-                    self._failure_reason = FailureReason.LOST
-                if sent and kind in POSSIBLE_CRASHES:
-                    self.dispatcher.check_crash(attempt.searcher, self.plan.request)
-                    self._is_held = not self._is_over and not self.may_repeat()
-                if self._is_held:
-                    self.on_held()
-                else:
-                    self._on_failure(is_unsent=not sent)
+        record_failed_contact(contacts, attempt.searcher.identifier, kind, now)
+        attempt.outcome = kind
+        self._record_failure(attempt, ATTEMPT_FAILURES[kind])
+        self._run_count += sent
+        if sent:
+            self._failure_reason = FailureReason.LOST
+        if sent and kind in POSSIBLE_CRASHES:
+            self.dispatcher.check_crash(attempt.searcher, self.plan.request)
+            self._is_held = not self._is_over and not self.may_repeat()
+        if self._is_held:
+            self.on_held()
+        else:
+            self._on_failure(is_unsent=not sent)
 
     def _on_unforeseen_error(self) -> None:
         """Retry or end the call after a result, which may be of a request that ran."""
