Check lost links again although handling their change failed

A host that had lost its links and whose handling of that raised never probed the searchers again: it stayed isolated for ever. The next check is planned before the callers of the last one are told, whatever the handling raises. The test fails without the change.

--- a/foxtailseam/reachability/_links.py
+++ b/foxtailseam/reachability/_links.py
@@ -188,8 +188,8 @@
         targets = self.choose_targets(1 if is_idle_check else PROBES_PER_ROUND)
         if not targets:
             self._round = None
-            self._resolve_waiting()
             self._schedule_recheck()
+            self._resolve_waiting()
             return
         now = self.clock.monotonic()
         probe_round = _Round(len(targets), now, self.contacts.age, is_idle_check)
@@ -238,10 +238,12 @@
             return
         self._good_rounds = self._good_rounds + 1 if is_good else 0
         may_return = self.is_connected or self._good_rounds >= self._required_rounds
-        if verdict is not self._state and (not is_good or may_return):
-            self._change(LinkChange(verdict, evidence, probe_round.contact_age))
-        self._resolve_waiting()
-        self._schedule_recheck()
+        try:
+            if verdict is not self._state and (not is_good or may_return):
+                self._change(LinkChange(verdict, evidence, probe_round.contact_age))
+        finally:
+            self._schedule_recheck()
+            self._resolve_waiting()
 
     def _schedule_recheck(self) -> None:
         if not self.is_connected:
--- a/foxtailseam/reachability/tests/test_links.py
+++ b/foxtailseam/reachability/tests/test_links.py
@@ -206,3 +206,25 @@
         deployment.monitor.confirm(deployment.time.monotonic(), answers.append)
         deployment.run(0.2)
         assert answers == [True, False]
+
+
+class TestUnforeseenFailures:
+    def test_a_host_whose_change_of_links_is_handled_badly_still_returns(
+        self, deployment
+    ):
+        changes = deployment.changes
+
+        def record_and_fail(change):
+            changes.append(change.state)
+            raise ValueError("brought about by the test")
+
+        deployment.monitor.on_change = record_and_fail
+        deployment.set_cut(True)
+        deployment.fail()
+        with pytest.raises(ValueError, match="brought about"):
+            deployment.run(3.0)
+        deployment.set_cut(False)
+        with pytest.raises(ValueError, match="brought about"):
+            deployment.run(10.0)
+        assert changes == [LinkState.ISOLATED, LinkState.CONNECTED]
+        assert deployment.monitor.is_connected
