--- a/foxtailseam/front/__init__.py
+++ b/foxtailseam/front/__init__.py
@@ -2,11 +2,8 @@
 
 from foxtailseam.front._configuration import ConfigurationManager
 from foxtailseam.front._front import FrontEnd
-from foxtailseam.front._host import (
-    METRICS_PORT,
-    METRICS_TARGET,
-    Host,
-)
+from foxtailseam.front._host import Host
+from foxtailseam.front._metrics_page import METRICS_PORT, METRICS_TARGET
 from foxtailseam.front._overload_guard import OverloadGuard, QueryDuration
 from foxtailseam.front._process import run_host
 from foxtailseam.front._quarantine_guard import QuarantineGuard
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -193,7 +193,7 @@
         for routed, query in sorted(self._running, key=_may_have_run):
             # The end of a request may have ended others that waited for it.
             if routed in self._running:
-                self._abort(routed, query)
+                self._guard.run(routed.call, self._abort, routed, query)
 
     def _abort(self, routed: RoutedRequest, query: AnyQuery) -> None:
         may_have_run = query.may_have_run
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -6,7 +6,6 @@
 import signal
 import socket
 import sys
-import time
 from dataclasses import replace
 from datetime import timedelta
 
@@ -24,6 +23,7 @@
 from foxtailseam.front._configuration import ConfigurationManager
 from foxtailseam.front._front import FrontEnd
 from foxtailseam.front._host_log import HostLog
+from foxtailseam.front._metrics_page import METRICS_PORT, GaugeSources, MetricsPage
 from foxtailseam.front._overload_guard import OverloadGuard
 from foxtailseam.front._process_failure import ProcessFailure
 from foxtailseam.front._quarantine_guard import QuarantineGuard
@@ -70,9 +70,6 @@
     WatchSettings,
 )
 
-METRICS_PORT = 9180
-METRICS_TARGET = b"/metrics"
-
 CONNECT_TIMEOUT = timedelta(seconds=1)
 # A connection is closed when sent data stays unacknowledged for this long.
 UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=1)
@@ -220,7 +217,20 @@
             self.front.serve, self.clock, self._host_log.record_unreadable_request
         )
         self._readiness_listener = Listener(self._handle_readiness, self.clock)
-        self._metrics_listener = Listener(self._handle_metrics, self.clock)
+        sources = GaugeSources(
+            self.configuration_manager,
+            self._fleet,
+            self._replica,
+            self._store,
+            self.front,
+            self._caller_listener,
+            self._searcher_space,
+            self.dispatcher,
+            self._condition_log,
+            self._failures,
+        )
+        metrics_page = MetricsPage(self.metrics, sources)
+        self._metrics_listener = Listener(metrics_page.handle, self.clock)
         self._is_ready = False
         self._is_stopping = False
         self._has_started = False
@@ -419,39 +429,6 @@
         status = (200 if self.is_ready else 503) if is_known_target else 404
         call.respond(HttpResponse(status))
 
-    def _handle_metrics(self, call: Call) -> None:
-        if call.request.target != METRICS_TARGET:
-            call.respond(HttpResponse(404))
-            return
-        self._set_gauges()
-        headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
-        call.respond(HttpResponse(200, headers, self.metrics.render().encode()))
-
-    def _set_gauges(self) -> None:
-        metrics = self.metrics
-        metrics.set("configuration_version", self.configuration_manager.version)
-        metrics.set("service_age_seconds", min(1e6, self._fleet.age))
-        metrics.set("reads_service", self._fleet.is_reading)
-        metrics.set("service_era", self._replica.position.era)
-        metrics.set("service_calls", self._store.calls)
-        metrics.set("tasks_failing", self._failures.failing)
-        metrics.set("requests_in_flight", self.front.in_flight)
-        metrics.set("processor_seconds", time.process_time())
-        listener = self._caller_listener
-        metrics.set("buffered_body_bytes", listener.buffered_bytes)
-        metrics.set("buffered_header_bytes", listener.header_space.reserved)
-        metrics.set("unsent_response_bytes", listener.unsent_space.reserved)
-        metrics.set("buffered_searcher_bytes", self._searcher_space.reserved)
-        for name, size in self.dispatcher.traffic.totals.items():
-            metrics.set(f"bytes_{name}", size)
-        metrics.set("searcher_contact_age_seconds", self.dispatcher.contacts.age)
-        metrics.set("reaches_searchers", self.dispatcher.links.is_connected)
-        searchers = self.dispatcher.searchers
-        metrics.set("searchers", len(searchers))
-        self._condition_log.set_gauges()
-        ejected = sum(item.health.is_ejected for item in searchers)
-        metrics.set("searchers_ejected_now", ejected)
-
     def _reload_safely(self) -> None:
         self._supervisor.run_step("reload settings", self._reload)
 
