--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -23,9 +23,8 @@
 from foxtailseam.front._configuration import ConfigurationManager
 from foxtailseam.front._front import FrontEnd
 from foxtailseam.front._host_log import HostLog
-from foxtailseam.front._metrics_page import METRICS_PORT, GaugeSources, MetricsPage
+from foxtailseam.front._metrics_page import METRICS_PORT, MetricsPage
 from foxtailseam.front._overload_guard import OverloadGuard
-from foxtailseam.front._process_failure import ProcessFailure
 from foxtailseam.front._quarantine_guard import QuarantineGuard
 from foxtailseam.front._settings_file import read_settings
 from foxtailseam.front._shutdown import Shutdown, plan_shutdown
@@ -67,7 +66,6 @@
     PeriodicWork,
     ProcessorWatch,
     Supervisor,
-    WatchSettings,
 )
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
@@ -125,9 +123,7 @@
         self._failures = FailureLog(self.log, self.metrics, self.clock)
         self._supervisor = Supervisor(self._failures, self.clock, self._generator)
         self._loop_errors = LoopErrors(self._failures)
-        self._processor_watch = ProcessorWatch(
-            WatchSettings(ExitCode.LOOP_STUCK), self.log
-        )
+        self._processor_watch = ProcessorWatch(ExitCode.LOOP_STUCK, self.log)
         loop = asyncio.get_running_loop()
         bounds = settings.bounds
         memory = settings.limits.memory_mb * MEGABYTE
@@ -217,7 +213,8 @@
             self.front.serve, self.clock, self._host_log.record_unreadable_request
         )
         self._readiness_listener = Listener(self._handle_readiness, self.clock)
-        sources = GaugeSources(
+        metrics_page = MetricsPage(
+            self.metrics,
             self.configuration_manager,
             self._fleet,
             self._replica,
@@ -229,7 +226,6 @@
             self._condition_log,
             self._failures,
         )
-        metrics_page = MetricsPage(self.metrics, sources)
         self._metrics_listener = Listener(metrics_page.handle, self.clock)
         self._is_ready = False
         self._is_stopping = False
@@ -290,6 +286,9 @@
         try:
             await self._run(early_signals or EarlySignals())
         except Exception as error:
+            # Imported late, since most processes do not need it.
+            from foxtailseam.front._process_failure import ProcessFailure
+
             failure = ProcessFailure(error, self._has_started)
             self.log.write(EventCode.PROCESS_FAILED, **failure.describe())
             raise
--- a/foxtailseam/front/_metrics_page.py
+++ b/foxtailseam/front/_metrics_page.py
@@ -1,7 +1,6 @@
 """Serves the metrics of a host's process."""
 
 import time
-from dataclasses import dataclass
 
 from foxtailseam.dispatch import Dispatcher
 from foxtailseam.fleet import FleetController
@@ -19,12 +18,13 @@
 CONTENT_TYPE = (b"Content-Type", b"text/plain; version=0.0.4")
 
 
-@dataclass(frozen=True, slots=True)
-class GaugeSources:
-    """The parts of a host whose state the gauges show.
+class MetricsPage:
+    """Answers requests for the metrics.
 
     Parameters
     ----------
+    metrics : Metrics
+        Registry of the metrics.
     configuration_manager : ConfigurationManager
         The configuration in force.
     fleet : FleetController
@@ -47,32 +47,31 @@
         Work that fails.
     """
 
-    configuration_manager: ConfigurationManager
-    fleet: FleetController
-    replica: StoreReplica
-    store: PlatformStore
-    front: FrontEnd
-    listener: Listener
-    searcher_space: BufferSpace
-    dispatcher: Dispatcher
-    condition_log: ConditionLog
-    failures: FailureLog
-
-
-class MetricsPage:
-    """Answers requests for the metrics.
-
-    Parameters
-    ----------
-    metrics : Metrics
-        Registry of the metrics.
-    sources : GaugeSources
-        What the gauges show.
-    """
-
-    def __init__(self, metrics: Metrics, sources: GaugeSources):
+    def __init__(
+        self,
+        metrics: Metrics,
+        configuration_manager: ConfigurationManager,
+        fleet: FleetController,
+        replica: StoreReplica,
+        store: PlatformStore,
+        front: FrontEnd,
+        listener: Listener,
+        searcher_space: BufferSpace,
+        dispatcher: Dispatcher,
+        condition_log: ConditionLog,
+        failures: FailureLog,
+    ):
         self.metrics = metrics
-        self.sources = sources
+        self.configuration_manager = configuration_manager
+        self.fleet = fleet
+        self.replica = replica
+        self.store = store
+        self.front = front
+        self.listener = listener
+        self.searcher_space = searcher_space
+        self.dispatcher = dispatcher
+        self.condition_log = condition_log
+        self.failures = failures
 
     def handle(self, call: Call) -> None:
         """Answer a request."""
@@ -85,28 +84,27 @@
         call.respond(HttpResponse(200, (CONTENT_TYPE,), body))
 
     def _set_gauges(self) -> None:
-        metrics, sources = self.metrics, self.sources
-        metrics.set("configuration_version", sources.configuration_manager.version)
-        metrics.set("service_age_seconds", min(1e6, sources.fleet.age))
-        metrics.set("reads_service", sources.fleet.is_reading)
-        metrics.set("service_era", sources.replica.position.era)
-        metrics.set("service_calls", sources.store.calls)
-        metrics.set("tasks_failing", sources.failures.failing)
-        metrics.set("requests_in_flight", sources.front.in_flight)
+        metrics, listener = self.metrics, self.listener
+        metrics.set("configuration_version", self.configuration_manager.version)
+        metrics.set("service_age_seconds", min(1e6, self.fleet.age))
+        metrics.set("reads_service", self.fleet.is_reading)
+        metrics.set("service_era", self.replica.position.era)
+        metrics.set("service_calls", self.store.calls)
+        metrics.set("tasks_failing", self.failures.failing)
+        metrics.set("requests_in_flight", self.front.in_flight)
         metrics.set("processor_seconds", time.process_time())
-        listener = sources.listener
         metrics.set("buffered_body_bytes", listener.buffered_bytes)
         metrics.set("buffered_header_bytes", listener.header_space.reserved)
         metrics.set("unsent_response_bytes", listener.unsent_space.reserved)
-        metrics.set("buffered_searcher_bytes", sources.searcher_space.reserved)
+        metrics.set("buffered_searcher_bytes", self.searcher_space.reserved)
 
     def _set_searcher_gauges(self) -> None:
-        metrics, dispatcher = self.metrics, self.sources.dispatcher
+        metrics, dispatcher = self.metrics, self.dispatcher
         for name, size in dispatcher.traffic.totals.items():
             metrics.set(f"bytes_{name}", size)
         metrics.set("searcher_contact_age_seconds", dispatcher.contacts.age)
         metrics.set("reaches_searchers", dispatcher.links.is_connected)
         metrics.set("searchers", len(dispatcher.searchers))
-        self.sources.condition_log.set_gauges()
+        self.condition_log.set_gauges()
         ejected = sum(item.health.is_ejected for item in dispatcher.searchers)
         metrics.set("searchers_ejected_now", ejected)
--- a/foxtailseam/front/_process.py
+++ b/foxtailseam/front/_process.py
@@ -7,7 +7,6 @@
 
 from foxtailseam.clocks import SuspendAwareClock
 from foxtailseam.front._host import Host
-from foxtailseam.front._process_failure import ProcessFailure
 from foxtailseam.front._settings_file import read_settings
 from foxtailseam.launch import EarlySignals, ExitCode
 from foxtailseam.logs import EventCode, LogWriter
@@ -69,7 +68,7 @@
     try:
         host = Host(settings, listening_socket)
     except Exception as error:
-        failure = ProcessFailure(error, has_started=False)
+        failure = _failure(error)
         log.write(EventCode.PROCESS_FAILED, **failure.describe())
         return failure.exit_code
     try:
@@ -77,5 +76,12 @@
     except ImportError:
         raise
     except Exception as error:
-        return ProcessFailure(error, has_started=True).exit_code
+        return _failure(error).exit_code
     return ExitCode.STOPPED
+
+
+def _failure(error: Exception):
+    # Imported late, since most processes do not need it.
+    from foxtailseam.front._process_failure import ProcessFailure
+
+    return ProcessFailure(error, has_started=False)
--- a/foxtailseam/launch/tests/test_exit_codes.py
+++ b/foxtailseam/launch/tests/test_exit_codes.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from foxtailseam.launch import ExitCode
+from foxtailseam.launch.__main__ import USAGE_EXIT_CODE
 from foxtailseam.launch._failure import log_failure
 from foxtailseam.logs import EventCode
 
@@ -17,6 +18,7 @@
         section = section.partition("\n## ")[0]
         numbers = re.findall(r"^\| (\d+) \|", section, re.MULTILINE)
         assert [int(number) for number in numbers] == sorted(ExitCode)
+        assert USAGE_EXIT_CODE == ExitCode.USAGE
 
     def test_a_failure_before_the_program_is_imported_is_the_same_event(self, capsys):
         log_failure("listen", ExitCode.ADDRESS_UNAVAILABLE, OSError("x" * 1000))
--- a/foxtailseam/supervision/__init__.py
+++ b/foxtailseam/supervision/__init__.py
@@ -8,7 +8,7 @@
 from foxtailseam.supervision._failures import FailureLog
 from foxtailseam.supervision._loop_errors import LoopErrors
 from foxtailseam.supervision._periodic import PeriodicWork
-from foxtailseam.supervision._processor_watch import ProcessorWatch, WatchSettings
+from foxtailseam.supervision._processor_watch import ProcessorWatch
 from foxtailseam.supervision._restart import RestartSettings, restart_backoff
 from foxtailseam.supervision._supervisor import Supervisor
 
@@ -19,6 +19,5 @@
     "ProcessorWatch",
     "RestartSettings",
     "Supervisor",
-    "WatchSettings",
     "restart_backoff",
 ]
--- a/foxtailseam/supervision/_processor_watch.py
+++ b/foxtailseam/supervision/_processor_watch.py
@@ -6,31 +6,16 @@
 import os
 import signal
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 from types import FrameType
 
 from foxtailseam.logs import EventCode, LogWriter
 from foxtailseam.utils import describe_stack
 
-
-@dataclass(frozen=True, slots=True)
-class WatchSettings:
-    """Limits of the processor time between two rounds of the event loop.
-
-    Parameters
-    ----------
-    report_interval : timedelta
-        Processor time after which the running functions are logged, again and again.
-    max_time : timedelta
-        Processor time after which the process ends.
-    exit_code : int
-        Its exit code then.
-    """
-
-    exit_code: int
-    report_interval: timedelta = timedelta(seconds=2)
-    max_time: timedelta = timedelta(seconds=10)
+# Processor time after which the running functions are logged, again and again.
+REPORT_INTERVAL = timedelta(seconds=2)
+# Processor time after which the process ends.
+MAX_TIME = timedelta(seconds=10)
 
 
 class ProcessorWatch:
@@ -38,21 +23,28 @@
 
     Parameters
     ----------
-    settings : WatchSettings
-        Limits, and the exit code.
+    exit_code : int
+        Exit code of a process that is ended.
     log : LogWriter
         Log that receives the events.
+    report_interval, max_time : timedelta
+        Processor time after which the running functions are logged, again and again,
+        and after which the process ends.
     end_process : callable
         Called with the exit code.
     """
 
     def __init__(
         self,
-        settings: WatchSettings,
+        exit_code: int,
         log: LogWriter,
+        report_interval: timedelta = REPORT_INTERVAL,
+        max_time: timedelta = MAX_TIME,
         end_process: Callable[[int], None] = os._exit,
     ):
-        self.settings = settings
+        self.exit_code = exit_code
+        self.report_interval = report_interval
+        self.max_time = max_time
         self.log = log
         self.end_process = end_process
         self._is_running = False
@@ -74,7 +66,7 @@
         """Handle that the event loop has come round."""
         if self._is_running:
             self._reports = 0
-            interval = self.settings.report_interval.total_seconds()
+            interval = self.report_interval.total_seconds()
             signal.setitimer(signal.ITIMER_PROF, interval, interval)
 
     def stop(self) -> None:
@@ -87,8 +79,8 @@
         if not self._is_running:
             return
         self._reports += 1
-        used = self._reports * self.settings.report_interval
-        must_end = used >= self.settings.max_time
+        used = self._reports * self.report_interval
+        must_end = used >= self.max_time
         self.log.write(
             EventCode.LOOP_STUCK,
             processor_ms=round(used.total_seconds() * 1000),
@@ -97,4 +89,4 @@
         )
         self.log.flush()
         if must_end:
-            self.end_process(self.settings.exit_code)
+            self.end_process(self.exit_code)
--- a/foxtailseam/supervision/_supervisor.py
+++ b/foxtailseam/supervision/_supervisor.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 from foxtailseam.clocks import Clock
 from foxtailseam.logs import EventCode
@@ -11,14 +10,16 @@
 from foxtailseam.supervision._restart import RestartSettings, restart_backoff
 
 
-@dataclass(slots=True)
 class _Work:
     """A supervised task with its failures in a row."""
 
-    name: str
-    run: Callable[[], Awaitable[None]]
-    begun_at: float = float("-inf")
-    failures: int = 0
+    __slots__ = ("begun_at", "failures", "name", "run")
+
+    def __init__(self, name: str, run: Callable[[], Awaitable[None]]):
+        self.name = name
+        self.run = run
+        self.begun_at = float("-inf")
+        self.failures = 0
 
 
 class Supervisor:
--- a/foxtailseam/supervision/tests/test_processor_watch.py
+++ b/foxtailseam/supervision/tests/test_processor_watch.py
@@ -9,7 +9,7 @@
 
 from foxtailseam.clocks import SystemClock
 from foxtailseam.logs import LogWriter
-from foxtailseam.supervision import ProcessorWatch, WatchSettings
+from foxtailseam.supervision import ProcessorWatch
 
 # Runs a callback for some seconds, first without and then with its watch's limits.
 LOOPING_PROCESS = """
@@ -17,7 +17,7 @@
 from datetime import timedelta
 from foxtailseam.clocks import SystemClock
 from foxtailseam.logs import LogWriter
-from foxtailseam.supervision import ProcessorWatch, WatchSettings
+from foxtailseam.supervision import ProcessorWatch
 
 def loop_without_end():
     while True:
@@ -28,10 +28,9 @@
 
 async def main():
     log = LogWriter(sys.stdout.fileno(), "host", SystemClock())
-    settings = WatchSettings(
-        13, timedelta(milliseconds=100), timedelta(milliseconds=400)
+    watch = ProcessorWatch(
+        13, log, timedelta(milliseconds=100), timedelta(milliseconds=400)
     )
-    watch = ProcessorWatch(settings, log)
     watch.start()
     asyncio.get_running_loop().call_soon(globals()[sys.argv[1]])
     await asyncio.sleep(0.5)
@@ -72,7 +71,7 @@
 
         monkeypatch.setattr(signal, "setitimer", refuse)
         log = LogWriter(sys.stdout.fileno(), "host", SystemClock())
-        watch = ProcessorWatch(WatchSettings(13), log)
+        watch = ProcessorWatch(13, log)
         watch.start()
         watch.reset()
         watch.stop()
