--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -21,6 +21,7 @@
     decompress_changes,
 )
 from foxtailseam.forwarding import ForwardedRequest, ForwardedResponse
+from foxtailseam.launch import BACKLOG, open_listener
 from foxtailseam.utils import shorten
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -218,11 +219,15 @@
     -------
     callable
         Coroutine function that closes the server.
+
+    Raises
+    ------
+    ListenError
+        If the address cannot be listened on.
     """
     handlers = _Handlers(servicer, on_sent, on_refused)
     server = Server([handlers], codec=MessagePackCodec())
-    host, _, port = address.rpartition(":")
-    await server.start(host, int(port))
+    await server.start(sock=open_listener(address), backlog=BACKLOG)
 
     async def stop() -> None:
         server.close()
--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -38,6 +38,9 @@
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CONNECT_METHOD = b"CONNECT"
 
+# The handler failed, so it is not known whether the request was run.
+HANDLER_FAILED = HttpResponse(502)
+
 # Time that sent response data may stay unacknowledged by the caller before the
 # connection is closed.
 UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=6)
@@ -119,6 +122,7 @@
     limits: ListenerLimits
     handler: Callable[[Call], None]
     on_rejected: Callable[[int], None]
+    on_error: Callable[[Exception], None]
     is_draining: bool
     # Space for the headers of requests and for responses that callers do not read.
     header_space: BufferSpace
@@ -490,7 +494,7 @@
         if len(response.body) > space.available:
             response = RESPONSE_DROPPED
             self.listener.on_rejected(response.status)
-        self._transport.write(render_response(response, close, is_head))
+        self._transport.write(self._render(response, close, is_head))
         if self._transport.get_write_buffer_size() or self._unsent_bytes:
             self._written_at = self.listener.clock.monotonic()
             self._count_unsent()
@@ -526,7 +530,21 @@
         self._current_call = Call(request, self)
         if not self._transport.is_reading():
             self._transport.resume_reading()
-        self.listener.handler(self._current_call)
+        self._handle(self._current_call)
+
+    def _handle(self, call: Call) -> None:
+        try:
+            self.listener.handler(call)
+        except Exception as error:
+            self.listener.on_error(error)
+            call.respond(HANDLER_FAILED)
+
+    def _render(self, response: HttpResponse, close: bool, is_head: bool) -> bytes:
+        try:
+            return render_response(response, close, is_head)
+        except Exception as error:
+            self.listener.on_error(error)
+            return render_response(HANDLER_FAILED, close, is_head)
 
     def _reject(self, response: HttpResponse) -> None:
         """Send an error after all outstanding responses, and close."""
--- a/foxtailseam/utils/__init__.py
+++ b/foxtailseam/utils/__init__.py
@@ -30,11 +30,16 @@
     shorten,
 )
 from foxtailseam.utils._durations import parse_duration
-from foxtailseam.utils._errors import describe_error
+from foxtailseam.utils._errors import (
+    MAX_TEXT_LENGTH,
+    describe_error,
+    describe_stack,
+)
 from foxtailseam.utils._identifiers import new_identifier
 from foxtailseam.utils._validation import ValidationProblem, check_range, check_unique
 
 __all__ = [
+    "MAX_TEXT_LENGTH",
     "Address",
     "ByteCount",
     "Count",
@@ -62,6 +67,7 @@
     "check_range",
     "check_unique",
     "describe_error",
+    "describe_stack",
     "describe_value",
     "new_identifier",
     "parse_duration",
