Move the reading of responses out of UpstreamConnection

ResponseReader, its base class, has what the parser calls, the matching of responses to requests and the limits; the connection has the socket, the exchange and the buffer space. A base class, since a call to another object for each piece would cost a shard call more than the test of its function calls allows. No change of behaviour: the tests of every cut and of the limits pass as they were.

Besides a test that a watch which can't be read asks for a listing.

--- a/foxtailseam/http/_upstream_connection.py
+++ b/foxtailseam/http/_upstream_connection.py
@@ -10,8 +10,9 @@
 from foxtailseam.clocks import Clock
 from foxtailseam.http._buffer_space import BufferSpace, Reservation
 from foxtailseam.http._client_socket import ClientSocket
-from foxtailseam.http._messages import HEADER_FIELD_BYTES, HttpResponse
+from foxtailseam.http._messages import HttpResponse
 from foxtailseam.http._pool_settings import PoolSettings
+from foxtailseam.http._response_reader import ResponseReader
 from foxtailseam.http._results import (
     ExchangeFailure,
     ExchangeResult,
@@ -19,23 +20,9 @@
     Received,
 )
 
-# Searchers close idle connections after this time, unless a response has a
-# Keep-Alive header with another timeout.
-DEFAULT_IDLE_SECONDS = 4.0
 # A connection is not reused this close to the server's idle timeout, because
 # the server could close it while the request is in transit.
 IDLE_MARGIN_SECONDS = 0.75
-# Limits of what a faulty server can send in response to one request: the body; the
-# bodies of responses that belong to other requests, together; and all other bytes
-# (heads, trailers, chunk sizes and their extensions), together.
-MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-MAX_FRAMING_BYTES = 128 * 1024
-# Small chunks need this many more bytes of framing for a byte of the body.
-MAX_FRAMING_PER_BODY_BYTE = 8
-MAX_HEADER_FIELDS = 1_024
-_FIRST_FINAL_STATUS = 200
-_NO_BODY_STATUS = (204, 304)
-
 ResultCallback = Callable[[ExchangeResult], None]
 
 
@@ -48,7 +35,7 @@
     CLOSED = auto()
 
 
-class UpstreamConnection:
+class UpstreamConnection(ResponseReader):
     """HTTP/1.1 connection to an upstream server with at most one request in flight.
 
     The connection closes itself instead of being reused after bytes that belong
@@ -74,31 +61,13 @@
     """
 
     __slots__ = (
-        "_body",
-        "_body_size",
-        "_discarded_size",
         "_done",
-        "_ends_at_close",
-        "_framing_size",
-        "_headers",
-        "_idle_seconds",
         "_idle_since",
-        "_is_complete",
-        "_is_discarded",
-        "_is_head",
         "_is_retired",
-        "_is_too_large",
-        "_keep_alive",
-        "_must_close",
-        "_parser",
-        "_request_identifier",
         "_reservation",
-        "_response_identifier",
         "_socket",
         "_state",
-        "_status",
         "clock",
-        "identifier_header",
         "on_change",
         "on_opened",
         "space",
@@ -113,23 +82,16 @@
         connect_timeout: timedelta,
         space: BufferSpace,
     ):
+        super().__init__(settings.identifier_header)
         self.clock = clock
         self.space = space
-        self.identifier_header = settings.identifier_header
         self.on_change = on_change
         self.on_opened = on_opened
         self._state = ConnectionState.CONNECTING
-        self._parser: httptools.HttpResponseParser | None = None
-        self._idle_seconds = DEFAULT_IDLE_SECONDS
         self._idle_since = 0.0
-        # Last value of the header that `_idle_seconds` was read from.
-        self._keep_alive = b""
-        self._must_close = False
         self._is_retired = False
         self._done: ResultCallback | None = None
-        self._request_identifier = b""
-        self._is_head = False
-        self._reset_exchange()
+        self._reservation: Reservation | None = None
         self._socket = ClientSocket(
             self,
             settings.address,
@@ -261,132 +223,13 @@
             self._deliver(ExchangeFailure(FailureKind.CLOSED, sent=True))
         self._close()
 
-    # httptools callbacks
-
-    def on_message_begin(self) -> None:
-        """Note a response after the complete one, which is an error."""
-        if self._is_complete:
-            self._must_close = True
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a response header; ignore a trailer."""
-        if not self._status:
-            self._headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Process the headers: identifier, idle timeout and body length."""
-        if self._is_complete:
-            return
-        self._status = self._parser.get_status_code()
-        has_length = self._status in _NO_BODY_STATUS
-        for name, value in self._headers:
-            lower = name.lower()
-            if lower == self.identifier_header:
-                self._response_identifier = value
-            elif lower == b"keep-alive" and value != self._keep_alive:
-                self._keep_alive = value
-                self._parse_keep_alive(value)
-            elif lower in (b"content-length", b"transfer-encoding"):
-                has_length = True
-        informational = self._status < _FIRST_FINAL_STATUS
-        self._is_discarded = informational or not self._matches_request()
-        if self._is_discarded and not informational:
-            self._must_close = True
-        self._ends_at_close = not has_length and not informational
-        if self._is_head and not self._is_discarded:
-            self._is_complete = True
-            self._must_close = True
-
-    def on_body(self, body: bytes) -> None:
-        """Store a part of the body, up to `MAX_RESPONSE_BYTES` in total."""
-        if self._is_complete:
-            return
-        size = len(body)
-        self._framing_size -= size
-        if self._is_discarded:
-            self._discarded_size += size
-            self._is_too_large = self._discarded_size > MAX_RESPONSE_BYTES
-            return
-        self._body_size += size
-        if self._body_size > MAX_RESPONSE_BYTES:
-            self._is_too_large = True
-        elif self._body_size == size:
-            self._body = body
-        else:
-            self._append(body)
-
-    def on_message_complete(self) -> None:
-        """Complete the response, or discard it and wait for the expected one."""
-        if self._is_complete:
-            return
-        if self._is_discarded:
-            self._reset_response()
-            return
-        self._is_complete = True
-        if not self._parser.should_keep_alive():
-            self._must_close = True
-
-    def _reset_exchange(self) -> None:
-        self._framing_size = 0
-        self._discarded_size = 0
-        self._is_too_large = False
-        self._reservation: Reservation | None = None
-        self._reset_response()
-
-    def _reset_response(self) -> None:
-        self._headers: list[tuple[bytes, bytes]] = []
-        # A buffer from the second part on: a list of small parts takes a multiple of
-        # their size.
-        self._body: bytes | bytearray = b""
-        self._body_size = 0
-        self._status = 0
-        self._response_identifier: bytes | None = None
-        self._is_complete = False
-        self._is_discarded = False
-        self._ends_at_close = False
-
-    def _append(self, body: bytes) -> None:
-        if isinstance(self._body, bytes):
-            self._body = bytearray(self._body)
-        self._body += body
-
-    def _exceeds_limits(self) -> bool:
-        """Return whether the server sent more than a response may take.
-
-        Bytes are counted as they are received, since the parser keeps an unfinished
-        header line to itself.
-        """
-        max_framing = MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_size
-        return (
-            self._is_too_large
-            or self._framing_size > max_framing
-            or len(self._headers) > MAX_HEADER_FIELDS
-        )
-
     def _reserve(self) -> bool:
         """Reserve space for what is unsent or unfinished; return whether it fits."""
         if self._reservation is None:
             self._reservation = Reservation(self.space)
-        size = self._socket.unsent_bytes + self._body_size
-        size += min(self._framing_size, MAX_FRAMING_BYTES)
-        size += HEADER_FIELD_BYTES * len(self._headers)
+        size = self._socket.unsent_bytes + self._received_size()
         return self._reservation.resize(size)
 
-    def _matches_request(self) -> bool:
-        if not self.identifier_header:
-            return True
-        if self._response_identifier is not None:
-            return self._response_identifier == self._request_identifier
-        # Only an unsuccessful response may lack the identifier, and only if no
-        # sign of responses to other requests was seen on this connection.
-        return self._status >= 300 and not self._must_close
-
-    def _parse_keep_alive(self, value: bytes) -> None:
-        for part in value.split(b","):
-            name, _, text = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and text.isdigit():
-                self._idle_seconds = float(text)
-
     def _build_response(self) -> HttpResponse:
         if self._reservation is not None:
             self._reserve()
@@ -400,6 +243,7 @@
             # The server would parse the unsent rest of the request body as the
             # next request.
             self._must_close = True
+        self._reservation = None
         self._reset_exchange()
         done, self._done = self._done, None
         if self._must_close or self._is_retired:
@@ -423,5 +267,6 @@
         # The parser refers to this connection: without it the connection is freed as
         # soon as nobody uses it any more.
         self._parser = None
+        self._reservation = None
         self._reset_exchange()
         self.on_change(self)
--- a/foxtailseam/http/tests/test_buffer_space.py
+++ b/foxtailseam/http/tests/test_buffer_space.py
@@ -15,7 +15,7 @@
     FailureKind,
     PoolSettings,
     Received,
-    _upstream_connection,
+    _response_reader,
 )
 from foxtailseam.http._buffer_space import Reservation
 from foxtailseam.http._client_socket import READ_BYTES
@@ -139,7 +139,7 @@
 @pytest.mark.usefixtures("no_garbage_collection")
 class TestFreedMemory:
     def test_a_response_that_is_too_large_is_freed_at_once(self, monkeypatch):
-        monkeypatch.setattr(_upstream_connection, "MAX_RESPONSE_BYTES", 200_000)
+        monkeypatch.setattr(_response_reader, "MAX_RESPONSE_BYTES", 200_000)
 
         async def scenario(pool):
             assert (await ask(pool)).kind is FailureKind.TOO_LARGE
--- a/foxtailseam/http/tests/test_response_limits.py
+++ b/foxtailseam/http/tests/test_response_limits.py
@@ -14,7 +14,7 @@
     FailureKind,
     PoolSettings,
     Received,
-    _upstream_connection,
+    _response_reader,
 )
 
 IDENTIFIER = b"0011"
@@ -115,7 +115,7 @@
     def test_a_body_in_chunks_of_two_bytes_takes_no_multiple_of_its_size(
         self, monkeypatch
     ):
-        monkeypatch.setattr(_upstream_connection, "MAX_RESPONSE_BYTES", 1_000_000)
+        monkeypatch.setattr(_response_reader, "MAX_RESPONSE_BYTES", 1_000_000)
         result, peak = exchange(CHUNKED, b"2\r\nab\r\n")
         assert result == ExchangeFailure(FailureKind.TOO_LARGE, sent=True)
         assert peak < 4_000_000
--- a/foxtailseam/platform/tests/test_store.py
+++ b/foxtailseam/platform/tests/test_store.py
@@ -105,6 +105,17 @@
         assert result == StoreFailure("too-large", would_repeat=True)
         assert [len(item.value) for item in listing.items] == [1_000_000]
 
+    def test_a_watch_that_cannot_be_read_says_that_it_would_repeat(self):
+        async def scenario(stand_in, client):
+            stand_in.put("a", b"0")
+            listing = await client.list_items()
+            stand_in._append({"key": "a", "value": 7, "revision": 3})
+            return await client.watch(listing.position, WAIT)
+
+        result = run(scenario)
+        assert isinstance(result, StoreFailure)
+        assert result.would_repeat
+
     def test_a_listing_is_bounded_in_all(self, monkeypatch):
         monkeypatch.setattr(_store, "_MAX_LISTING_BYTES", 3_000_000)
 
