Merge large bodies in blocks; a few sizes of them filled the process for good

Cause: split_records unpacks a body with one format as long as the body has records, and the struct module keeps the last hundred formats compiled, 32 bytes a record. Besides, all records of a body exist at once as objects, five times its size.

Change: a body is merged in blocks of 1,024 records; a small one is one block, so that a shard call costs no more calls.

--- a/foxtailseam/outcomes/_records.py
+++ b/foxtailseam/outcomes/_records.py
@@ -5,6 +5,9 @@
 
 RECORD_BYTES = 16
 RECORD_FORMAT = f"{RECORD_BYTES}s"
+# A body is merged in blocks: separate records take a multiple of its size, and the
+# struct module keeps what it compiled for each of the last formats.
+BLOCK_BYTES = 1_024 * RECORD_BYTES
 
 
 def split_records(body: bytes) -> list[bytes]:
@@ -34,14 +37,15 @@
 
     def add(self, body: bytes) -> None:
         """Add the records of one shard's response body; duplicates are kept."""
-        records = split_records(body)
-        if len(self._records) >= self.limit > 0:
-            least = self._records[-1]
-            records = [record for record in records if record > least]
-        if records:
-            self._records += records
-            self._records.sort(reverse=True)
-            del self._records[self.limit :]
+        for start in range(0, len(body), BLOCK_BYTES):
+            records = split_records(body[start : start + BLOCK_BYTES])
+            if len(self._records) >= self.limit > 0:
+                least = self._records[-1]
+                records = [record for record in records if record > least]
+            if records:
+                self._records += records
+                self._records.sort(reverse=True)
+                del self._records[self.limit :]
 
     def join(self) -> bytes:
         """Return the records in descending byte order."""
