Test that an endless head fails as an answer that may have run

Through a host process: a request that may not be repeated runs once and gets a 502, an idempotent one is sent to the other searcher, too; the process peaks below 60 MB.

--- a/foxtailseam/front/tests/test_memory.py
+++ b/foxtailseam/front/tests/test_memory.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections import Counter
 from pathlib import Path
+from types import MethodType
 
+from foxtailseam.front.tests._cut_hosts import runs
 from foxtailseam.front.tests._deployment import gather_route, single_route
 
 # Memory limit of the hosts' settings.
@@ -86,3 +88,32 @@
             assert (await host.metrics())["buffered_searcher_bytes"] == 0
 
         run_scenario(scenario)
+
+
+async def send_endless_head(searcher, _reader, writer, request, _headers):
+    searcher.runs.append(request)
+    writer.write(b"HTTP/1.1 200 OK\r\n")
+    while True:
+        writer.write(b"x-a: b\r\n" * 2_048)
+        await writer.drain()
+
+
+class TestEndlessHeads:
+    def test_they_fail_as_answers_that_may_have_run(self, run_scenario):
+        async def scenario(deployment):
+            single = [s for name, s in deployment.searchers.items() if "single" in name]
+            for searcher in single:
+                searcher._run = MethodType(send_endless_head, searcher)
+            host = await deployment.start_host(1)
+            await host.wait_until_ready()
+            assert (await host.get("/book/x", "POST", b"slot"))[0] == 502
+            assert len(runs(deployment, "single")) == 1
+            # Idempotent, so that the other searcher is asked, too.
+            assert (await host.get("/read/x"))[0] == 502
+            assert len(runs(deployment, "single")) == 3
+            for searcher in single:
+                del searcher._run
+            assert (await host.get("/read/x"))[0] == 200
+            assert peak_memory_mb(host) < 60
+
+        run_scenario(scenario)
