Bound what callers send around a body, and free what they sent when it is answered

- A trailer line or the extension of a chunk without end grew inside the parser for the 10 s that a body may take: bytes were counted until the end of the header only.
- A body in chunks of two bytes was kept as a list of its parts: 22 times its size (8 bodies of 60 KB: 10.4 MB), of which the reservation counted one.
- An idle connection kept header and body of its last request, whose reservation had ended with the response, and a lost one until the next full garbage collection, since parser and connection refer to each other.

Change: bytes without a part of the body count against the header's limit all the time (431 beyond it), and against the space of headers; the parts of a body go into one buffer; what was read is dropped when a request is complete, and the parser with the connection. A trailer is no header of the request any more (RFC 9110, 6.5.1).

--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -286,15 +286,14 @@
         """Parse received bytes and enforce the size limits."""
         if self._phase in _ENDED:
             return
-        if self._phase in (_Phase.IDLE, _Phase.HEADER):
-            self._received_header_bytes += len(data)
+        self._received_header_bytes += len(data)
         try:
             self._parse(data)
         except httptools.HttpParserError:
             self._reject(BAD_REQUEST)
         else:
-            if self._phase is _Phase.HEADER:
-                self._reserve_header(self._received_header_bytes)
+            if self._phase in _INCOMPLETE and self._received_header_bytes:
+                self._reserve_header()
             self._check_limits()
         if len(self._queued_requests) >= MAX_QUEUED_REQUESTS:
             self._transport.pause_reading()
@@ -351,6 +350,8 @@
         self.listener.unsent_space.reserve(-self._unsent_bytes)
         self._unsent_bytes = 0
         self._queued_requests.clear()
+        # The parser refers to this connection, which would not be freed at once.
+        self._parser = None
         self._phase = _Phase.FAILED
         call, self._current_call = self._current_call, None
         if call is not None:
@@ -374,9 +375,10 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header and count its size."""
+        """Store a header and count its size; only count a trailer."""
         self._parsed_header_bytes += len(name) + len(value) + HEADER_LINE_OVERHEAD
-        self._headers.append((name, value))
+        if self._phase is _Phase.HEADER:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Validate the header and answer ``Expect: 100-continue``.
@@ -387,7 +389,8 @@
         if self._phase in _ENDED or self._parser.should_upgrade():
             return
         self._enter_phase(_Phase.BODY)
-        self._reserve_header(self._parsed_header_bytes + len(self._target))
+        self._received_header_bytes = 0
+        self._reserve_header()
         host_headers = 0
         expects_continue = False
         for name, value in self._headers:
@@ -407,12 +410,13 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body if limit and buffer space allow it."""
+        self._received_header_bytes = 0
         self._body_size += len(body)
         if self._body_size > self.listener.limits.body_bytes:
             self._is_body_too_large = True
         elif self.listener.reserve(len(body)):
             self._reserved_bytes += len(body)
-            self._body.append(body)
+            self._body += body
         else:
             self._is_buffer_full = True
 
@@ -424,12 +428,11 @@
         if self._phase in _ENDED:
             return
         self._enter_phase(_Phase.IDLE)
-        self._received_header_bytes = 0
         request = HttpRequest(
             self._parser.get_method(),
             self._target,
             tuple(self._headers),
-            b"".join(self._body),
+            bytes(self._body),
             self._arrived_at,
             self._network_delay(),
         )
@@ -437,6 +440,7 @@
         self._header_size = 0
         self._keep_alive_flags.append(self._parser.should_keep_alive())
         self._queued_requests.append(request)
+        self._reset_request()
         self._serve_next()
 
     def _network_delay(self) -> float | None:
@@ -449,7 +453,9 @@
     def _reset_request(self) -> None:
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
+        # Bytes received since the request began or, in its body, since its last part:
+        # the parser may hold them as an unfinished line.
         self._received_header_bytes = 0
         self._parsed_header_bytes = 0
         self._body_size = 0
@@ -467,8 +473,10 @@
             return
         limit = self.listener.limits.header_bytes
         parsed_bytes = self._parsed_header_bytes + len(self._target)
-        in_header = self._phase is _Phase.HEADER
-        if parsed_bytes > limit or (in_header and self._received_header_bytes > limit):
+        is_incomplete = self._phase in _INCOMPLETE
+        if parsed_bytes > limit or (
+            is_incomplete and self._received_header_bytes > limit
+        ):
             self._reject(HttpResponse(self.listener.limits.long_header_status))
         elif self._is_body_too_large:
             self._reject(CONTENT_TOO_LARGE)
@@ -477,9 +485,11 @@
         elif self._is_buffer_full:
             self._reject(BUFFER_FULL)
 
-    def _reserve_header(self, size: int) -> None:
-        """Reserve the memory for the header of which `size` bytes were received."""
-        size += HEADER_FIELD_BYTES * len(self._headers)
+    def _reserve_header(self) -> None:
+        """Reserve the memory for what was received of the header, or of a trailer."""
+        size = self._received_header_bytes + HEADER_FIELD_BYTES * len(self._headers)
+        if self._phase is _Phase.BODY:
+            size += self._parsed_header_bytes + len(self._target)
         if self.listener.header_space.reserve(size - self._header_size):
             self._header_size = size
         else:
--- a/foxtailseam/http/tests/test_listener.py
+++ b/foxtailseam/http/tests/test_listener.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import errno
+import gc
 import socket
 import time
+import tracemalloc
 from dataclasses import replace
 from datetime import timedelta
 from types import SimpleNamespace
@@ -462,6 +464,101 @@
         assert [call.request.target for call in handler.calls] == [b"/1", b"/2"]
 
 
+CHUNKED_REQUEST = (
+    b"POST / HTTP/1.1\r\n" + HOST_HEADER + b"Transfer-Encoding: chunked\r\n\r\n"
+)
+
+
+class TestEndlessFraming:
+    @pytest.mark.parametrize(
+        ("start", "repeated"),
+        [
+            (b"0\r\n", b"X-A: b\r\n"),
+            (b"0\r\nX-A: ", b"a" * 8),
+            (b"2;a=", b"b" * 8),
+            (b"2\r\nab\r\n2;a=", b"b" * 8),
+        ],
+        ids=["trailers", "trailer line", "extension", "second extension"],
+    )
+    def test_around_the_body_it_is_rejected(self, start, repeated):
+        async def scenario(reader, writer, handler, listener):
+            writer.write(CHUNKED_REQUEST + start)
+            for _ in range(100):
+                writer.write(repeated * 8)
+                await asyncio.sleep(0)
+            assert (await reader.readline()).startswith(b"HTTP/1.1 431 ")
+            assert not handler.calls
+            writer.close()
+            while listener.header_space.reserved:
+                await asyncio.sleep(0.01)
+
+        run(scenario)
+
+    def test_a_trailer_is_no_header(self):
+        async def scenario(reader, writer, handler, _listener):
+            writer.write(CHUNKED_REQUEST + b"2\r\nok\r\n0\r\nX-Late: 1\r\n\r\n")
+            await reader.readuntil(b"\r\n\r\n")
+            request = handler.calls[0].request
+            assert request.body == b"ok"
+            assert b"X-Late" not in [name for name, _ in request.headers]
+
+        run(scenario)
+
+
+class TestMemoryOfRequests:
+    BODY_BYTES = 60_000
+    REQUESTS = 8
+
+    def measure(self, request, is_answered):
+        """Send a request on each of some connections; return what they take."""
+
+        async def scenario(_reader, writer, _handler, listener):
+            targets, writers = [], []
+
+            def answer(call):
+                targets.append(call.request.target)
+                call.respond(HttpResponse(200))
+
+            listener.handler = answer
+            gc.collect()
+            gc.disable()
+            tracemalloc.start()
+            for _ in range(self.REQUESTS):
+                _, other = await asyncio.open_connection("127.0.0.1", peer_port(writer))
+                writers.append(other)
+                other.write(request)
+                await other.drain()
+                await asyncio.sleep(0.02)
+            received = self.REQUESTS * self.BODY_BYTES
+            while listener.buffered_bytes < received and not is_answered:
+                await asyncio.sleep(0.01)
+            assert len(targets) == self.REQUESTS * is_answered
+            sizes.append(tracemalloc.get_traced_memory()[0])
+            for other in writers:
+                other.transport.abort()
+            await asyncio.sleep(0.05)
+            sizes.append(tracemalloc.get_traced_memory()[0])
+            tracemalloc.stop()
+            gc.enable()
+
+        sizes = []
+        limits = ListenerLimits(body_timeout=timedelta(seconds=5))
+        run(scenario, limits=limits)
+        return sizes
+
+    def test_an_idle_connection_does_not_keep_its_last_request(self):
+        head = b"POST / HTTP/1.1\r\n" + HOST_HEADER + b"Content-Length: %d\r\n\r\n"
+        request = head % self.BODY_BYTES + b"b" * self.BODY_BYTES
+        idle, _ = self.measure(request, is_answered=True)
+        assert idle < 3 * self.BODY_BYTES
+
+    def test_a_body_in_small_chunks_takes_no_multiple_of_its_size(self):
+        body = b"2\r\nab\r\n" * (self.BODY_BYTES // 2)
+        waiting, lost = self.measure(CHUNKED_REQUEST + body, is_answered=False)
+        assert waiting < 2 * self.REQUESTS * self.BODY_BYTES
+        assert lost < 3 * self.BODY_BYTES
+
+
 class TestCallersThatDoNotRead:
     # More than the kernel takes on a connection.
     BODY = b"b" * 12_000_000
