Confirm no revision twice: what the service has named in this era is known

Found while reading the diff: the last page of a listing may have one item, which shows no revision; on a service past revision 1,000,000 each listing of several pages then failed as implausible, for ever, since its first page reset what was to be confirmed. A revision that was believed once now counts as known for the rest of the era, also for later pages and listings.

test_a_last_page_with_one_item_needs_no_confirmation failed before.

--- a/foxtailseam/platform/tests/test_foreign_input.py
+++ b/foxtailseam/platform/tests/test_foreign_input.py
@@ -360,6 +360,21 @@
         store = AnsweredStore(page(revision, revision - 5, revision - 1))
         assert asyncio.run(store.list_items()).position == Position(1, revision)
 
+    def test_a_last_page_with_one_item_needs_no_confirmation(self):
+        revision = 4_000_000_000_000
+        first = {"items": [ITEM | {"key": f"k{n}"} for n in range(2)]}
+        first["items"] = [item | {"revision": revision} for item in first["items"]]
+        first |= {"current_rev": revision, "has_more": True}
+        store = AnsweredStore(response(text(first)), page(revision, 7))
+        assert asyncio.run(store.list_items()).position == Position(1, revision)
+
+    def test_a_confirmed_revision_needs_no_further_confirmation(self):
+        revision = 4_000_000_000_000
+        store = AnsweredStore(*(page(revision + n) for n in range(3)))
+        results = [asyncio.run(store.list_items()) for _ in range(3)]
+        kinds = [type(result) for result in results]
+        assert kinds == [StoreFailure, Listing, Listing]
+
     def test_a_later_era_that_is_not_the_next_one_has_to_be_confirmed(self):
         later = response(text({"events": [], "current_rev": 9}), b"4")
         store = AnsweredStore(page(9, 8), later, later)
--- a/foxtailseam/store/_position_check.py
+++ b/foxtailseam/store/_position_check.py
@@ -22,6 +22,7 @@
 
     def __init__(self):
         self._era: int | None = None
+        self._revision = 0
         self._unlikely_era: int | None = None
         self._unlikely_revision: int | None = None
 
@@ -41,6 +42,9 @@
         if era > max_era and era != self._unlikely_era:
             self._unlikely_era = era
             return IMPLAUSIBLE_ERA
+        if era != self._era:
+            # Revisions are given out again.
+            self._revision = 0
         self._era = era
         self._unlikely_era = None
         return ""
@@ -53,14 +57,18 @@
         revision : int
             Revision of the service that the answer names.
         known : int
-            Revision that the service is known to have reached.
+            Revision that the service is known to have reached, beside those that it
+            named in this era before.
         """
-        if revision <= known + MAX_REVISION_STEP:
-            self._unlikely_revision = None
-            return ""
-        before, self._unlikely_revision = self._unlikely_revision, revision
-        if before is not None and before <= revision <= before + MAX_REVISION_STEP:
+        before, self._unlikely_revision = self._unlikely_revision, None
+        is_likely = revision <= max(known, self._revision) + MAX_REVISION_STEP
+        is_confirmed = before is not None and (
+            before <= revision <= before + MAX_REVISION_STEP
+        )
+        if is_likely or is_confirmed:
+            self._revision = max(revision, self._revision)
             return ""
+        self._unlikely_revision = revision
         return IMPLAUSIBLE_REVISION
 
 
