Raise CallError for each failed call between hosts; expand views at the boundary

What the server refuses goes to the servicer, so that serve() stays as it was.

A view of the members was expanded while the message was merged, outside what guards a call; it is now expanded with the message, on both sides. The tests send an odd view both ways; the property tests merge what was decoded without any exception allowed.

--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -171,10 +171,7 @@
         from foxtailseam.fleet import _rpc
 
         self._stop_server = await _rpc.serve(
-            self.membership.own_record.address,
-            self,
-            self._count_sent,
-            self._record_refused,
+            self.membership.own_record.address, self, self._count_sent
         )
         self._spawn(self._tick_loop())
         self._spawn(self._gossip_loop.run())
@@ -254,7 +251,8 @@
             cancel()
             raise
 
-    def _record_refused(self, problem: str) -> None:
+    def refuse(self, problem: str) -> None:
+        """Handle that a message was malformed; its call has ended."""
         self.metrics.add("peer_messages_refused")
         self.log.write(EventCode.PEER_MESSAGE_REFUSED, problem=shorten(problem))
 
--- a/foxtailseam/fleet/_forward_sender.py
+++ b/foxtailseam/fleet/_forward_sender.py
@@ -145,15 +145,15 @@
 
         try:
             await shared.channel.connect()
-        except _rpc.CALL_ERRORS:
+        except _rpc.CallError:
             self._retire(address, shared)
             return PeerFailed(Unavailability.UNREACHABLE, sent=False)
         try:
             response = await shared.channel.forward(request)
-        except _rpc.CALL_ERRORS as error:
-            if _rpc.is_unimplemented(error):
+        except _rpc.CallError as error:
+            if error.is_unimplemented:
                 return PeerFailed(Unavailability.UNSUPPORTED, sent=False)
-            if _rpc.breaks_connection(error):
+            if error.breaks_connection:
                 self._retire(address, shared)
             return PeerFailed(Unavailability.LOST, sent=True)
         shared.record_response(self.clock.monotonic())
--- a/foxtailseam/fleet/_gossip_loop.py
+++ b/foxtailseam/fleet/_gossip_loop.py
@@ -119,13 +119,9 @@
         try:
             response = await channel.exchange(self.gossip.request(), seconds)
             self.gossip.finish(response)
-        except _rpc.CALL_ERRORS as error:
+        except _rpc.CallError as error:
             self.gossip.fail(address)
-            self.log.write(
-                EventCode.PEER_UNREACHABLE,
-                peer=address,
-                error=_rpc.describe_call_error(error),
-            )
+            self.log.write(EventCode.PEER_UNREACHABLE, peer=address, error=error.reason)
         finally:
             channel.close()
 
--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -10,7 +10,7 @@
 import msgspec
 from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler, Status
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
 
 from foxtailseam.codecs import MessagePackCodec
@@ -19,9 +19,9 @@
     FollowUpdate,
     MemberExchange,
     decompress_changes,
+    decompress_records,
 )
 from foxtailseam.forwarding import ForwardedRequest, ForwardedResponse
-from foxtailseam.utils import shorten
 
 _ENCODER = msgspec.msgpack.Encoder()
 EXCHANGE_PATH = "/foxtailseam.Fleet/Exchange"
@@ -32,57 +32,48 @@
 _NO_HANDLER_MESSAGE = "Missing content-type header"
 
 
-class MalformedAnswerError(Exception):
-    """The other host's answer does not follow the protocol."""
+class CallError(Exception):
+    """A call failed: the other host is unreachable, too slow or misbehaving.
 
+    Parameters
+    ----------
+    cause : Exception
+        What the connection, the RPC library or the decoder raised.
+    """
 
-# Exceptions of a call if the other host is unreachable, too slow or misbehaving.
-CALL_ERRORS = (
-    OSError,
-    TimeoutError,
-    GRPCError,
-    StreamTerminatedError,
-    msgspec.MsgspecError,
-    MalformedAnswerError,
-)
-
-
-def is_unimplemented(error: Exception) -> bool:
-    """Return whether the other host has no handler for the call; nothing ran then."""
-    match error:
-        case GRPCError(status=Status.UNIMPLEMENTED):
-            return True
-        case GRPCError(status=Status.UNKNOWN, message=message):
-            return message == _NO_HANDLER_MESSAGE
-        case _:
-            return False
-
+    def __init__(self, cause: Exception):
+        super().__init__(str(cause))
+        self.cause = cause
 
-def breaks_connection(error: Exception) -> bool:
-    """Return whether an error of one call ends the others on its connection, too."""
-    return not isinstance(error, (GRPCError, msgspec.MsgspecError))
+    @property
+    def reason(self) -> str:
+        """Return the type of the cause."""
+        return type(self.cause).__name__
 
+    @property
+    def is_unimplemented(self) -> bool:
+        """Return whether the other host lacks a handler for it; nothing ran then."""
+        match self.cause:
+            case GRPCError(status=Status.UNIMPLEMENTED):
+                return True
+            case GRPCError(status=Status.UNKNOWN, message=message):
+                return message == _NO_HANDLER_MESSAGE
+            case _:
+                return False
 
-def describe_call_error(error: Exception) -> str:
-    """Return the type of an error and, if that tells little, its text."""
-    name = type(error).__name__
-    if isinstance(error, (msgspec.MsgspecError, MalformedAnswerError)):
-        return shorten(f"{name}: {error}")
-    return name
+    @property
+    def breaks_connection(self) -> bool:
+        """Return whether it ends the other calls on its connection, too."""
+        return not isinstance(self.cause, (GRPCError, msgspec.MsgspecError))
 
 
 @contextlib.contextmanager
-def _call_errors() -> Iterator[None]:
-    """Raise one of `CALL_ERRORS` for any error.
-
-    grpclib raises others, such as AssertionError, for an answer that ends early.
-    """
+def _calling() -> Iterator[None]:
+    """Raise each error as a `CallError`, since only the other host's can occur."""
     try:
         yield
-    except CALL_ERRORS:
-        raise
     except Exception as error:
-        raise MalformedAnswerError(f"{type(error).__name__}: {error}") from error
+        raise CallError(error) from error
 
 
 def _decompressed(update: FollowUpdate) -> FollowUpdate:
@@ -92,6 +83,13 @@
     return replace(update, changes=changes, compressed_changes=b"")
 
 
+def _expanded(message: MemberExchange) -> MemberExchange:
+    if not message.view:
+        return message
+    records = message.records + decompress_records(message.view)
+    return replace(message, records=records, view=b"")
+
+
 class FleetServicer(Protocol):
     """Server side of the calls between hosts."""
 
@@ -104,6 +102,9 @@
     async def forward(self, request: ForwardedRequest) -> ForwardedResponse:
         """Serve a request that another host has forwarded."""
 
+    def refuse(self, problem: str) -> None:
+        """Handle that a message was malformed; its call has ended."""
+
 
 class MessageKind(StrEnum):
     """Kind of message in the metrics on bytes sent to other hosts."""
@@ -116,24 +117,12 @@
 
 # Called with the kind of a message, the failure domain of its receiver and its bytes.
 SentCallback = Callable[[MessageKind, str, int], None]
-# Called with the reason why a message of another host was refused.
-RefusedCallback = Callable[[str], None]
-
-
-def _ignore(problem: str) -> None:
-    pass
 
 
 class _Handlers:
-    def __init__(
-        self,
-        servicer: FleetServicer,
-        on_sent: SentCallback,
-        on_refused: RefusedCallback = _ignore,
-    ):
+    def __init__(self, servicer: FleetServicer, on_sent: SentCallback):
         self.servicer = servicer
         self.on_sent = on_sent
-        self.on_refused = on_refused
 
     def __mapping__(self) -> dict[str, Handler]:
         return {
@@ -157,7 +146,7 @@
         try:
             yield
         except msgspec.MsgspecError as error:
-            self.on_refused(str(error))
+            self.servicer.refuse(str(error))
             raise GRPCError(Status.INVALID_ARGUMENT, "malformed message") from error
 
     async def _receive(self, stream: Stream) -> Any:
@@ -168,8 +157,8 @@
         message = await self._receive(stream)
         if message is not None:
             with self._refusing():
-                answer = self.servicer.exchange(message)
-            response = _ENCODER.encode(answer)
+                message = _expanded(message)
+            response = _ENCODER.encode(self.servicer.exchange(message))
             domain = message.records[0].failure_domain if message.records else ""
             self.on_sent(MessageKind.EXCHANGE, domain, len(response))
             await stream.send_message(response)
@@ -195,10 +184,7 @@
 
 
 async def serve(
-    address: str,
-    servicer: FleetServicer,
-    on_sent: SentCallback,
-    on_refused: RefusedCallback = _ignore,
+    address: str, servicer: FleetServicer, on_sent: SentCallback
 ) -> Callable[[], Awaitable[None]]:
     """Start a server for other hosts.
 
@@ -211,16 +197,13 @@
     on_sent : callable
         Called with the kind, the receiver's failure domain and the bytes of each
         message that is sent.
-    on_refused : callable
-        Called with the problem of each message that cannot be decoded.
 
     Returns
     -------
     callable
         Coroutine function that closes the server.
     """
-    handlers = _Handlers(servicer, on_sent, on_refused)
-    server = Server([handlers], codec=MessagePackCodec())
+    server = Server([_Handlers(servicer, on_sent)], codec=MessagePackCodec())
     host, _, port = address.rpartition(":")
     await server.start(host, int(port))
 
@@ -259,26 +242,28 @@
 
         Raises
         ------
-        Exception
-            One of `CALL_ERRORS`.
+        CallError
+            If the call fails.
         """
         method = UnaryUnaryMethod(
             self._channel, EXCHANGE_PATH, MemberExchange, MemberExchange
         )
-        await self._connect()
-        with _call_errors():
+        with _calling():
+            await self._connect()
             async with asyncio.timeout(timeout):
-                return await method(message)
+                response = await method(message)
+            return _expanded(response)
 
     async def connect(self) -> None:
         """Open the connection unless it is open.
 
         Raises
         ------
-        Exception
-            One of `CALL_ERRORS`.
+        CallError
+            If the call fails.
         """
-        await self._connect()
+        with _calling():
+            await self._connect()
 
     async def forward(self, request: ForwardedRequest) -> ForwardedResponse:
         """Ask the other host to serve a request and return the response.
@@ -292,13 +277,13 @@
 
         Raises
         ------
-        Exception
-            One of `CALL_ERRORS`.
+        CallError
+            If the call fails.
         """
         method = UnaryUnaryMethod(
             self._channel, FORWARD_PATH, ForwardedRequest, ForwardedResponse
         )
-        with _call_errors():
+        with _calling():
             return await method(request)
 
     async def follow(
@@ -315,14 +300,14 @@
 
         Raises
         ------
-        Exception
-            One of `CALL_ERRORS`; `TimeoutError` if an update does not come in time.
+        CallError
+            If the call fails or an update does not come in time.
         """
         method = UnaryStreamMethod(
             self._channel, FOLLOW_PATH, FollowRequest, FollowUpdate
         )
-        await self._connect()
-        with _call_errors():
+        with _calling():
+            await self._connect()
             async with method.open() as stream:
                 await stream.send_message(request, end=True)
                 while True:
--- a/foxtailseam/fleet/tests/test_foreign_messages.py
+++ b/foxtailseam/fleet/tests/test_foreign_messages.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import random
 import zlib
 from dataclasses import replace
 from datetime import timedelta
@@ -73,10 +72,10 @@
 DECLINED = ForwardedResponse(attempts_run=1, helpers=("10.0.0.3:1",))
 
 
-def decoded(data, message_type):
+def decoded(data, message_type, expand=lambda message: message):
     """Return the message, or None if decoding fails in the way that calls expect."""
-    with contextlib.suppress(*_rpc.CALL_ERRORS):
-        return MessagePackCodec().decode(data, message_type)
+    with contextlib.suppress(msgspec.MsgspecError):
+        return expand(MessagePackCodec().decode(data, message_type))
     return None
 
 
@@ -85,16 +84,12 @@
     @example(b"\x81\xa1a" + b"\x91" * DEPTH)
     @given(message_pack_documents(EXCHANGE))
     def test_any_exchange_can_be_merged_and_passed_on(self, data):
-        message = decoded(data, MemberExchange)
+        message = decoded(data, MemberExchange, _rpc._expanded)
         if message is None:
             return
         host = gossip(OWN_ADDRESS)
-        try:
-            host.finish(message)
-            response = msgspec.msgpack.encode(host.respond(message))
-        except _rpc.CALL_ERRORS:
-            # The compressed view is malformed.
-            return
+        host.finish(message)
+        response = msgspec.msgpack.encode(host.respond(message))
         # What it is told makes a host send nothing that others refuse.
         assert decoded(response, MemberExchange) is not None
         assert all(map(is_address, host.membership.addresses))
@@ -113,12 +108,11 @@
     )
     @given(message_pack_documents(EXCHANGE))
     def test_nothing_that_an_exchange_says_of_searchers_lasts_for_ever(self, data):
-        message = decoded(data, MemberExchange)
+        message = decoded(data, MemberExchange, _rpc._expanded)
         if message is None:
             return
         host = gossip(OWN_ADDRESS)
-        with contextlib.suppress(*_rpc.CALL_ERRORS):
-            host.finish(message)
+        host.finish(message)
         time = host.membership.clock
         time.run_until(time.monotonic() + LONGEST_SECONDS)
         assert not host.conditions.notices().all
@@ -127,13 +121,9 @@
     @EXAMPLES
     @given(message_pack_documents(UPDATE) | message_pack_documents(COMPRESSED_UPDATE))
     def test_any_update_can_be_applied(self, data):
-        update = decoded(data, FollowUpdate)
+        update = decoded(data, FollowUpdate, _rpc._decompressed)
         if update is None:
             return
-        try:
-            update = _rpc._decompressed(update)
-        except _rpc.CALL_ERRORS:
-            return
         time = VirtualTime()
         catalogue = Catalogue(time, IgnoredEvents())
         catalogue.extend_grace(timedelta(milliseconds=update.grace_ms))
@@ -188,16 +178,26 @@
 
     def __init__(self, answer):
         self.answer = answer
+        self.refused = []
 
     def exchange(self, message):
         return msgspec.Raw(self.answer)
 
+    def refuse(self, problem):
+        self.refused.append(problem)
+
 
 class TestCalls:
     @pytest.mark.parametrize(
         "answer",
-        [b"\x91" * DEPTH, b"\xc1", b"", b"\x81\xa1a" * DEPTH],
-        ids=["deep list", "no message", "nothing", "deep map"],
+        [
+            b"\x91" * DEPTH,
+            b"\xc1",
+            b"",
+            b"\x81\xa1a" * DEPTH,
+            msgspec.msgpack.encode(replace(EXCHANGE, view=b"view")),
+        ],
+        ids=["deep list", "no message", "nothing", "deep map", "odd view"],
     )
     def test_an_odd_answer_is_an_error_of_the_call(self, answer):
         async def main():
@@ -205,7 +205,7 @@
             stop = await _rpc.serve(address, OddServicer(answer), lambda *_: None)
             channel = _rpc.FleetChannel(address, 1.0)
             try:
-                with pytest.raises(_rpc.CALL_ERRORS):
+                with pytest.raises(_rpc.CallError):
                     await channel.exchange(EXCHANGE, 1.0)
             finally:
                 channel.close()
@@ -221,12 +221,12 @@
             stop = await _rpc.serve(address, servicer, lambda *_: None)
             channel = _rpc.FleetChannel(address, 1.0)
             try:
-                for _ in range(3):
-                    odd = b"\x81\xa1a" * random.Random(1).randrange(2_000, DEPTH)
-                    with pytest.raises(_rpc.CALL_ERRORS):
+                for odd in (b"\x81\xa1a" * DEPTH, replace(EXCHANGE, view=b"view")):
+                    with pytest.raises(_rpc.CallError):
                         await channel.exchange(odd, 1.0)
                     answer = await channel.exchange(EXCHANGE, 1.0)
                     assert answer.records
+                assert len(servicer.refused) == 2
             finally:
                 channel.close()
                 await stop()
@@ -252,7 +252,7 @@
             await server.start(host, int(port))
             channel = _rpc.FleetChannel(address, 1.0)
             try:
-                with pytest.raises(_rpc.CALL_ERRORS):
+                with pytest.raises(_rpc.CallError):
                     await channel.exchange(EXCHANGE, 1.0)
             finally:
                 channel.close()
