--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -177,10 +177,7 @@
         from foxtailseam.fleet import _rpc
 
         self._stop_server = await _rpc.serve(
-            self.membership.own_record.address,
-            self,
-            self._count_sent,
-            self._record_refused,
+            self.membership.own_record.address, self, self._count_sent
         )
         loops = {
             "choose sources": self._tick_loop,
@@ -252,7 +249,8 @@
             cancel()
             raise
 
-    def _record_refused(self, problem: str) -> None:
+    def refuse(self, problem: str) -> None:
+        """Handle that a message was malformed; its call has ended."""
         self.metrics.add("peer_messages_refused")
         self.log.write(EventCode.PEER_MESSAGE_REFUSED, problem=shorten(problem))
 
