--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -231,14 +231,14 @@
             self._reject(call, metadata, "no service has a positive weight", refusal)
             return
         limit = self._shutdown_limit
-        is_too_late = times.deadline_at > limit.ends_at and not limit.can_answer(route)
-        if times.deadline_at > limit.ends_at:
+        is_limited = times.deadline_at > limit.ends_at
+        if is_limited:
             times = limit.shorten(times)
         version = self.configuration_manager.version
         routed = RoutedRequest(
             call, responses, route, services, times, metadata, version
         )
-        if is_too_late:
+        if is_limited and not limit.can_answer(route):
             self._refuse(routed, FailureReason.STOPPING, None)
             return
         if times.deadline_at <= self.clock.monotonic():
