--- a/foxtailseam/conditions/_notices.py
+++ b/foxtailseam/conditions/_notices.py
@@ -5,13 +5,22 @@
 """
 
 from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta
 
 from foxtailseam.conditions._model import (
+    MAX_PAUSE,
     Leaving,
     Pause,
     RateLimit,
     SearcherConditions,
+    round_rate,
 )
+from foxtailseam.utils import Integer, SignedWholeMilliseconds
+
+# Requests per second.
+Rate = Annotated[float, Meta(ge=0, le=1e9)]
 
 # Longest time that a notice is expected to take from one host to another.
 RELAY_SECONDS = 0.5
@@ -34,14 +43,15 @@
     """
 
     searcher: str
-    started_ms: int
-    limit: float | None
-    age_ms: int
+    started_ms: Integer
+    limit: Rate | None
+    age_ms: SignedWholeMilliseconds
 
     def to_conditions(self, now: float) -> SearcherConditions:
         """Return the conditions that the notice reports at a monotonic time."""
-        observed_at = now - self.age_ms / 1000 - RELAY_SECONDS
-        limit = RateLimit(self.limit, observed_at)
+        observed_at = now - max(0, self.age_ms) / 1000 - RELAY_SECONDS
+        rate = None if self.limit is None else round_rate(self.limit)
+        limit = RateLimit(rate, observed_at)
         return SearcherConditions(self.started_ms, rate_limit=limit)
 
 
@@ -60,12 +70,12 @@
     """
 
     searcher: str
-    started_ms: int
-    age_ms: int
+    started_ms: Integer
+    age_ms: SignedWholeMilliseconds
 
     def to_conditions(self, now: float) -> SearcherConditions:
         """Return the conditions that the notice reports at a monotonic time."""
-        leaving = Leaving(now - self.age_ms / 1000)
+        leaving = Leaving(now - max(0, self.age_ms) / 1000)
         return SearcherConditions(self.started_ms, leaving=leaving)
 
 
@@ -84,12 +94,13 @@
     """
 
     searcher: str
-    started_ms: int
-    remaining_ms: int
+    started_ms: Integer
+    remaining_ms: SignedWholeMilliseconds
 
     def to_conditions(self, now: float) -> SearcherConditions:
         """Return the conditions that the notice reports at a monotonic time."""
-        pause = Pause(now + self.remaining_ms / 1000 - RELAY_SECONDS)
+        seconds = min(self.remaining_ms / 1000, MAX_PAUSE.total_seconds())
+        pause = Pause(now + seconds - RELAY_SECONDS)
         return SearcherConditions(self.started_ms, peer_pause=pause)
 
 
--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -14,19 +14,29 @@
 import httptools
 
 from foxtailseam.clocks import Clock
+from foxtailseam.http._buffer_space import BufferSpace
 from foxtailseam.http._call import Call
-from foxtailseam.http._messages import HttpRequest, HttpResponse, render_response
+from foxtailseam.http._messages import (
+    HEADER_FIELD_BYTES,
+    HttpRequest,
+    HttpResponse,
+    render_response,
+)
+from foxtailseam.http._upgrade import head_without_upgrade
 
 BAD_REQUEST = HttpResponse(400)
 REQUEST_TIMEOUT = HttpResponse(408)
 CONTENT_TOO_LARGE = HttpResponse(413)
 HEADER_TOO_LARGE_STATUS = 431
+# Sent in place of a response for which the buffers have no space.
+RESPONSE_DROPPED = HttpResponse(502)
 # By the time of the retry, the requests whose bodies fill the buffer should have
 # been answered.
 BUFFER_FULL = HttpResponse(503, ((b"Retry-After", b"1"),))
 # Another host can take the request at once.
 STOPPING = HttpResponse(503, ((b"Retry-After", b"0.05"),))
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+CONNECT_METHOD = b"CONNECT"
 
 # Time that sent response data may stay unacknowledged by the caller before the
 # connection is closed.
@@ -64,6 +74,14 @@
     buffered_bytes : int
         Maximum total size of the buffered bodies of all requests, in bytes; a
         request whose body exceeds it is rejected with status 503.
+    buffered_header_bytes : int
+        Maximum memory of the headers of all requests, in bytes; a request whose
+        header exceeds it is rejected with status 503.
+    unsent_bytes : int
+        Maximum total size of the responses that callers have not read yet, in bytes;
+        a response that exceeds it is replaced by a 502.
+    response_timeout : timedelta
+        Maximum time from a response to its last byte being sent.
     long_header_status : int
         Status code of the response to a header that is too large.
     """
@@ -75,6 +93,9 @@
     idle_timeout: timedelta = timedelta(seconds=15)
     connections: int = 1_000
     buffered_bytes: int = 64 * 1024 * 1024
+    buffered_header_bytes: int = 32 * 1024 * 1024
+    unsent_bytes: int = 32 * 1024 * 1024
+    response_timeout: timedelta = timedelta(seconds=30)
     long_header_status: int = HEADER_TOO_LARGE_STATUS
 
 
@@ -99,6 +120,9 @@
     handler: Callable[[Call], None]
     on_rejected: Callable[[int], None]
     is_draining: bool
+    # Space for the headers of requests and for responses that callers do not read.
+    header_space: BufferSpace
+    unsent_space: BufferSpace
 
     def reserve(self, size: int) -> bool:
         """Reserve `size` bytes of buffer space; return whether there were enough."""
@@ -136,6 +160,15 @@
         # Buffer space that this connection has reserved at the listener, in bytes.
         self._reserved_bytes = 0
         self._keep_alive_flags: deque[bool] = deque()
+        # Memory that the header of each request that is not answered takes, in bytes.
+        self._header_sizes: deque[int] = deque()
+        # Responses that the caller has not read, in bytes, and when the last one was
+        # written.
+        self._unsent_bytes = 0
+        self._written_at = 0.0
+        self._is_write_paused = False
+        self._header_size = 0
+        self._is_serving = False
         self._reset_request()
 
     @property
@@ -177,12 +210,21 @@
         """
         call, self._current_call = self._current_call, None
         self._release(len(call.request.body))
+        self.listener.header_space.reserve(-self._header_sizes.popleft())
         keep_alive = self._keep_alive_flags.popleft()
-        has_next = self._queued_requests or self._phase in _INCOMPLETE
+        has_next = (
+            self._queued_requests
+            or self._phase in _INCOMPLETE
+            or self._error_response is not None
+        )
         close = not keep_alive or (self.listener.is_draining and not has_next)
         is_head = call.request.method == b"HEAD"
-        self._transport.write(render_response(response, close, is_head))
+        self._write(response, close, is_head)
         if close:
+            # Nothing that follows is served.
+            self._phase = _Phase.FAILED
+            self._queued_requests.clear()
+            self._error_response = None
             self._transport.close()
             return
         if self._phase is _Phase.IDLE:
@@ -207,6 +249,12 @@
             Current monotonic time of the listener's clock, in seconds.
         """
         limits = self.listener.limits
+        if self._unsent_bytes:
+            self._count_unsent()
+            waited = timedelta(seconds=now - self._written_at)
+            if self._unsent_bytes and waited > limits.response_timeout:
+                self._transport.abort()
+                return
         elapsed = timedelta(seconds=now - self._phase_since)
         if self._phase is _Phase.LINGERING:
             if elapsed.total_seconds() > LINGER_SECONDS:
@@ -241,20 +289,53 @@
         if self._phase in (_Phase.IDLE, _Phase.HEADER):
             self._received_header_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # Protocol upgrades are not supported, but the request was read: it is
-            # answered, and the connection closes after it.
-            if self._keep_alive_flags:
-                self._keep_alive_flags[-1] = False
-            self._phase = _Phase.FAILED
+            self._parse(data)
         except httptools.HttpParserError:
             self._reject(BAD_REQUEST)
         else:
+            if self._phase is _Phase.HEADER:
+                self._reserve_header(self._received_header_bytes)
             self._check_limits()
         if len(self._queued_requests) >= MAX_QUEUED_REQUESTS:
             self._transport.pause_reading()
 
+    def _parse(self, data: bytes | memoryview) -> None:
+        """Parse received bytes, past the heads of requests that ask for an upgrade."""
+        while data and self._phase not in _ENDED:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                # The parser takes what follows, even a body, for the other protocol.
+                data = memoryview(data)[upgrade.args[0] :]
+                self._ignore_upgrade()
+
+    def _ignore_upgrade(self) -> None:
+        """Parse the head that was just read again, without its Upgrade headers."""
+        method = self._parser.get_method()
+        if method == CONNECT_METHOD:
+            self._reject(BAD_REQUEST)
+            return
+        head = head_without_upgrade(
+            method,
+            self._target,
+            self._parser.get_http_version(),
+            tuple(self._headers),
+        )
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(head)
+
+    def pause_writing(self) -> None:
+        """Serve no further request until the caller reads."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Serve the next request."""
+        self._is_write_paused = False
+        self._count_unsent()
+        if not self._transport.is_closing():
+            self._serve_next()
+
     def eof_received(self) -> bool:
         """Close the connection: a half-close counts as a disconnect."""
         return False
@@ -263,6 +344,12 @@
         """Release the buffers, drop queued requests and cancel the current one."""
         self.listener.closed(self)
         self._release(self._reserved_bytes)
+        header_sizes = self._header_size + sum(self._header_sizes)
+        self.listener.header_space.reserve(-header_sizes)
+        self._header_size = 0
+        self._header_sizes.clear()
+        self.listener.unsent_space.reserve(-self._unsent_bytes)
+        self._unsent_bytes = 0
         self._queued_requests.clear()
         self._phase = _Phase.FAILED
         call, self._current_call = self._current_call, None
@@ -272,13 +359,14 @@
     # httptools callbacks
 
     def on_message_begin(self) -> None:
-        """Start a new request and its header timeout."""
+        """Start a new request and its header timeout, or one that is parsed again."""
         if self._phase in _ENDED:
             return
         received_header_bytes = self._received_header_bytes
         self._reset_request()
         self._received_header_bytes = received_header_bytes
-        self._enter_phase(_Phase.HEADER)
+        if self._phase is not _Phase.HEADER:
+            self._enter_phase(_Phase.HEADER)
         self._arrived_at = self._phase_since
 
     def on_url(self, url: bytes) -> None:
@@ -296,9 +384,10 @@
         The header must have one Host field, and the target must start with a
         slash.
         """
-        if self._phase in _ENDED:
+        if self._phase in _ENDED or self._parser.should_upgrade():
             return
         self._enter_phase(_Phase.BODY)
+        self._reserve_header(self._parsed_header_bytes + len(self._target))
         host_headers = 0
         expects_continue = False
         for name, value in self._headers:
@@ -328,8 +417,8 @@
             self._is_buffer_full = True
 
     def on_message_complete(self) -> None:
-        """Queue a complete request to be served."""
-        if self._phase in _ENDED:
+        """Queue a complete request to be served, unless its head is parsed again."""
+        if self._phase in _ENDED or self._parser.should_upgrade():
             return
         self._check_limits()
         if self._phase in _ENDED:
@@ -344,6 +433,8 @@
             self._arrived_at,
             self._network_delay(),
         )
+        self._header_sizes.append(self._header_size)
+        self._header_size = 0
         self._keep_alive_flags.append(self._parser.should_keep_alive())
         self._queued_requests.append(request)
         self._serve_next()
@@ -386,23 +477,61 @@
         elif self._is_buffer_full:
             self._reject(BUFFER_FULL)
 
+    def _reserve_header(self, size: int) -> None:
+        """Reserve the memory for the header of which `size` bytes were received."""
+        size += HEADER_FIELD_BYTES * len(self._headers)
+        if self.listener.header_space.reserve(size - self._header_size):
+            self._header_size = size
+        else:
+            self._is_buffer_full = True
+
+    def _write(self, response: HttpResponse, close: bool, is_head: bool) -> None:
+        space = self.listener.unsent_space
+        if len(response.body) > space.available:
+            response = RESPONSE_DROPPED
+            self.listener.on_rejected(response.status)
+        self._transport.write(render_response(response, close, is_head))
+        if self._transport.get_write_buffer_size() or self._unsent_bytes:
+            self._written_at = self.listener.clock.monotonic()
+            self._count_unsent()
+
+    def _count_unsent(self) -> None:
+        size = self._transport.get_write_buffer_size()
+        self.listener.unsent_space.reserve(size - self._unsent_bytes, is_forced=True)
+        self._unsent_bytes = size
+
     def _release(self, size: int) -> None:
         self._reserved_bytes -= size
         self.listener.release(size)
 
+    @property
+    def _may_serve(self) -> bool:
+        return self._current_call is None and not self._is_write_paused
+
     def _serve_next(self) -> None:
-        if self._current_call is not None:
+        if self._is_serving:
+            # A response to the request that is being passed on: the loop goes on.
             return
-        if self._queued_requests:
-            self._current_call = Call(self._queued_requests.popleft(), self)
-            if not self._transport.is_reading():
-                self._transport.resume_reading()
-            self.listener.handler(self._current_call)
-        elif self._error_response is not None:
-            self._send_error(self._error_response)
+        self._is_serving = True
+        try:
+            while self._may_serve and self._queued_requests:
+                self._serve(self._queued_requests.popleft())
+        finally:
+            self._is_serving = False
+        if self._may_serve and self._error_response is not None:
+            response, self._error_response = self._error_response, None
+            self._send_error(response)
+
+    def _serve(self, request: HttpRequest) -> None:
+        self._current_call = Call(request, self)
+        if not self._transport.is_reading():
+            self._transport.resume_reading()
+        self.listener.handler(self._current_call)
 
     def _reject(self, response: HttpResponse) -> None:
         """Send an error after all outstanding responses, and close."""
+        if self._phase in _ENDED:
+            return
         self._phase = _Phase.FAILED
         self._error_response = response
         self._serve_next()
--- a/foxtailseam/http/_upstream_connection.py
+++ b/foxtailseam/http/_upstream_connection.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client connection to an upstream server, without pipelining."""
 
+import errno
 from collections.abc import Callable
 from datetime import timedelta
 from enum import Enum, auto
@@ -7,8 +8,9 @@
 import httptools
 
 from foxtailseam.clocks import Clock
+from foxtailseam.http._buffer_space import BufferSpace, Reservation
 from foxtailseam.http._client_socket import ClientSocket
-from foxtailseam.http._messages import HttpResponse
+from foxtailseam.http._messages import HEADER_FIELD_BYTES, HttpResponse
 from foxtailseam.http._pool_settings import PoolSettings
 from foxtailseam.http._results import (
     ExchangeFailure,
@@ -23,8 +25,14 @@
 # A connection is not reused this close to the server's idle timeout, because
 # the server could close it while the request is in transit.
 IDLE_MARGIN_SECONDS = 0.75
-# Limits the memory that a response of a faulty server can take.
+# Limits of what a faulty server can send in response to one request: the body; the
+# bodies of responses that belong to other requests, together; and all other bytes
+# (heads, trailers, chunk sizes and their extensions), together.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+MAX_FRAMING_BYTES = 128 * 1024
+# Small chunks need this many more bytes of framing for a byte of the body.
+MAX_FRAMING_PER_BODY_BYTE = 8
+MAX_HEADER_FIELDS = 1_024
 _FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUS = (204, 304)
 
@@ -60,13 +68,18 @@
         failure if it cannot be opened.
     connect_timeout : timedelta
         Maximum time to open the connection.
+    space : BufferSpace
+        Space for requests that the server does not read and for responses that come
+        in several parts.
     """
 
     __slots__ = (
         "_body",
         "_body_size",
+        "_discarded_size",
         "_done",
         "_ends_at_close",
+        "_framing_size",
         "_headers",
         "_idle_seconds",
         "_idle_since",
@@ -79,6 +92,7 @@
         "_must_close",
         "_parser",
         "_request_identifier",
+        "_reservation",
         "_response_identifier",
         "_socket",
         "_state",
@@ -87,6 +101,7 @@
         "identifier_header",
         "on_change",
         "on_opened",
+        "space",
     )
 
     def __init__(
@@ -96,8 +111,10 @@
         on_change: Callable[["UpstreamConnection"], None],
         on_opened: Callable[["UpstreamConnection", FailureKind | None], None],
         connect_timeout: timedelta,
+        space: BufferSpace,
     ):
         self.clock = clock
+        self.space = space
         self.identifier_header = settings.identifier_header
         self.on_change = on_change
         self.on_opened = on_opened
@@ -112,7 +129,7 @@
         self._done: ResultCallback | None = None
         self._request_identifier = b""
         self._is_head = False
-        self._reset_response()
+        self._reset_exchange()
         self._socket = ClientSocket(
             self,
             settings.address,
@@ -165,8 +182,9 @@
         self._done = done
         if self._parser is None:
             self._parser = httptools.HttpResponseParser(self)
-        self._reset_response()
         self._socket.write(payload)
+        if self._socket.unsent_bytes and not self._reserve():
+            self._socket.fail(OSError(errno.ENOBUFS, "no buffer space"))
 
     def abort(self) -> None:
         """Close immediately; a request in flight fails as cancelled."""
@@ -204,6 +222,7 @@
             # No request is in flight, so these bytes belong to none.
             self._close()
             return
+        self._framing_size += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -212,11 +231,19 @@
                 self._deliver(ExchangeFailure(FailureKind.MALFORMED, sent=True))
                 self._close()
                 return
-        if self._is_too_large:
+        if self._is_complete and not self._is_too_large:
+            self._complete_exchange()
+        elif self._exceeds_limits():
             self._deliver(ExchangeFailure(FailureKind.TOO_LARGE, sent=True))
             self._close()
-        elif self._is_complete:
-            self._complete_exchange()
+        elif not self._reserve():
+            self._deliver(ExchangeFailure(FailureKind.BUFFER_FULL, sent=True))
+            self._close()
+
+    def on_written(self) -> None:
+        """Release the buffer space of the request."""
+        if self._reservation is not None:
+            self._reserve()
 
     def on_end(self, error: OSError | None) -> None:
         """Fail a request in flight and close.
@@ -225,7 +252,9 @@
         server closed the connection without an error.
         """
         if error is not None:
-            self._deliver(ExchangeFailure(FailureKind.RESET, sent=True))
+            is_full = error.errno == errno.ENOBUFS
+            kind = FailureKind.BUFFER_FULL if is_full else FailureKind.RESET
+            self._deliver(ExchangeFailure(kind, sent=True))
         elif self._ends_at_close and not self._is_discarded:
             self._deliver(Received(self._build_response()))
         else:
@@ -235,15 +264,13 @@
     # httptools callbacks
 
     def on_message_begin(self) -> None:
-        """Prepare for a response; one after the complete response is an error."""
+        """Note a response after the complete one, which is an error."""
         if self._is_complete:
             self._must_close = True
-            return
-        self._reset_response()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a response header."""
-        if not self._is_complete:
+        """Store a response header; ignore a trailer."""
+        if not self._status:
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -274,10 +301,19 @@
         """Store a part of the body, up to `MAX_RESPONSE_BYTES` in total."""
         if self._is_complete:
             return
-        self._body_size += len(body)
-        self._is_too_large = self._body_size > MAX_RESPONSE_BYTES
-        if not self._is_too_large:
-            self._body.append(body)
+        size = len(body)
+        self._framing_size -= size
+        if self._is_discarded:
+            self._discarded_size += size
+            self._is_too_large = self._discarded_size > MAX_RESPONSE_BYTES
+            return
+        self._body_size += size
+        if self._body_size > MAX_RESPONSE_BYTES:
+            self._is_too_large = True
+        elif self._body_size == size:
+            self._body = body
+        else:
+            self._append(body)
 
     def on_message_complete(self) -> None:
         """Complete the response, or discard it and wait for the expected one."""
@@ -290,16 +326,51 @@
         if not self._parser.should_keep_alive():
             self._must_close = True
 
+    def _reset_exchange(self) -> None:
+        self._framing_size = 0
+        self._discarded_size = 0
+        self._is_too_large = False
+        self._reservation: Reservation | None = None
+        self._reset_response()
+
     def _reset_response(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        # A buffer from the second part on: a list of small parts takes a multiple of
+        # their size.
+        self._body: bytes | bytearray = b""
         self._body_size = 0
         self._status = 0
         self._response_identifier: bytes | None = None
         self._is_complete = False
         self._is_discarded = False
         self._ends_at_close = False
-        self._is_too_large = False
+
+    def _append(self, body: bytes) -> None:
+        if isinstance(self._body, bytes):
+            self._body = bytearray(self._body)
+        self._body += body
+
+    def _exceeds_limits(self) -> bool:
+        """Return whether the server sent more than a response may take.
+
+        Bytes are counted as they are received, since the parser keeps an unfinished
+        header line to itself.
+        """
+        max_framing = MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_size
+        return (
+            self._is_too_large
+            or self._framing_size > max_framing
+            or len(self._headers) > MAX_HEADER_FIELDS
+        )
+
+    def _reserve(self) -> bool:
+        """Reserve space for what is unsent or unfinished; return whether it fits."""
+        if self._reservation is None:
+            self._reservation = Reservation(self.space)
+        size = self._socket.unsent_bytes + self._body_size
+        size += min(self._framing_size, MAX_FRAMING_BYTES)
+        size += HEADER_FIELD_BYTES * len(self._headers)
+        return self._reservation.resize(size)
 
     def _matches_request(self) -> bool:
         if not self.identifier_header:
@@ -317,7 +388,11 @@
                 self._idle_seconds = float(text)
 
     def _build_response(self) -> HttpResponse:
-        return HttpResponse(self._status, tuple(self._headers), b"".join(self._body))
+        if self._reservation is not None:
+            self._reserve()
+        return HttpResponse(
+            self._status, tuple(self._headers), bytes(self._body), self._reservation
+        )
 
     def _complete_exchange(self) -> None:
         response = self._build_response()
@@ -325,6 +400,7 @@
             # The server would parse the unsent rest of the request body as the
             # next request.
             self._must_close = True
+        self._reset_exchange()
         done, self._done = self._done, None
         if self._must_close or self._is_retired:
             self._close()
@@ -344,4 +420,8 @@
             return
         self._state = ConnectionState.CLOSED
         self._socket.close()
+        # The parser refers to this connection: without it the connection is freed as
+        # soon as nobody uses it any more.
+        self._parser = None
+        self._reset_exchange()
         self.on_change(self)
