Allow extras from the slack for a service that got no request yet

ExtraLoadBudget.allows_extra raised IndexError for a service of which this host had counted no request, since it read the last bucket before there was one. Nothing asked that so far: hedges and retries follow a counted request. The test failed before.

--- a/foxtailseam/dispatch/_budget.py
+++ b/foxtailseam/dispatch/_budget.py
@@ -82,7 +82,8 @@
         hosts : int
             Number of hosts that share the slack.
         """
-        return self._extra_count() + 1 <= self._allowed_extras(hosts)
+        allowed = self._allowed_extras(hosts)
+        return self._extra_count() + 1 <= allowed
 
     def state(self, hosts: int) -> BudgetState:
         """Return how much this host may send again.
--- a/foxtailseam/dispatch/tests/test_decisions.py
+++ b/foxtailseam/dispatch/tests/test_decisions.py
@@ -199,6 +199,11 @@
             allowed = 0.2 * max(recent, before, middle) + 54.0 / hosts
             assert inside <= allowed
 
+    def test_a_service_that_got_no_request_yet_has_the_slack(self):
+        budget = ExtraLoadBudget(self.SETTINGS, ManualClock())
+        assert budget.allows_extra(8)
+        assert not budget.allows_extra(100)
+
     def test_remaining_share_falls_with_use(self):
         budget = ExtraLoadBudget(self.SETTINGS, ManualClock())
         for _ in range(100):
