Ask a second host beside a silent one for an idempotent forwarded request

Cause: Forward asked one host at a time, and gave up on a silent one only at the deadline, since a host that is only frozen may still answer.

Change: once the latency goal has passed, an idempotent request goes to a second host beside the silent one, and the first answer wins; the other host's work is cancelled. The attempts that the hosts are given add up to those of the request: one is kept back from a host that has not answered this one within 2 s. A second host is charged to this host's budget of extra requests for each service. Requests that may not be repeated are sent as before. A refusal (503) that follows a host that may have run the request is no longer passed on as "not run".

A property test plays any results in any order: attempts add up, no request that may not be repeated goes to a second host, and nothing that may have run is called not run.

--- a/foxtailseam/forwarding/__init__.py
+++ b/foxtailseam/forwarding/__init__.py
@@ -3,21 +3,16 @@
 A forwarded request is never forwarded again, so that no circle of hosts can arise.
 """
 
-from foxtailseam.forwarding._forward import (
-    Forward,
-    Forwarded,
-    Forwarder,
-    ForwardResult,
-    ForwardSender,
-    NotForwarded,
-)
+from foxtailseam.forwarding._forward import Forward, Forwarder
 from foxtailseam.forwarding._messages import (
     ForwardedRequest,
     ForwardedResponse,
     Unavailability,
 )
+from foxtailseam.forwarding._results import Forwarded, ForwardResult, NotForwarded
 from foxtailseam.forwarding._selection import PeerHost, PeerSelector
 from foxtailseam.forwarding._sending import (
+    ForwardSender,
     PeerAnswered,
     PeerFailed,
     PeerResult,
--- a/foxtailseam/forwarding/_forward.py
+++ b/foxtailseam/forwarding/_forward.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 from datetime import timedelta
-from typing import Protocol
+from functools import partial
 
 from foxtailseam.clocks import Clock, TimerHandle, Timers
 from foxtailseam.forwarding._messages import (
@@ -11,8 +11,10 @@
     ForwardedResponse,
     Unavailability,
 )
+from foxtailseam.forwarding._results import Forwarded, ForwardResult, NotForwarded
 from foxtailseam.forwarding._selection import PeerHost, PeerSelector
 from foxtailseam.forwarding._sending import (
+    ForwardSender,
     PeerAnswered,
     PeerFailed,
     PeerResult,
@@ -20,8 +22,7 @@
 )
 from foxtailseam.http import HttpResponse
 
-# Largest number of hosts that are asked for one request. None of those but the last has
-# run it.
+# Largest number of hosts that are asked for one request.
 MAX_HOSTS_ASKED = 6
 # Largest number of hosts that may refuse one request because of their load.
 MAX_REFUSALS = 2
@@ -29,80 +30,35 @@
 MIN_REMAINING_TIME = 0.01
 # Bounds of the Retry-After of a request that no host serves, in seconds.
 MIN_RETRY_AFTER, MAX_RETRY_AFTER = 0.1, 1.0
-# Status that states that a host refused a request and has not run it.
-_REFUSED = 503
 
 
-class ForwardSender(Protocol):
-    """Sends forwarded requests to other hosts."""
+def _allow() -> bool:
+    return True
 
-    def send(
-        self,
-        address: str,
-        request: ForwardedRequest,
-        done: Callable[[PeerResult], None],
-    ) -> PendingSend:
-        """Send a request; `done` is called later, once, unless it is cancelled.
-
-        Parameters
-        ----------
-        address : str
-            ``IP:PORT`` of the other host.
-        request : ForwardedRequest
-            Request to send.
-        done : callable
-            Called with the result.
-        """
-
-
-@dataclass(frozen=True, slots=True)
-class Forwarded:
-    """A host has answered a forwarded request.
-
-    Parameters
-    ----------
-    host : str
-        Address of the host.
-    response : HttpResponse
-        Its response for the caller.
-    """
-
-    host: str
-    response: HttpResponse
-
-    @property
-    def is_refused(self) -> bool:
-        """Return whether the host refused the request, so that it has not run it."""
-        return self.response.status == _REFUSED
 
-
-@dataclass(frozen=True, slots=True)
-class NotForwarded:
-    """No host has answered a forwarded request.
+@dataclass(eq=False, slots=True)
+class _Try:
+    """One host that is or was asked.
 
     Parameters
     ----------
-    reason : Unavailability
-        Why the host that was asked last has not answered; ISOLATED if none was asked.
-    may_have_run : bool
-        False only if certainly no host has run the request.
-    retry_after : timedelta
-        Time after which the caller should retry.
+    host : PeerHost
+        The host.
+    sent_at : float
+        Monotonic time of sending, in seconds.
+    attempts : int
+        Number of searchers of each service that the host may ask.
+    pending : PendingSend or None
+        The request there; None once the try has ended.
+    outcome : str
+        How it ended.
     """
 
-    reason: Unavailability
-    may_have_run: bool
-    retry_after: timedelta
-
-
-ForwardResult = Forwarded | NotForwarded
-
-
-@dataclass(frozen=True, slots=True)
-class _Try:
     host: PeerHost
     sent_at: float
-    outcome: str
+    attempts: int
+    pending: PendingSend | None = None
+    outcome: str = "pending"
 
 
 class Forwarder:
@@ -142,14 +98,17 @@
 
     A host that certainly has not run it is followed by another one. So is one that has
     found out that it cannot serve it, if the request is idempotent. After a host that
-    was lost, the request fails: its caller knows whether to repeat it.
+    was lost, the request fails: its caller knows whether to repeat it. Beside a host
+    that has been silent for too long, an idempotent request goes to a second one; the
+    first answer wins. The attempts of all hosts add up to those of the request, so one
+    is kept back from a host that has not answered lately.
 
     Parameters
     ----------
     forwarder : Forwarder
         Shared state.
     request : ForwardedRequest
-        Request as of now; its times are updated for each host that is asked.
+        Request as of now; its times and attempts are set for each host that is asked.
     expected_at : float
         Monotonic time after which a host that has not answered is avoided.
     deadline_at : float
@@ -158,10 +117,12 @@
         Called once with the result, unless the request is cancelled first.
     is_idempotent : bool
         Whether the request may run more than once.
+    take_extra : callable
+        Charges a second host to the budget of extra requests; returns whether it may
+        be asked.
     """
 
-    # Attributes that the log lines of all kinds of queries have.
-    hedges = 0
+    # Attribute that the log lines of all kinds of queries have.
     late_shards = ""
 
     def __init__(
@@ -172,6 +133,7 @@
         deadline_at: float,
         on_result: Callable[[ForwardResult], None],
         is_idempotent: bool,
+        take_extra: Callable[[], bool] = _allow,
     ):
         self.forwarder = forwarder
         self.is_idempotent = is_idempotent
@@ -179,20 +141,26 @@
         self.expected_at = expected_at
         self.deadline_at = deadline_at
         self.on_result = on_result
+        self.take_extra = take_extra
+        # Number of hosts that were asked beside another one.
+        self.hedges = 0
         self._created_at = forwarder.clock.monotonic()
         self._tries: list[_Try] = []
-        self._current: PeerHost | None = None
-        self._sent_at = self._created_at
-        self._pending: PendingSend | None = None
+        # Attempts that no host has been given.
+        self._attempts_left = request.attempts
         self._timers: list[TimerHandle] = []
         self._refusals = 0
-        # Whether a host that could not serve it may have started to run it.
+        # Whether a host whose try has ended may have started to run it.
         self._has_run_before = False
 
     @property
     def may_have_run(self) -> bool:
         """Return whether a host may have started to run the request."""
-        return self._current is not None or self._has_run_before
+        return self._has_run_before or any(self._running)
+
+    @property
+    def _running(self) -> list[_Try]:
+        return [item for item in self._tries if item.pending is not None]
 
     def start(self) -> None:
         """Send the request to a host."""
@@ -202,10 +170,7 @@
 
     def cancel(self) -> None:
         """Cancel the request because its caller disconnected; no result follows."""
-        self._cancel_timers()
-        if self._pending is not None:
-            self._pending.cancel()
-        self._end_try("cancelled")
+        self._end("cancelled")
 
     def describe(self) -> str:
         """Return the hosts asked, as text for the request log."""
@@ -216,104 +181,145 @@
         )
 
     def _send_to_next(self, reason: Unavailability) -> None:
+        """Ask another host; without one, wait for those that are asked or fail."""
+        host = self._choose_host()
+        if host is not None:
+            self._send(host)
+        elif not self._running:
+            self._fail(reason, self._has_run_before)
+
+    def _choose_host(self) -> PeerHost | None:
+        forwarder = self.forwarder
+        has_time = self.deadline_at - forwarder.clock.monotonic() >= MIN_REMAINING_TIME
+        may_ask = len(self._tries) < MAX_HOSTS_ASKED and self._attempts_left > 0
+        if not (has_time and may_ask):
+            return None
+        tried = {item.host.address for item in self._tries}
+        return forwarder.selector.choose(forwarder.hosts(), tried)
+
+    def _send(self, host: PeerHost) -> None:
         forwarder = self.forwarder
         now = forwarder.clock.monotonic()
-        has_time = self.deadline_at - now >= MIN_REMAINING_TIME
-        host = None
-        if has_time and len(self._tries) < MAX_HOSTS_ASKED:
-            tried = {item.host.address for item in self._tries}
-            host = forwarder.selector.choose(forwarder.hosts(), tried)
-        if host is None:
-            self._fail(reason, self._has_run_before)
-            return
-        self._current = host
-        self._sent_at = now
+        attempts = self._attempts_for(host)
+        self._attempts_left -= attempts
+        item = _Try(host, now, attempts)
+        self._tries.append(item)
         forwarder.selector.begin(host)
         elapsed_ms = self.request.elapsed_ms + (now - self._created_at) * 1000
-        request = replace(self.request, elapsed_ms=elapsed_ms)
-        self._pending = forwarder.sender.send(host.address, request, self._on_result)
+        request = replace(self.request, elapsed_ms=elapsed_ms, attempts=attempts)
+        item.pending = forwarder.sender.send(
+            host.address, request, partial(self._on_result, item)
+        )
+
+    def _attempts_for(self, host: PeerHost) -> int:
+        left = self._attempts_left
+        may_need_second = self.is_idempotent and left > 1 and not self._running
+        if may_need_second and not self.forwarder.selector.has_answered_lately(host):
+            return left - 1
+        return left
 
-    def _on_result(self, result: PeerResult) -> None:
-        self._pending = None
-        host = self._current
+    def _on_result(self, item: _Try, result: PeerResult) -> None:
+        selector = self.forwarder.selector
         match result:
             case PeerAnswered(response=response) if response.unavailable is None:
+                selector.record_answer(item.host)
                 self._on_response(
-                    host, HttpResponse(response.status, response.headers, response.body)
+                    item, HttpResponse(response.status, response.headers, response.body)
                 )
             case PeerAnswered(response=response):
-                self.forwarder.selector.record_help(response.helpers)
-                self._on_declined(host, response)
+                selector.record_answer(item.host)
+                selector.record_help(response.helpers)
+                self._on_declined(item, response)
             case PeerFailed(reason=reason, sent=False):
-                self._on_unavailable(host, reason)
+                self._attempts_left += item.attempts
+                self._on_unavailable(item, reason)
             case PeerFailed(reason=reason):
-                self.forwarder.selector.avoid(host, reason)
-                self._end_try(reason)
-                self._fail(reason, may_have_run=True)
-
-    def _on_response(self, host: PeerHost, response: HttpResponse) -> None:
-        result = Forwarded(host.address, response)
-        self._refusals += result.is_refused
-        may_ask_other = result.is_refused and self._refusals < MAX_REFUSALS
-        if may_ask_other and self._has_other(host):
-            self._on_unavailable(host, Unavailability.BUSY)
+                self._on_lost(item, reason)
+
+    def _on_response(self, item: _Try, response: HttpResponse) -> None:
+        result = Forwarded(item.host.address, response)
+        if result.is_refused:
+            self._on_refused(item, result)
             return
-        self._end_try(str(response.status))
-        self._cancel_timers()
-        self.forwarder.selector.record_help((host.address,))
+        self._end_try(item, str(response.status))
+        self._end("abandoned")
+        self.forwarder.selector.record_help((item.host.address,))
         self.on_result(result)
 
-    def _has_other(self, host: PeerHost) -> bool:
-        tried = {host.address, *(item.host.address for item in self._tries)}
-        forwarder = self.forwarder
-        return forwarder.selector.choose(forwarder.hosts(), tried) is not None
-
-    def _on_declined(self, host: PeerHost, response: ForwardedResponse) -> None:
-        attempts = self.request.attempts - response.attempts_run
-        self.request = replace(self.request, attempts=attempts)
-        self._has_run_before = self._has_run_before or response.attempts_run > 0
-        may_continue = not self._has_run_before or (self.is_idempotent and attempts > 0)
-        if may_continue:
-            self._on_unavailable(host, response.unavailable)
+    def _on_refused(self, item: _Try, result: Forwarded) -> None:
+        self._refusals += 1
+        self._attempts_left += item.attempts
+        may_ask_other = self._refusals < MAX_REFUSALS
+        if self._running_beside(item) or (may_ask_other and self._choose_host()):
+            self._on_unavailable(item, Unavailability.BUSY)
+            return
+        self._end_try(item, str(result.response.status))
+        if self._has_run_before:
+            # The host cannot know that another one may have run the request.
+            self._fail(Unavailability.BUSY, may_have_run=True)
             return
-        self.forwarder.selector.avoid(host, response.unavailable)
-        self._end_try(response.unavailable)
-        self._fail(response.unavailable, may_have_run=True)
+        self._end("abandoned")
+        self.forwarder.selector.record_help((item.host.address,))
+        self.on_result(result)
 
-    def _on_unavailable(self, host: PeerHost, reason: Unavailability) -> None:
-        self.forwarder.selector.avoid(host, reason)
-        self._end_try(reason)
+    def _on_declined(self, item: _Try, response: ForwardedResponse) -> None:
+        self._attempts_left += item.attempts - response.attempts_run
+        self._has_run_before = self._has_run_before or response.attempts_run > 0
+        if not self._has_run_before or self.is_idempotent:
+            self._on_unavailable(item, response.unavailable)
+        else:
+            self._on_lost(item, response.unavailable)
+
+    def _on_unavailable(self, item: _Try, reason: Unavailability) -> None:
+        self.forwarder.selector.avoid(item.host, reason)
+        self._end_try(item, reason)
         self._send_to_next(reason)
 
+    def _on_lost(self, item: _Try, reason: Unavailability) -> None:
+        self.forwarder.selector.avoid(item.host, reason)
+        self._end_try(item, reason)
+        self._has_run_before = True
+        if not self._running:
+            self._fail(reason, may_have_run=True)
+
     def _on_overdue(self) -> None:
-        if self._current is not None:
-            self.forwarder.selector.avoid(self._current, Unavailability.LOST)
+        running = self._running
+        for item in running:
+            self.forwarder.selector.avoid(item.host, Unavailability.LOST)
+        host = self._choose_host() if running and self.is_idempotent else None
+        if host is not None and self.take_extra():
+            self.hedges += 1
+            self._send(host)
 
     def _on_deadline(self) -> None:
         may_have_run = self.may_have_run
-        if self._pending is not None:
-            self._pending.cancel()
-        self._end_try("deadline")
+        self._end("deadline")
         self._fail(Unavailability.LOST, may_have_run)
 
     def _fail(self, reason: Unavailability, may_have_run: bool) -> None:
-        self._cancel_timers()
+        self._end(reason)
         wait = self.forwarder.selector.wait()
         retry_after = min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, wait))
         self.on_result(
             NotForwarded(reason, may_have_run, timedelta(seconds=retry_after))
         )
 
-    def _end_try(self, outcome: str) -> None:
-        host, self._current = self._current, None
-        if host is not None:
-            self.forwarder.selector.end(host)
-            self._tries.append(_Try(host, self._sent_at, outcome))
+    def _running_beside(self, item: _Try) -> bool:
+        return any(other is not item for other in self._running)
+
+    def _end(self, outcome: str) -> None:
+        """Cancel the timers and the request at all hosts that still have it."""
+        for timer in self._timers:
+            timer.cancel()
+        for item in self._running:
+            item.pending.cancel()
+            self._end_try(item, outcome)
+
+    def _end_try(self, item: _Try, outcome: str) -> None:
+        item.pending = None
+        item.outcome = outcome
+        self.forwarder.selector.end(item.host)
 
     def _call_at(self, when: float, callback: Callable[[], None]) -> None:
         delay = max(0.0, when - self.forwarder.clock.monotonic())
         self._timers.append(self.forwarder.timers.call_later(delay, callback))
-
-    def _cancel_timers(self) -> None:
-        for timer in self._timers:
-            timer.cancel()
--- a/foxtailseam/forwarding/_selection.py
+++ b/foxtailseam/forwarding/_selection.py
@@ -21,7 +21,9 @@
 }
 # How long a host that served a request counts as one that reaches the searchers.
 HELP_SECONDS = 5.0
-# With this many of them, no others are asked first.
+# How long a host counts as one that does not fall silent after it has answered.
+ANSWERED_SECONDS = 2.0
+# With this many hosts that helped, no others are asked first.
 MIN_HELPERS = 3
 # After this many hosts in a row that could not be connected to, this host counts as cut
 # from the other hosts for a while.
@@ -76,6 +78,8 @@
         self._alone_until = float("-inf")
         # When each host last served a request, here or of a host that said so.
         self._helped_at: dict[str, float] = {}
+        # When each host last answered this one.
+        self._answered_at: dict[str, float] = {}
 
     @property
     def helpers(self) -> tuple[str, ...]:
@@ -130,6 +134,17 @@
         if not self._in_flight[host.address]:
             del self._in_flight[host.address]
 
+    def has_answered_lately(self, host: PeerHost) -> bool:
+        """Return whether the connection to a host worked a short time ago."""
+        oldest = self.clock.monotonic() - ANSWERED_SECONDS
+        return self._answered_at.get(host.address, float("-inf")) >= oldest
+
+    def record_answer(self, host: PeerHost) -> None:
+        """Record that a host has answered a request of this one."""
+        now = self.clock.monotonic()
+        self._answered_at[host.address] = now
+        self._answered_at = _since(self._answered_at, now - ANSWERED_SECONDS)
+
     def record_help(self, addresses: Collection[str]) -> None:
         """Record that hosts have served a request, here or of another host.
 
@@ -140,13 +155,10 @@
         """
         now = self.clock.monotonic()
         self._unreachable_in_row = 0
-        oldest = now - HELP_SECONDS
         for address in addresses:
             self._helped_at.pop(address, None)
             self._helped_at[address] = now
-        self._helped_at = {
-            name: at for name, at in self._helped_at.items() if at >= oldest
-        }
+        self._helped_at = _since(self._helped_at, now - HELP_SECONDS)
 
     def avoid(self, host: PeerHost, reason: Unavailability) -> None:
         """Send a host nothing for a while."""
@@ -193,3 +205,7 @@
             return None
         pair = self.generator.sample(candidates, min(2, len(candidates)))
         return min(pair, key=lambda host: self._in_flight[host.address])
+
+
+def _since(times: dict[str, float], oldest: float) -> dict[str, float]:
+    return {name: at for name, at in times.items() if at >= oldest}
--- a/foxtailseam/forwarding/_sending.py
+++ b/foxtailseam/forwarding/_sending.py
@@ -1,9 +1,14 @@
-"""Result of sending one forwarded request to one host."""
+"""Sending of one forwarded request to one host."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
-from foxtailseam.forwarding._messages import ForwardedResponse, Unavailability
+from foxtailseam.forwarding._messages import (
+    ForwardedRequest,
+    ForwardedResponse,
+    Unavailability,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,3 +48,25 @@
 
     def cancel(self) -> None:
         """Abort the request, at the other host too; no result follows."""
+
+
+class ForwardSender(Protocol):
+    """Sends forwarded requests to other hosts."""
+
+    def send(
+        self,
+        address: str,
+        request: ForwardedRequest,
+        done: Callable[[PeerResult], None],
+    ) -> PendingSend:
+        """Send a request; `done` is called later, once, unless it is cancelled.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:PORT`` of the other host.
+        request : ForwardedRequest
+            Request to send.
+        done : callable
+            Called with the result.
+        """
--- a/foxtailseam/forwarding/tests/test_forwarding.py
+++ b/foxtailseam/forwarding/tests/test_forwarding.py
@@ -1,8 +1,11 @@
 """Tests of the choice of hosts and of the order in which they are asked."""
 
 import random
+from dataclasses import replace
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from foxtailseam.forwarding import (
     Forward,
@@ -230,3 +233,111 @@
         time.run_until(1.1)
         assert results[0].may_have_run
         assert sender.sent[0].is_cancelled
+
+    def test_a_request_that_may_not_run_twice_goes_to_no_second_host(
+        self, time, sender, selector, results
+    ):
+        forwarder = Forwarder(sender, selector, lambda: HOSTS, time, time)
+        Forward(forwarder, REQUEST, 0.2, 1.0, results.append, False).start()
+        time.run_until(0.9)
+        assert [item.request.attempts for item in sender.sent] == [REQUEST.attempts]
+
+    def test_a_host_that_has_just_answered_gets_all_attempts(
+        self, time, selector, forward, sender, results
+    ):
+        assert sender.sent[0].request.attempts == REQUEST.attempts - 1
+        for host in HOSTS:
+            selector.record_answer(host)
+        forwarder = Forwarder(sender, selector, lambda: HOSTS, time, time)
+        Forward(forwarder, REQUEST, 0.2, 1.0, results.append, True).start()
+        assert sender.sent[1].request.attempts == REQUEST.attempts
+        assert len(sender.sent) == 2
+
+    def test_no_second_host_is_asked_without_budget(
+        self, time, sender, selector, results
+    ):
+        forwarder = Forwarder(sender, selector, lambda: HOSTS, time, time)
+        Forward(
+            forwarder, REQUEST, 0.2, 1.0, results.append, True, lambda: False
+        ).start()
+        time.run_until(0.9)
+        assert len(sender.sent) == 1
+
+    def test_the_answer_of_the_first_host_wins_if_it_comes_first(
+        self, time, forward, sender, results
+    ):
+        time.run_until(0.5)
+        sender.sent[0].done(SERVED)
+        assert isinstance(results[0], Forwarded)
+        assert sender.sent[1].is_cancelled
+
+    def test_a_refusal_after_a_lost_host_is_not_passed_on(
+        self, time, forward, sender, results
+    ):
+        time.run_until(0.5)
+        sender.sent[0].done(PeerFailed(Unavailability.LOST, sent=True))
+        while not results:
+            sender.answer(REFUSED)
+        assert results[0].may_have_run
+
+
+def declined(attempts_run):
+    return PeerAnswered(
+        ForwardedResponse(
+            unavailable=Unavailability.ISOLATED, attempts_run=attempts_run
+        )
+    )
+
+
+class TestAnyResults:
+    @given(
+        st.integers(1, 3),
+        st.booleans(),
+        st.lists(
+            st.tuples(
+                st.sampled_from(["served", "refused", "unsent", "lost", "declined"]),
+                st.integers(0, 2),
+                st.floats(0.0, 0.3),
+            ),
+            max_size=12,
+        ),
+    )
+    def test_attempts_add_up_and_no_host_that_may_have_run_is_denied(
+        self, attempts, is_idempotent, events
+    ):
+        time, sender, results = VirtualTime(), Sender(), []
+        selector = PeerSelector(time, random.Random(1), "d1")
+        forwarder = Forwarder(sender, selector, lambda: HOSTS, time, time)
+        request = replace(REQUEST, attempts=attempts)
+        Forward(forwarder, request, 0.2, 1.0, results.append, is_idempotent).start()
+        used = {}
+        for kind, number, seconds in events:
+            time.run_until(time.monotonic() + seconds)
+            waiting = [item for item in sender.sent if item not in used]
+            if results or not waiting:
+                break
+            item = waiting[number % len(waiting)]
+            run = min(number, item.request.attempts)
+            used[item] = {"unsent": 0, "refused": 0, "declined": run}.get(kind, 9)
+            result = {
+                "served": SERVED,
+                "refused": REFUSED,
+                "unsent": PeerFailed(Unavailability.UNREACHABLE, sent=False),
+                "lost": PeerFailed(Unavailability.LOST, sent=True),
+                "declined": declined(run),
+            }[kind]
+            item.done(result)
+            given = [
+                min(item.request.attempts, used.get(item, 9)) for item in sender.sent
+            ]
+            assert sum(given) <= attempts
+            if not is_idempotent:
+                assert sum(1 for count in given if count) <= 1
+        time.run_until(2.0)
+        assert len(results) == 1
+        may_have_run = any(used.get(item, 9) for item in sender.sent)
+        match results[0]:
+            case NotForwarded(may_have_run=said):
+                assert said == may_have_run
+            case Forwarded(is_refused=True):
+                assert not may_have_run
--- a/foxtailseam/front/_forwarding.py
+++ b/foxtailseam/front/_forwarding.py
@@ -100,8 +100,19 @@
             routed.times.deadline_at,
             on_result,
             routed.route.idempotent,
+            lambda: self._take_extra(routed.services),
         )
 
+    def _take_extra(self, services: tuple[str, ...]) -> bool:
+        """Charge one more request to the budget of each service, if all allow it."""
+        dispatcher = self.dispatcher
+        budgets = [dispatcher.budget(service) for service in services]
+        if not all(budget.allows_extra(dispatcher.hosts) for budget in budgets):
+            return False
+        for budget in budgets:
+            budget.count_extra()
+        return True
+
     def accept(
         self,
         message: ForwardedRequest,
--- a/foxtailseam/front/tests/test_isolated_hosts.py
+++ b/foxtailseam/front/tests/test_isolated_hosts.py
@@ -127,3 +127,22 @@
                 if kind == "non_idempotent":
                     assert runs[identifier] <= 1
             assert sum(map(is_served, calls)) > len(calls) / 2
+
+
+class TestSilentHelpers:
+    def test_requests_are_served_by_a_second_host_within_their_attempts(self):
+        with simulated_hosts(3, 0.011, 92) as tiers:
+            tier, time = tiers[0], tiers[0].time
+            tier.link.fault = LinkFault.SILENT
+            time.run_until(3.0)
+            tier.peers.silent.add("host-1")
+            calls = []
+            for _ in range(4):
+                calls.append(tier.send("/urgent/q"))
+                time.run_until(time.monotonic() + 0.05)
+            time.run_until(time.monotonic() + 2.0)
+        assert "host-1" in tier.peers.served
+        assert [call.response.status for call in calls] == [200] * len(calls)
+        for pair in tier.searchers.values():
+            arrivals = Counter(name for item in pair for _, name in item.arrivals)
+            assert max(arrivals.values()) <= 2
--- a/foxtailseam_bench/simulation/_peers.py
+++ b/foxtailseam_bench/simulation/_peers.py
@@ -52,6 +52,8 @@
     ----------
     lost : set of str
         Addresses of hosts that answer no forwarded request any more.
+    silent : set of str
+        Addresses of hosts whose answers do not arrive.
     served : list of str
         Address of the host for each forwarded request, in the order of arrival.
     """
@@ -59,6 +61,7 @@
     def __init__(self, time: VirtualTime):
         self.time = time
         self.lost: set[str] = set()
+        self.silent: set[str] = set()
         self.served: list[str] = []
         self._fronts: dict[str, FrontEnd] = {}
         self._domains: dict[str, str] = {}
@@ -105,6 +108,8 @@
             return
 
         def reply(response: ForwardedResponse) -> None:
+            if address in self.silent:
+                return
             if address in self.lost:
                 result = PeerFailed(Unavailability.LOST, sent=True)
             else:
