Start deferred shards in a loop, not from within one another's failure

A gather over 1,100 shards, the target, whose deferred shards have no searcher raised RecursionError: each call that failed at once evaluated the query, which started the next deferred one. Found by reading on, after the chains of refusals across waiting gathers; no deployment of ours has that many shards yet. Now one loop starts deferred calls until as many can answer as a success needs; it ends, as each turn takes some off the list.

--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -119,6 +119,7 @@
         self._failures: list[ServiceFailure] = []
         self._missed_goal = False
         self._is_at_goal = False
+        self._is_starting_deferred = False
         self._is_over = False
 
     @property
@@ -278,6 +279,22 @@
         self._waiting = dict.fromkeys(searcher_by_call)
         return searcher_by_call
 
+    def _start_needed(self) -> None:
+        """Start deferred calls until as many can answer as a success needs.
+
+        A call can fail at once; the next ones are then started here, not from within
+        its result.
+        """
+        self._is_starting_deferred = True
+        try:
+            while self._deferred and self._may_start_more():
+                lacking = self._min_shards - len(self._parts) - self._pending_count()
+                if lacking <= 0:
+                    return
+                self._start_deferred(lacking)
+        finally:
+            self._is_starting_deferred = False
+
     def _start_deferred(self, max_calls: int) -> None:
         """Start up to `max_calls` of the deferred calls."""
         calls, self._deferred = self._deferred[:max_calls], self._deferred[max_calls:]
@@ -377,13 +394,11 @@
         )
 
     def _evaluate(self) -> None:
+        if self._is_over or self._is_starting_deferred:
+            return
+        self._start_needed()
         if self._is_over:
             return
-        lacking = self._min_shards - len(self._parts) - self._pending_count()
-        if lacking > 0 and self._deferred and self._may_start_more():
-            self._start_deferred(lacking)
-            if self._is_over:
-                return
         times = self.times
         progress = QueryProgress(
             total=len(self.plans),
--- a/foxtailseam/dispatch/tests/test_waiting.py
+++ b/foxtailseam/dispatch/tests/test_waiting.py
@@ -90,6 +90,25 @@
         assert len(results) == 400
         assert all(isinstance(result, NotAnswered) for result in results)
 
+    def test_deferred_shards_that_fail_at_once_do_not_nest(self):
+        time, results = VirtualTime(), []
+        service = StubService(time, ("a", "b"))
+        # Only the first two of 1,100 shards have a searcher.
+        shards = ("a", "b", *(f"none-{number}" for number in range(1_098)))
+        route = make_route(AllShards(shards, 1, 2 / len(shards)))
+        query = GatherQuery(
+            service.dispatcher,
+            make_plan(route).for_services(shards),
+            route.destination,
+            make_times(),
+            results.append,
+        )
+        query.start()
+        for exchange in service.exchanges:
+            exchange.answer(500)
+        time.run_until(0.01)
+        assert isinstance(results[0], NotAnswered)
+
     def test_request_that_waits_for_a_token_is_admitted_once_it_is_back(self):
         time, results = VirtualTime(), []
         service = StubService(time)
