Serve callers while the address for metrics, readiness or other hosts is taken

The port of the metrics is fixed, and no page promises that it is free.

A missing grpclib still fails the start.

--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -174,18 +174,23 @@
         # read of the service is started before it.
         self._update_read_task()
         await asyncio.sleep(0)
+        # A package that is missing fails the start.
         from foxtailseam.fleet import _rpc
 
-        self._stop_server = await _rpc.serve(
-            self.membership.own_record.address, self, self._count_sent
-        )
-        loops = {
+        address = self.membership.own_record.address
+
+        async def serve_hosts() -> None:
+            self._stop_server = await _rpc.serve(address, self, self._count_sent)
+
+        work = {
+            # While the address is taken, the host serves callers without the others.
+            f"listen on {address}": serve_hosts,
             "choose sources": self._tick_loop,
             "gossip": self._gossip_loop.run,
             "join seeds": self._gossip_loop.run_seeds,
         }
-        for name, loop in loops.items():
-            self._tasks.add(self.supervisor.start(name, loop))
+        for name, run in work.items():
+            self._tasks.add(self.supervisor.start(name, run))
 
     async def leave(self) -> None:
         """Notify up to 4 hosts that this one leaves, so that they stop following it."""
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -9,6 +9,7 @@
 import time
 from dataclasses import replace
 from datetime import timedelta
+from functools import partial
 
 from foxtailseam.clocks import HybridClock, SuspendAwareClock
 from foxtailseam.dispatch import BudgetSettings, Dispatcher
@@ -324,9 +325,16 @@
     async def _listen(self) -> None:
         settings = self.settings
         self._set_limits(ListenerLimits())
-        await self._readiness_listener.start(settings.readiness)
         await self._caller_listener.start(settings.callers, self.listening_socket)
-        await self._metrics_listener.start(f"{settings.address}:{METRICS_PORT}")
+        # Callers can be served without these, so a host waits for their addresses.
+        listeners = {
+            settings.readiness: self._readiness_listener,
+            f"{settings.address}:{METRICS_PORT}": self._metrics_listener,
+        }
+        for address, listener in listeners.items():
+            self._supervisor.start(
+                f"listen on {address}", partial(listener.start, address)
+            )
 
     async def _drain(self) -> None:
         grace = self.settings.bounds.shutdown_grace
