--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -171,7 +171,10 @@
         from foxtailseam.fleet import _rpc
 
         self._stop_server = await _rpc.serve(
-            self.membership.own_record.address, self, self._count_sent
+            self.membership.own_record.address,
+            self,
+            self._count_sent,
+            self._record_refused,
         )
         self._spawn(self._tick_loop())
         self._spawn(self._gossip_loop.run())
@@ -251,8 +254,7 @@
             cancel()
             raise
 
-    def refuse(self, problem: str) -> None:
-        """Handle that a message was malformed; its call has ended."""
+    def _record_refused(self, problem: str) -> None:
         self.metrics.add("peer_messages_refused")
         self.log.write(EventCode.PEER_MESSAGE_REFUSED, problem=shorten(problem))
 
--- a/foxtailseam/fleet/_following.py
+++ b/foxtailseam/fleet/_following.py
@@ -169,8 +169,8 @@
                 update_timeout = self.settings.update_timeout.total_seconds()
                 async for update in channel.follow(request, update_timeout):
                     self._apply_update(address, update)
-            except _rpc.CallError as error:
-                reason = error.reason
+            except _rpc.CALL_ERRORS as error:
+                reason = _rpc.describe_call_error(error)
             finally:
                 channel.close()
             self._on_parent_lost(address, reason)
--- a/foxtailseam/fleet/_forward_sender.py
+++ b/foxtailseam/fleet/_forward_sender.py
@@ -145,15 +145,15 @@
 
         try:
             await shared.channel.connect()
-        except _rpc.CallError:
+        except _rpc.CALL_ERRORS:
             self._retire(address, shared)
             return PeerFailed(Unavailability.UNREACHABLE, sent=False)
         try:
             response = await shared.channel.forward(request)
-        except _rpc.CallError as error:
-            if error.is_unimplemented:
+        except _rpc.CALL_ERRORS as error:
+            if _rpc.is_unimplemented(error):
                 return PeerFailed(Unavailability.UNSUPPORTED, sent=False)
-            if error.breaks_connection:
+            if _rpc.breaks_connection(error):
                 self._retire(address, shared)
             return PeerFailed(Unavailability.LOST, sent=True)
         shared.record_response(self.clock.monotonic())
--- a/foxtailseam/fleet/_gossip_loop.py
+++ b/foxtailseam/fleet/_gossip_loop.py
@@ -119,9 +119,13 @@
         try:
             response = await channel.exchange(self.gossip.request(), seconds)
             self.gossip.finish(response)
-        except _rpc.CallError as error:
+        except _rpc.CALL_ERRORS as error:
             self.gossip.fail(address)
-            self.log.write(EventCode.PEER_UNREACHABLE, peer=address, error=error.reason)
+            self.log.write(
+                EventCode.PEER_UNREACHABLE,
+                peer=address,
+                error=_rpc.describe_call_error(error),
+            )
         finally:
             channel.close()
 
--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -10,7 +10,7 @@
 import msgspec
 from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler, Status
-from grpclib.exceptions import GRPCError
+from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
 from foxtailseam.codecs import MessagePackCodec
@@ -22,6 +22,7 @@
     decompress_records,
 )
 from foxtailseam.forwarding import ForwardedRequest, ForwardedResponse
+from foxtailseam.utils import shorten
 
 _ENCODER = msgspec.msgpack.Encoder()
 EXCHANGE_PATH = "/foxtailseam.Fleet/Exchange"
@@ -32,48 +33,57 @@
 _NO_HANDLER_MESSAGE = "Missing content-type header"
 
 
-class CallError(Exception):
-    """A call failed: the other host is unreachable, too slow or misbehaving.
+class MalformedAnswerError(Exception):
+    """The other host's answer does not follow the protocol."""
+
+
+# Exceptions of a call if the other host is unreachable, too slow or misbehaving.
+CALL_ERRORS = (
+    OSError,
+    TimeoutError,
+    GRPCError,
+    StreamTerminatedError,
+    msgspec.MsgspecError,
+    MalformedAnswerError,
+)
 
-    Parameters
-    ----------
-    cause : Exception
-        What the connection, the RPC library or the decoder raised.
-    """
 
-    def __init__(self, cause: Exception):
-        super().__init__(str(cause))
-        self.cause = cause
+def is_unimplemented(error: Exception) -> bool:
+    """Return whether the other host has no handler for the call; nothing ran then."""
+    match error:
+        case GRPCError(status=Status.UNIMPLEMENTED):
+            return True
+        case GRPCError(status=Status.UNKNOWN, message=message):
+            return message == _NO_HANDLER_MESSAGE
+        case _:
+            return False
 
-    @property
-    def reason(self) -> str:
-        """Return the type of the cause."""
-        return type(self.cause).__name__
 
-    @property
-    def is_unimplemented(self) -> bool:
-        """Return whether the other host lacks a handler for it; nothing ran then."""
-        match self.cause:
-            case GRPCError(status=Status.UNIMPLEMENTED):
-                return True
-            case GRPCError(status=Status.UNKNOWN, message=message):
-                return message == _NO_HANDLER_MESSAGE
-            case _:
-                return False
+def breaks_connection(error: Exception) -> bool:
+    """Return whether an error of one call ends the others on its connection, too."""
+    return not isinstance(error, (GRPCError, msgspec.MsgspecError))
 
-    @property
-    def breaks_connection(self) -> bool:
-        """Return whether it ends the other calls on its connection, too."""
-        return not isinstance(self.cause, (GRPCError, msgspec.MsgspecError))
+
+def describe_call_error(error: Exception) -> str:
+    """Return the type of an error and, if that tells little, its text."""
+    name = type(error).__name__
+    if isinstance(error, (msgspec.MsgspecError, MalformedAnswerError)):
+        return shorten(f"{name}: {error}")
+    return name
 
 
 @contextlib.contextmanager
-def _calling() -> Iterator[None]:
-    """Raise each error as a `CallError`, since only the other host's can occur."""
+def _call_errors() -> Iterator[None]:
+    """Raise one of `CALL_ERRORS` for any error.
+
+    grpclib raises others, such as AssertionError, for an answer that ends early.
+    """
     try:
         yield
+    except CALL_ERRORS:
+        raise
     except Exception as error:
-        raise CallError(error) from error
+        raise MalformedAnswerError(f"{type(error).__name__}: {error}") from error
 
 
 def _decompressed(update: FollowUpdate) -> FollowUpdate:
@@ -102,9 +112,6 @@
     async def forward(self, request: ForwardedRequest) -> ForwardedResponse:
         """Serve a request that another host has forwarded."""
 
-    def refuse(self, problem: str) -> None:
-        """Handle that a message was malformed; its call has ended."""
-
 
 class MessageKind(StrEnum):
     """Kind of message in the metrics on bytes sent to other hosts."""
@@ -117,12 +124,24 @@
 
 # Called with the kind of a message, the failure domain of its receiver and its bytes.
 SentCallback = Callable[[MessageKind, str, int], None]
+# Called with the reason why a message of another host was refused.
+RefusedCallback = Callable[[str], None]
+
+
+def _ignore(problem: str) -> None:
+    pass
 
 
 class _Handlers:
-    def __init__(self, servicer: FleetServicer, on_sent: SentCallback):
+    def __init__(
+        self,
+        servicer: FleetServicer,
+        on_sent: SentCallback,
+        on_refused: RefusedCallback = _ignore,
+    ):
         self.servicer = servicer
         self.on_sent = on_sent
+        self.on_refused = on_refused
 
     def __mapping__(self) -> dict[str, Handler]:
         return {
@@ -146,7 +165,7 @@
         try:
             yield
         except msgspec.MsgspecError as error:
-            self.servicer.refuse(str(error))
+            self.on_refused(str(error))
             raise GRPCError(Status.INVALID_ARGUMENT, "malformed message") from error
 
     async def _receive(self, stream: Stream) -> Any:
@@ -184,7 +203,10 @@
 
 
 async def serve(
-    address: str, servicer: FleetServicer, on_sent: SentCallback
+    address: str,
+    servicer: FleetServicer,
+    on_sent: SentCallback,
+    on_refused: RefusedCallback = _ignore,
 ) -> Callable[[], Awaitable[None]]:
     """Start a server for other hosts.
 
@@ -197,13 +219,16 @@
     on_sent : callable
         Called with the kind, the receiver's failure domain and the bytes of each
         message that is sent.
+    on_refused : callable
+        Called with the problem of each message that cannot be decoded.
 
     Returns
     -------
     callable
         Coroutine function that closes the server.
     """
-    server = Server([_Handlers(servicer, on_sent)], codec=MessagePackCodec())
+    handlers = _Handlers(servicer, on_sent, on_refused)
+    server = Server([handlers], codec=MessagePackCodec())
     host, _, port = address.rpartition(":")
     await server.start(host, int(port))
 
@@ -242,14 +267,14 @@
 
         Raises
         ------
-        CallError
-            If the call fails.
+        Exception
+            One of `CALL_ERRORS`.
         """
         method = UnaryUnaryMethod(
             self._channel, EXCHANGE_PATH, MemberExchange, MemberExchange
         )
-        with _calling():
-            await self._connect()
+        await self._connect()
+        with _call_errors():
             async with asyncio.timeout(timeout):
                 response = await method(message)
             return _expanded(response)
@@ -259,11 +284,10 @@
 
         Raises
         ------
-        CallError
-            If the call fails.
+        Exception
+            One of `CALL_ERRORS`.
         """
-        with _calling():
-            await self._connect()
+        await self._connect()
 
     async def forward(self, request: ForwardedRequest) -> ForwardedResponse:
         """Ask the other host to serve a request and return the response.
@@ -277,13 +301,13 @@
 
         Raises
         ------
-        CallError
-            If the call fails.
+        Exception
+            One of `CALL_ERRORS`.
         """
         method = UnaryUnaryMethod(
             self._channel, FORWARD_PATH, ForwardedRequest, ForwardedResponse
         )
-        with _calling():
+        with _call_errors():
             return await method(request)
 
     async def follow(
@@ -300,14 +324,14 @@
 
         Raises
         ------
-        CallError
-            If the call fails or an update does not come in time.
+        Exception
+            One of `CALL_ERRORS`; `TimeoutError` if an update does not come in time.
         """
         method = UnaryStreamMethod(
             self._channel, FOLLOW_PATH, FollowRequest, FollowUpdate
         )
-        with _calling():
-            await self._connect()
+        await self._connect()
+        with _call_errors():
             async with method.open() as stream:
                 await stream.send_message(request, end=True)
                 while True:
--- a/foxtailseam/fleet/tests/test_foreign_messages.py
+++ b/foxtailseam/fleet/tests/test_foreign_messages.py
@@ -183,9 +183,6 @@
     def exchange(self, message):
         return msgspec.Raw(self.answer)
 
-    def refuse(self, problem):
-        self.refused.append(problem)
-
 
 class TestCalls:
     @pytest.mark.parametrize(
@@ -205,7 +202,7 @@
             stop = await _rpc.serve(address, OddServicer(answer), lambda *_: None)
             channel = _rpc.FleetChannel(address, 1.0)
             try:
-                with pytest.raises(_rpc.CallError):
+                with pytest.raises(_rpc.CALL_ERRORS):
                     await channel.exchange(EXCHANGE, 1.0)
             finally:
                 channel.close()
@@ -218,11 +215,13 @@
             (address,) = free_addresses(1)
             host = gossip(address)
             servicer = OddServicer(msgspec.msgpack.encode(host.request()))
-            stop = await _rpc.serve(address, servicer, lambda *_: None)
+            stop = await _rpc.serve(
+                address, servicer, lambda *_: None, servicer.refused.append
+            )
             channel = _rpc.FleetChannel(address, 1.0)
             try:
                 for odd in (b"\x81\xa1a" * DEPTH, replace(EXCHANGE, view=b"view")):
-                    with pytest.raises(_rpc.CallError):
+                    with pytest.raises(_rpc.CALL_ERRORS):
                         await channel.exchange(odd, 1.0)
                     answer = await channel.exchange(EXCHANGE, 1.0)
                     assert answer.records
@@ -252,7 +251,7 @@
             await server.start(host, int(port))
             channel = _rpc.FleetChannel(address, 1.0)
             try:
-                with pytest.raises(_rpc.CallError):
+                with pytest.raises(_rpc.CALL_ERRORS):
                     await channel.exchange(EXCHANGE, 1.0)
             finally:
                 channel.close()
