Split limits, round-trip time and unsent responses from CallerConnection

UnsentResponses counts what a caller has not read; ListenerLimits and the kernel's round-trip time have modules of their own. No change of behaviour.

--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -3,10 +3,8 @@
 import asyncio
 import contextlib
 import socket
-import sys
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum, auto
 from typing import Protocol
@@ -16,18 +14,20 @@
 from foxtailseam.clocks import Clock
 from foxtailseam.http._buffer_space import BufferSpace
 from foxtailseam.http._call import Call
+from foxtailseam.http._listener_limits import ListenerLimits
 from foxtailseam.http._messages import (
     HEADER_FIELD_BYTES,
     HttpRequest,
     HttpResponse,
     render_response,
 )
+from foxtailseam.http._round_trip_time import kernel_round_trip_time
+from foxtailseam.http._unsent_responses import UnsentResponses
 from foxtailseam.http._upgrade import head_without_upgrade
 
 BAD_REQUEST = HttpResponse(400)
 REQUEST_TIMEOUT = HttpResponse(408)
 CONTENT_TOO_LARGE = HttpResponse(413)
-HEADER_TOO_LARGE_STATUS = 431
 # Sent in place of a response for which the buffers have no space.
 RESPONSE_DROPPED = HttpResponse(502)
 # By the time of the retry, the requests whose bodies fill the buffer should have
@@ -51,55 +51,6 @@
 MAX_QUEUED_REQUESTS = 8
 # Bytes of a header line besides name and value: colon, space, CR and LF.
 HEADER_LINE_OVERHEAD = 4
-# Offset of tcpi_rtt, the round-trip time in microseconds, in struct tcp_info
-# (linux/tcp.h).
-TCP_INFO_RTT_OFFSET = 68
-TCP_INFO_BYTES = 72
-
-
-@dataclass(frozen=True, slots=True)
-class ListenerLimits:
-    """Size limits and timeouts of the connections of callers.
-
-    Parameters
-    ----------
-    header_bytes, body_bytes : int
-        Maximum size of the header and of the body of a request, in bytes.
-    header_timeout : timedelta
-        Maximum time from the first byte of a header to its end.
-    body_timeout : timedelta
-        Maximum time from the end of the header to the end of the body.
-    idle_timeout : timedelta
-        Maximum time between two requests of a connection.
-    connections : int
-        Number of open connections above which a new one closes the connection
-        that has been idle longest.
-    buffered_bytes : int
-        Maximum total size of the buffered bodies of all requests, in bytes; a
-        request whose body exceeds it is rejected with status 503.
-    buffered_header_bytes : int
-        Maximum memory of the headers of all requests, in bytes; a request whose
-        header exceeds it is rejected with status 503.
-    unsent_bytes : int
-        Maximum total size of the responses that callers have not read yet, in bytes;
-        a response that exceeds it is replaced by a 502.
-    response_timeout : timedelta
-        Maximum time from a response to its last byte being sent.
-    long_header_status : int
-        Status code of the response to a header that is too large.
-    """
-
-    header_bytes: int = 16_384
-    body_bytes: int = 262_144
-    header_timeout: timedelta = timedelta(seconds=3)
-    body_timeout: timedelta = timedelta(seconds=10)
-    idle_timeout: timedelta = timedelta(seconds=15)
-    connections: int = 1_000
-    buffered_bytes: int = 64 * 1024 * 1024
-    buffered_header_bytes: int = 32 * 1024 * 1024
-    unsent_bytes: int = 32 * 1024 * 1024
-    response_timeout: timedelta = timedelta(seconds=30)
-    long_header_status: int = HEADER_TOO_LARGE_STATUS
 
 
 class _Phase(Enum):
@@ -166,11 +117,7 @@
         self._keep_alive_flags: deque[bool] = deque()
         # Memory that the header of each request that is not answered takes, in bytes.
         self._header_sizes: deque[int] = deque()
-        # Responses that the caller has not read, in bytes, and when the last one was
-        # written.
-        self._unsent_bytes = 0
-        self._written_at = 0.0
-        self._is_write_paused = False
+        self._unsent: UnsentResponses | None = None
         self._header_size = 0
         self._is_serving = False
         self._reset_request()
@@ -253,12 +200,9 @@
             Current monotonic time of the listener's clock, in seconds.
         """
         limits = self.listener.limits
-        if self._unsent_bytes:
-            self._count_unsent()
-            waited = timedelta(seconds=now - self._written_at)
-            if self._unsent_bytes and waited > limits.response_timeout:
-                self._transport.abort()
-                return
+        if self._unsent.is_overdue(now, limits.response_timeout):
+            self._transport.abort()
+            return
         elapsed = timedelta(seconds=now - self._phase_since)
         if self._phase is _Phase.LINGERING:
             if elapsed.total_seconds() > LINGER_SECONDS:
@@ -276,6 +220,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options, measure the round-trip time and register."""
         self._transport = transport
+        self._unsent = UnsentResponses(transport, self.listener.unsent_space)
         sock = transport.get_extra_info("socket")
         unacknowledged_ms = int(UNACKNOWLEDGED_TIMEOUT.total_seconds() * 1000)
         with contextlib.suppress(OSError):
@@ -283,7 +228,7 @@
             sock.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms
             )
-            self._rtt = _kernel_rtt(sock)
+            self._rtt = kernel_round_trip_time(sock)
         self.listener.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -330,12 +275,12 @@
 
     def pause_writing(self) -> None:
         """Serve no further request until the caller reads."""
-        self._is_write_paused = True
+        self._unsent.is_paused = True
 
     def resume_writing(self) -> None:
         """Serve the next request."""
-        self._is_write_paused = False
-        self._count_unsent()
+        self._unsent.is_paused = False
+        self._unsent.count()
         if not self._transport.is_closing():
             self._serve_next()
 
@@ -351,8 +296,7 @@
         self.listener.header_space.reserve(-header_sizes)
         self._header_size = 0
         self._header_sizes.clear()
-        self.listener.unsent_space.reserve(-self._unsent_bytes)
-        self._unsent_bytes = 0
+        self._unsent.release()
         self._queued_requests.clear()
         # The parser refers to this connection, which would not be freed at once.
         self._parser = None
@@ -500,19 +444,11 @@
             self._is_buffer_full = True
 
     def _write(self, response: HttpResponse, close: bool, is_head: bool) -> None:
-        space = self.listener.unsent_space
-        if len(response.body) > space.available:
+        if not self._unsent.has_room(len(response.body)):
             response = RESPONSE_DROPPED
             self.listener.on_rejected(response.status)
-        self._transport.write(self._render(response, close, is_head))
-        if self._transport.get_write_buffer_size() or self._unsent_bytes:
-            self._written_at = self.listener.clock.monotonic()
-            self._count_unsent()
-
-    def _count_unsent(self) -> None:
-        size = self._transport.get_write_buffer_size()
-        self.listener.unsent_space.reserve(size - self._unsent_bytes, is_forced=True)
-        self._unsent_bytes = size
+        data = self._render(response, close, is_head)
+        self._unsent.write(data, self.listener.clock.monotonic())
 
     def _release(self, size: int) -> None:
         self._reserved_bytes -= size
@@ -520,7 +456,7 @@
 
     @property
     def _may_serve(self) -> bool:
-        return self._current_call is None and not self._is_write_paused
+        return self._current_call is None and not self._unsent.is_paused
 
     def _serve_next(self) -> None:
         if self._is_serving:
@@ -569,17 +505,3 @@
         self._transport.write(render_response(response, close=True, is_head=False))
         self._transport.write_eof()
         self._enter_phase(_Phase.LINGERING)
-
-
-def _kernel_rtt(sock: socket.socket) -> float | None:
-    """Return the TCP round-trip time that the kernel measured, in seconds.
-
-    None if the kernel does not provide it.
-    """
-    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-    if len(info) < TCP_INFO_BYTES:
-        return None
-    microseconds = int.from_bytes(
-        info[TCP_INFO_RTT_OFFSET:TCP_INFO_BYTES], sys.byteorder
-    )
-    return microseconds / 1e6 or None
