Split the connection of a caller into modules with one job each

Its behaviour is unchanged:

- _listener_limits.py: the limits and timeouts of a listener;
- _connection_owner.py: what a connection needs of its listener;
- _request_parser.py: the parsing of requests with their sizes, header space and timeouts; _request_receiver.py: what it passes to the connection;
- _request_space.py: buffer space of the requests that are not answered;
- _unsent_responses.py: responses and the space of those that are not read;
- _error_responses.py and _round_trip.py: responses of the listener itself, and the round-trip time that the kernel measured;

A received request is one object, in place of three queues kept in step. The phase of the parser is compared by identity, as the hash of an enum's member is a call.

--- a/foxtailseam/http/__init__.py
+++ b/foxtailseam/http/__init__.py
@@ -7,8 +7,8 @@
 
 from foxtailseam.http._buffer_space import BufferSpace
 from foxtailseam.http._call import Call, ForwardContext
-from foxtailseam.http._caller_connection import ListenerLimits
 from foxtailseam.http._listener import Listener
+from foxtailseam.http._listener_limits import ListenerLimits
 from foxtailseam.http._messages import (
     Headers,
     HttpRequest,
--- a/foxtailseam/http/_listener.py
+++ b/foxtailseam/http/_listener.py
@@ -8,7 +8,8 @@
 from foxtailseam.clocks import Clock
 from foxtailseam.http._buffer_space import BufferSpace
 from foxtailseam.http._call import Call
-from foxtailseam.http._caller_connection import CallerConnection, ListenerLimits
+from foxtailseam.http._caller_connection import CallerConnection
+from foxtailseam.http._listener_limits import ListenerLimits
 from foxtailseam.launch import BACKLOG, open_listener
 
 # Interval at which the timeouts of all connections are checked.
