Fail an exchange at once when the server switches protocols

A searcher that answered 101 with Upgrade and Connection: Upgrade left its caller without an answer until the route's timeout, and held the slot: httptools raises HttpParserUpgrade, which is no HttpParserError, so the exception went to the event loop and the connection stayed busy. No request of ours asks for another protocol, so such an answer is malformed.

--- a/foxtailseam/http/_upstream_connection.py
+++ b/foxtailseam/http/_upstream_connection.py
@@ -187,7 +187,7 @@
         self._framing_size += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._must_close = True
             if not self._is_complete:
                 self._deliver(ExchangeFailure(FailureKind.MALFORMED, sent=True))
--- a/foxtailseam/http/tests/test_response_limits.py
+++ b/foxtailseam/http/tests/test_response_limits.py
@@ -152,3 +152,11 @@
         result, _ = exchange(CHUNKED + end, b"")
         assert isinstance(result, Received)
         assert b"X-Late" not in [name for name, _ in result.response.headers]
+
+
+class TestSwitchOfProtocols:
+    def test_a_searcher_that_switches_protocols_does_not_hold_its_request(self):
+        head = b"HTTP/1.1 101 Switching Protocols\r\n"
+        upgrade = head + b"Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+        result, _ = exchange(upgrade, b"", seconds=3.0)
+        assert result == ExchangeFailure(FailureKind.MALFORMED, sent=True)
