Pause between listings when the service refuses each watch with 410

A service that has come to lack the position of a reader for good (its revisions went back within an era, or one answer named a revision up to a million too high, which the position check lets pass) answers each watch with 410. The follower then listed all keys and watched again without any pause: 864 listings in 2 s against a stub that answers in 1 ms, on each reader, for ever.

The first refusal is still followed by a listing at once.

--- a/foxtailseam/store/_follower.py
+++ b/foxtailseam/store/_follower.py
@@ -138,6 +138,8 @@
         self._failures = 0
         # Watches in a row whose responses were unusable, listings between them aside.
         self._unusable_watches = 0
+        # Watches in a row that the service refused since it lacks their history.
+        self._compactions = 0
         self._in_sync_at = float("-inf")
         self._read_started_at = float("-inf")
 
@@ -213,11 +215,12 @@
                     return
                 case WatchResult(changes=changes, position=position):
                     self.replica.apply(changes, position)
-                    self._unusable_watches = 0
+                    self._unusable_watches = self._compactions = 0
                     self._on_success()
                     if changes:
                         await self.sleep(self.settings.batch_delay.total_seconds())
                 case HistoryCompacted():
+                    await self._on_compacted()
                     return
                 case StoreFailure(reason=reason, would_repeat=True):
                     await self._on_unusable_watch(reason)
@@ -246,6 +249,13 @@
         longest = self.settings.max_listing_backoff
         await self._back_off(reason, self._unusable_watches, longest)
 
+    async def _on_compacted(self) -> None:
+        """Pause if a watch from a listing was refused, too: the next one may be."""
+        self._compactions = min(self._compactions + 1, MAX_COUNTED_FAILURES)
+        if self._compactions > 1:
+            longest = self.settings.max_listing_backoff
+            await self.sleep(self._compute_pause(0.0, self._compactions - 1, longest))
+
     async def _back_off(self, reason: str, failures: int, longest: timedelta) -> None:
         self._set_state(FollowerState.LOST, reason)
         elapsed = self.clock.monotonic() - self._read_started_at
--- a/foxtailseam/store/tests/test_follower.py
+++ b/foxtailseam/store/tests/test_follower.py
@@ -301,3 +301,20 @@
         assert (FollowerState.LOST, "older era") in states
         assert state is FollowerState.IN_SYNC
         assert replica.items == self.RESTORED.items
+
+
+class TestUnknownPosition:
+    def test_a_service_that_never_knows_the_position_is_not_read_without_pause(self):
+        script = [LISTING, HistoryCompacted()] * 50
+        _, _, _, calls, _, pauses = run_follower(*script)
+        assert len(calls) >= 100
+        # The first refusal is one of history that was compacted; jitter is up to 40 %.
+        shortest = 0.6 * FollowerSettings().min_pause.total_seconds()
+        assert len(pauses) == 49
+        assert min(pauses) >= shortest
+
+    def test_all_keys_are_listed_at_once_after_a_compaction(self):
+        script = [LISTING, CHANGE, HistoryCompacted(), LISTING]
+        _, _, _, calls, _, pauses = run_follower(*script)
+        assert calls.count("list") == 2
+        assert sum(pauses) <= FollowerSettings().batch_delay.total_seconds()
