Describe a value only of documents that are small enough to decode twice

The problem of a document showed the value at fault, for which the whole document was decoded once more, without its type: up to 70 times its size.

--- a/foxtailseam/utils/_decoding.py
+++ b/foxtailseam/utils/_decoding.py
@@ -14,6 +14,9 @@
 # Characters of a value, and of the other parts of a problem, that are kept.
 MAX_FOUND_LENGTH = 80
 MAX_PART_LENGTH = 200
+# Longest document that is decoded once more, without its type, to show a value of it:
+# that takes a multiple of its size.
+_MAX_DESCRIBED_BYTES = 262_144
 _ELLIPSIS = "..."
 # Separates the text of an error of msgspec from the path to the value.
 _AT = " - at `$"
@@ -113,7 +116,9 @@
         )
 
     def _describe_value(self, data: bytes, path: str) -> str:
-        """Return the value at a path, or the beginning of a malformed document."""
+        """Return the value at a path, or else the beginning of the document."""
+        if len(data) > _MAX_DESCRIBED_BYTES:
+            return describe_value(bytes(data[:MAX_FOUND_LENGTH]))
         try:
             value = self.document_format.value.decode(data)
             for field, index in _STEP.findall(path):
--- a/foxtailseam/utils/tests/test_decoding.py
+++ b/foxtailseam/utils/tests/test_decoding.py
@@ -1,5 +1,6 @@
 """Tests of the decoding of bytes that others have written."""
 
+import tracemalloc
 from dataclasses import dataclass
 
 import msgspec
@@ -119,3 +120,24 @@
     )
     def test_other_texts_are_none(self, text):
         assert not is_address(text)
+
+
+class TestMemory:
+    @pytest.mark.parametrize(
+        ("decoder", "data"),
+        [
+            (JSON, b"[" + b'{"":{}},' * 100_000 + b"{}]"),
+            (MESSAGE_PACK, b"\xdd" + (900_000).to_bytes(4, "big") + b"\x90" * 900_000),
+        ],
+        ids=["JSON", "MessagePack"],
+    )
+    def test_the_problem_of_a_large_document_takes_no_multiple_of_its_size(
+        self, decoder, data
+    ):
+        tracemalloc.start()
+        try:
+            assert decoder.decode(data, "name").is_err()
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert peak < 2 * MAX_BYTES
