Count a peer's reply that cannot be read as a failed call

The other processes of the product (entry, gather, and their peers) caught four types of error around a call. A reply that is malformed, cut within its message or marked as compressed raises others (DecodeError, AssertionError, ProtocolError, NotImplementedError), which ended the task that exchanges with peers, for good and without any event: PeerController._run_rounds gathers these calls.

--- a/foxtailseam/rpc/_client.py
+++ b/foxtailseam/rpc/_client.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 from grpclib.client import Channel, UnaryUnaryMethod
-from grpclib.exceptions import GRPCError, StreamTerminatedError
 from result import Err, Ok, Result
 
 from foxtailseam.codecs import MessagePackCodec
@@ -138,7 +137,8 @@
         call = UnaryUnaryMethod(channel, method.path, method.request, method.reply)
         try:
             reply = await asyncio.wait_for(call(request), timeout.total_seconds())
-        except (OSError, TimeoutError, GRPCError, StreamTerminatedError) as error:
+        # Of the connection, the library or the decoder: only the peer can cause it.
+        except Exception as error:
             return Err(CallError(peer, True, type(error).__name__))
         self.on_envelope(reply.envelope)
         return Ok(reply)
