Believe no Retry-After that no duration holds

A searcher that turned a request away with a Retry-After of 20 digits raised OverflowError (ValueError from 4,301 digits on) in the gather that asked it.

--- a/foxtailseam/searchers/_client.py
+++ b/foxtailseam/searchers/_client.py
@@ -37,6 +37,8 @@
 # A connection is closed once sent data stays unacknowledged for this long.
 UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=2)
 DEFAULT_RETRY_AFTER = timedelta(seconds=1)
+# A longer number of seconds is not believed.
+MAX_RETRY_AFTER_DIGITS = 9
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,7 +221,7 @@
     if response.status == UNAVAILABLE and was_not_run:
         header = find_header(response.headers, b"retry-after") or b""
         retry_after = DEFAULT_RETRY_AFTER
-        if header.isdigit():
+        if header.isdigit() and len(header) <= MAX_RETRY_AFTER_DIGITS:
             retry_after = timedelta(seconds=int(header))
         return Shed(retry_after, draining)
     if response.status != OK:
--- a/foxtailseam/searchers/tests/test_client.py
+++ b/foxtailseam/searchers/tests/test_client.py
@@ -4,10 +4,12 @@
 import socket
 import threading
 from datetime import timedelta
+from types import SimpleNamespace
 
 import pytest
 
 from foxtailseam.clocks import SystemClock
+from foxtailseam.http import HttpResponse
 from foxtailseam.searchers import (
     Answered,
     AttemptRequest,
@@ -19,6 +21,7 @@
     TimedOut,
     VersionGone,
 )
+from foxtailseam.searchers._client import DEFAULT_RETRY_AFTER, _parse_response
 from foxtailseam_bench._ports import free_ports
 from foxtailseam_bench._processes import unaccepting_address
 from foxtailseam_bench.searcher import (
@@ -152,3 +155,16 @@
             assert client.open_connections == 0
 
         asyncio.run(main())
+
+
+class TestUnusableRetryAfter:
+    @pytest.mark.parametrize("digits", [20, 5_000])
+    def test_a_delay_that_no_duration_holds_is_replaced_by_the_usual_one(self, digits):
+        headers = (
+            (b"x-request-id", b"1"),
+            (b"x-not-run", b"1"),
+            (b"retry-after", b"9" * digits),
+        )
+        request = SimpleNamespace(request_id="1")
+        result = _parse_response(request, HttpResponse(503, headers))
+        assert result == Shed(DEFAULT_RETRY_AFTER, False)
