Refuse a revision number of more than 18 digits

One answer of the configuration service with a revision of 5,000 digits ended the task that reads the value, for good (ValueError); one of 19 digits and more was believed for ever and could not be encoded for peers.

--- a/foxtailseam/publications/_client.py
+++ b/foxtailseam/publications/_client.py
@@ -18,6 +18,8 @@
 )
 
 REVISION_HEADER = b"x-revision"
+# So many digits fit into 64 bits; a longer number could not be sent to peers.
+MAX_REVISION_DIGITS = 18
 NOT_MODIFIED = 304
 OK = 200
 # One watch and one read for each of the three values.
@@ -139,6 +141,7 @@
     if response.status == NOT_MODIFIED:
         return Ok(None)
     number = find_header(response.headers, REVISION_HEADER) or b""
-    if response.status != OK or not number.isdigit():
+    is_number = number.isdigit() and len(number) <= MAX_REVISION_DIGITS
+    if response.status != OK or not is_number:
         return Err(PlatformError(name, f"status {response.status}"))
     return Ok(Publication(name, int(number), response.body.decode("utf-8", "replace")))
--- a/foxtailseam/publications/tests/test_client.py
+++ b/foxtailseam/publications/tests/test_client.py
@@ -112,3 +112,25 @@
             return opened
 
         assert asyncio.run(main()) == 1
+
+
+class TestUnusableRevision:
+    @pytest.mark.parametrize("digits", [19, 5_000])
+    def test_a_revision_number_without_bounds_is_a_failure(self, digits):
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            number = b"9" * digits
+            head = b"HTTP/1.1 200 OK\r\nX-Revision: %b\r\nContent-Length: 0\r\n\r\n"
+            writer.write(head % number)
+
+        async def main():
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            client = PlatformClient(f"127.0.0.1:{port}", SystemClock())
+            try:
+                return await client.read(RULES)
+            finally:
+                client.close()
+                server.close()
+
+        assert asyncio.run(main()).is_err()
