Apply many entries of searchers in time that grows with their number

Each new entry was compared with all others for its address, and from the third searcher that lapses on each one went over all lapsed ones. A listing is applied in one turn of the event loop: 16,000 entries of another writer that come and go took 61 s of processor time there (one run of the test on the code before), and a host that uses 10 s without coming round is ended by its processor watch, reads the same listing again and ends again.

Entries are found by their address now, and only a new lapse is extended once the others are.

--- a/foxtailseam/catalogue/_catalogue.py
+++ b/foxtailseam/catalogue/_catalogue.py
@@ -6,6 +6,8 @@
 unavailable. Lapsed searchers are kept for a grace period and used as a last resort.
 """
 
+from collections import defaultdict
+from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
@@ -61,6 +63,8 @@
         self.clock = clock
         self.listener = listener
         self._entries: dict[str, SearcherEntry] = {}
+        # Identifiers of the searchers at each address.
+        self._by_address: defaultdict[str, set[str]] = defaultdict(set)
         self._lapsed: dict[str, _Lapse] = {}
         # Last entries of removed searchers, oldest first, with the time of removal.
         self._removed: dict[str, tuple[SearcherEntry, float]] = {}
@@ -110,7 +114,9 @@
             # Only the sequence may differ.
             self._entries[entry.identifier] = entry
             return
+        self._forget_address(entry.identifier)
         self._entries[entry.identifier] = entry
+        self._by_address[entry.address].add(entry.identifier)
         for other in self._others_with_address(entry):
             is_ending = other.is_draining or other.identifier in self._lapsed
             if is_ending and other.started_ms < entry.started_ms:
@@ -129,13 +135,16 @@
         expires_at = max(
             self._grace_ends_at, now + SINGLE_LAPSE_GRACE_PERIOD.total_seconds()
         )
-        self._lapsed[identifier] = _Lapse(now, expires_at)
+        lapse = self._lapsed[identifier] = _Lapse(now, expires_at)
         self.listener.searcher_lapsed(identifier, True)
-        if len(self._lapsed) >= OUTAGE_LAPSE_COUNT:
-            self._extend_lapses()
-
-    def _extend_lapses(self) -> None:
-        for lapse in self._lapsed.values():
+        if len(self._lapsed) == OUTAGE_LAPSE_COUNT:
+            self._extend(self._lapsed.values())
+        elif len(self._lapsed) > OUTAGE_LAPSE_COUNT:
+            # The others were extended before.
+            self._extend([lapse])
+
+    def _extend(self, lapses: Iterable[_Lapse]) -> None:
+        for lapse in lapses:
             lapse.expires_at = max(
                 lapse.expires_at,
                 lapse.started_at + OUTAGE_GRACE_PERIOD.total_seconds(),
@@ -163,14 +172,21 @@
                 self._remove(identifier)
 
     def _others_with_address(self, entry: SearcherEntry) -> list[SearcherEntry]:
-        return [
-            other
-            for other in self._entries.values()
-            if other.address == entry.address and other.identifier != entry.identifier
-        ]
+        others = self._by_address[entry.address] - {entry.identifier}
+        return [self._entries[identifier] for identifier in others]
+
+    def _forget_address(self, identifier: str) -> None:
+        known = self._entries.get(identifier)
+        if known is None:
+            return
+        identifiers = self._by_address[known.address]
+        identifiers.discard(identifier)
+        if not identifiers:
+            del self._by_address[known.address]
 
     def _remove(self, identifier: str) -> None:
         self._lapsed.pop(identifier, None)
+        self._forget_address(identifier)
         entry = self._entries.pop(identifier, None)
         if entry is not None:
             self._remember_removed(entry)
--- a/foxtailseam/catalogue/tests/test_catalogue.py
+++ b/foxtailseam/catalogue/tests/test_catalogue.py
@@ -1,5 +1,6 @@
 """Tests of the catalogue of searchers and of its grace period for lapsed ones."""
 
+import time
 from dataclasses import replace
 from datetime import timedelta
 
@@ -207,3 +208,29 @@
         clock.advance(timedelta(seconds=0.5))
         subject.remove_expired()
         assert subject.entries == (later,)
+
+
+class TestManyEntries:
+    """Another writer leaves many entries; all are applied in one turn of the loop."""
+
+    COUNT = 16_000
+    # Share of the processor time after which a host ends as stuck.
+    MAX_SECONDS = 2.0
+
+    def test_their_changes_and_removals_take_time_in_proportion(self):
+        subject, _, _ = catalogue()
+        entries = [
+            replace(
+                ENTRY,
+                identifier=f"i-{number}",
+                address=f"10.0.{number >> 8}.{number & 255}:80",
+            )
+            for number in range(self.COUNT)
+        ]
+        started_at = time.process_time()
+        for entry in entries:
+            subject.upsert(entry)
+        for entry in entries:
+            subject.mark_missing(entry.identifier)
+        assert time.process_time() - started_at < self.MAX_SECONDS
+        assert len(subject.lapsed) == self.COUNT
