Read only the keys that this system uses

Listings and watches have the keys of everybody, and the replica kept all values.

The client drops items of further keys page by page, and its limit counts what is kept.

--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -47,6 +47,7 @@
     REQUEST_ID_HEADER,
     HostSettings,
     PlatformStore,
+    is_used_key,
     parse_response_headers,
 )
 from foxtailseam.quarantine import QuarantineController
@@ -183,7 +184,7 @@
             lambda: self._fleet.change_source,
         )
         self._replica = StoreReplica(self._apply_change, self._on_era)
-        self._store = PlatformStore(settings.service_address, self.clock)
+        self._store = PlatformStore(settings.service_address, self.clock, is_used_key)
         self._follower = StoreFollower(
             self._store,
             self._replica,
--- a/foxtailseam/platform/__init__.py
+++ b/foxtailseam/platform/__init__.py
@@ -3,7 +3,11 @@
 This package makes no decisions, and no other package uses the platform's names.
 """
 
-from foxtailseam.platform._configuration import CONFIGURATION_KEY, decode_configuration
+from foxtailseam.platform._configuration import (
+    CONFIGURATION_KEY,
+    decode_configuration,
+    is_used_key,
+)
 from foxtailseam.platform._entries import decode_entry, searcher_id_from_key
 from foxtailseam.platform._headers import (
     REQUEST_ID_HEADER,
@@ -47,6 +51,7 @@
     "merged_response_headers",
     "parse_response_headers",
     "parse_request_headers",
+    "is_used_key",
     "local_response_headers",
     "searcher_id_from_key",
 ]
--- a/foxtailseam/platform/_configuration.py
+++ b/foxtailseam/platform/_configuration.py
@@ -8,7 +8,7 @@
 from msgspec import Meta
 from result import Err, Ok, Result
 
-from foxtailseam.platform._entries import MAX_VALUE_BYTES
+from foxtailseam.platform._entries import MAX_VALUE_BYTES, searcher_id_from_key
 from foxtailseam.routing import (
     AllShards,
     CallerLimits,
@@ -99,6 +99,11 @@
 _DECODER = DocumentDecoder(_ConfigurationDocument, MAX_VALUE_BYTES)
 
 
+def is_used_key(key: str) -> bool:
+    """Return whether a key holds the configuration or the entry of a searcher."""
+    return key == CONFIGURATION_KEY or searcher_id_from_key(key) is not None
+
+
 def decode_configuration(value: bytes) -> Result[Configuration, ValidationProblem]:
     """Decode a configuration document.
 
--- a/foxtailseam/platform/_store.py
+++ b/foxtailseam/platform/_store.py
@@ -2,7 +2,7 @@
 
 import binascii
 from base64 import b64decode
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import TypeVar
@@ -55,8 +55,10 @@
 # A watch holds one connection; a listing may use another at the same time.
 _MAX_CONNECTIONS = 3
 _MAX_PAGES = 2_000
-# Limit of the responses of all pages of a listing together.
+# Limit of the memory that the items of a listing take: their values as they are sent,
+# and this much besides for each.
 _MAX_LISTING_BYTES = 48 * 1024 * 1024
+_ITEM_BYTES = 400
 # Failures of an exchange that the same call is likely to meet again.
 _LASTING_FAILURES = frozenset({FailureKind.TOO_LARGE, FailureKind.MALFORMED})
 # Longest body that is decoded.
@@ -100,10 +102,19 @@
         ``IP:PORT`` of the store.
     clock : Clock
         Source of monotonic time.
+    is_used : callable
+        Returns whether this system uses a key; what others keep under further ones is
+        left out of listings and watches.
     """
 
-    def __init__(self, address: str, clock: Clock):
+    def __init__(
+        self,
+        address: str,
+        clock: Clock,
+        is_used: Callable[[str], bool] = lambda key: True,
+    ):
         self.address = address
+        self.is_used = is_used
         self.calls = 0
         self._check = PositionCheck()
         settings = PoolSettings(
@@ -127,9 +138,6 @@
                 return response
             if response.status != _OK:
                 return StoreFailure(str(response.status))
-            size += len(response.body)
-            if size > _MAX_LISTING_BYTES:
-                return StoreFailure(FailureKind.TOO_LARGE, would_repeat=True)
             page = _decode(_PAGE_DECODER, response.body)
             if isinstance(page, StoreFailure):
                 return page
@@ -141,9 +149,13 @@
             if first.era != era:
                 # The pages are of different copies of the data.
                 return StoreFailure("era changed")
+            used = [item for item in page.items if self.is_used(item.key)]
+            size += sum(len(item.value) + _ITEM_BYTES for item in used)
+            if size > _MAX_LISTING_BYTES:
+                return StoreFailure(FailureKind.TOO_LARGE, would_repeat=True)
             items.extend(
                 Item(i.key, _decode_value(i.value), Position(era, i.revision))
-                for i in page.items
+                for i in used
             )
             if not page.has_more:
                 return Listing(tuple(items), first)
@@ -180,7 +192,9 @@
         if _has_implausible_item(events.events, events.current_rev):
             return StoreFailure(IMPLAUSIBLE_REVISION, would_repeat=True)
         era = self._check.era
-        changes = tuple(_to_change(event, era) for event in events.events)
+        changes = tuple(
+            _to_change(event, era) for event in events.events if self.is_used(event.key)
+        )
         return WatchResult(changes, Position(era, events.current_rev))
 
     def close(self) -> None:
--- a/foxtailseam/platform/tests/test_store.py
+++ b/foxtailseam/platform/tests/test_store.py
@@ -6,7 +6,7 @@
 import pytest
 
 from foxtailseam.clocks import SystemClock
-from foxtailseam.platform import PlatformStore, _store
+from foxtailseam.platform import PlatformStore, _store, is_used_key
 from foxtailseam.store import (
     HistoryCompacted,
     Item,
@@ -127,3 +127,26 @@
         result, calls = run(scenario)
         assert result == StoreFailure("too-large", would_repeat=True)
         assert calls == 5
+
+
+class TestKeysOfOthers:
+    def test_keys_that_this_system_does_not_use_take_no_part_in_reads(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(_store, "_MAX_LISTING_BYTES", 3_000_000)
+
+        async def scenario(stand_in, client):
+            client.is_used = is_used_key
+            for number in range(300):
+                stand_in.put(f"other/{number:03}", b"x" * 10_000)
+            stand_in.put("servers/s", b"1")
+            listing = await client.list_items()
+            stand_in.put("other/000", b"y")
+            stand_in.put("op/config", b"2")
+            stand_in.remove("other/001")
+            return listing, await client.watch(listing.position, WAIT)
+
+        listing, result = run(scenario)
+        assert [item.key for item in listing.items] == ["servers/s"]
+        assert [change.key for change in result.changes] == ["op/config"]
+        assert result.position.revision == listing.position.revision + 3
