--- /dev/null
+++ b/foxtailseam/fleet/tests/test_message_sizes.py
@@ -0,0 +1,107 @@
+"""Tests of what one message of another host can take of a host's memory."""
+
+import asyncio
+import socket
+import struct
+import subprocess
+import sys
+import zlib
+
+import h2.config
+import h2.connection
+import h2.events
+import msgspec
+
+from foxtailseam.codecs._message_pack import MAX_MESSAGE_BYTES
+from foxtailseam.fleet import _rpc
+from foxtailseam.fleet._messages import WireChange
+
+HEADERS = [
+    (":method", "POST"),
+    (":scheme", "http"),
+    (":path", _rpc.EXCHANGE_PATH),
+    (":authority", "a"),
+    ("te", "trailers"),
+    ("content-type", "application/grpc+msgpack"),
+]
+ANNOUNCED_BYTES = 0xF0000000
+SENT_BYTES = MAX_MESSAGE_BYTES + 32_000_000
+END_EVENTS = (
+    h2.events.StreamEnded,
+    h2.events.StreamReset,
+    h2.events.ConnectionTerminated,
+)
+
+# Memory limit of a host, and changes that take 60 MB once they are expanded.
+MEMORY_MB = 300
+CHANGES = 2_000_000
+# Prints the peak of its memory in kilobytes.
+APPLY_CHANGES = """
+import resource, sys
+from foxtailseam.fleet._messages import decompress_changes
+from foxtailseam.store import Listing, Position, StoreReplica
+try:
+    changes = decompress_changes(sys.stdin.buffer.read())
+    items = tuple(change.to_change(0) for change in changes)
+    StoreReplica(lambda change: None).apply_listing(Listing(items, Position(0, 1)))
+except Exception:
+    pass
+print(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss)
+"""
+
+
+async def send_endless_message(port):
+    """Send a part of a message; return whether the server ended its call meanwhile."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    connection = h2.connection.H2Connection(h2.config.H2Configuration())
+    connection.initiate_connection()
+    connection.send_headers(1, HEADERS)
+    data = struct.pack("?", False) + struct.pack(">I", ANNOUNCED_BYTES)
+    sent = 0
+    try:
+        while sent < SENT_BYTES:
+            window = connection.local_flow_control_window(1)
+            size = min(window, connection.max_outbound_frame_size)
+            if size:
+                connection.send_data(1, data or bytes(size))
+                sent += len(data) or size
+                data = b""
+            writer.write(connection.data_to_send())
+            await writer.drain()
+            if size:
+                continue
+            received = await reader.read(65_536)
+            if not received:
+                return True
+            events = connection.receive_data(received)
+            if any(isinstance(event, END_EVENTS) for event in events):
+                return True
+        return False
+    finally:
+        writer.transport.abort()
+
+
+class TestEndlessMessage:
+    def test_a_message_longer_than_any_ends_its_call_before_it_fills_the_memory(self):
+        async def main():
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                port = probe.getsockname()[1]
+            stop = await _rpc.serve(f"127.0.0.1:{port}", None, lambda *_: None)
+            try:
+                return await asyncio.wait_for(send_endless_message(port), 30)
+            finally:
+                await stop()
+
+        assert asyncio.run(main())
+
+
+class TestExpandingMessage:
+    def test_compressed_changes_do_not_take_a_host_over_its_memory_limit(self):
+        changes = (WireChange(f"{i:06x}", 1, b"") for i in range(CHANGES))
+        content = b"\xdd" + CHANGES.to_bytes(4, "big")
+        content += b"".join(map(msgspec.msgpack.encode, changes))
+        message = zlib.compress(content, 1)
+        command = [sys.executable, "-c", APPLY_CHANGES]
+        done = subprocess.run(command, input=message, capture_output=True, check=True)
+        assert int(done.stdout) / 1000 < MEMORY_MB
