Bound the connections and buffers of the readiness and metrics ports

Both listeners had the default limits: 1,000 connections of the 1,024 descriptors of a process, and 64 MB of bodies, 32 MB of heads and 32 MB of unsent responses each, all beside the shares of memory that the listener for callers is bound by.

--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -71,6 +71,15 @@
     WatchSettings,
 )
 
+# Limits of the listeners for readiness checks and metrics, whose requests are small.
+SMALL_LIMITS = ListenerLimits(
+    header_bytes=8_192,
+    body_bytes=1_024,
+    connections=50,
+    buffered_bytes=65_536,
+    buffered_header_bytes=1_000_000,
+    unsent_bytes=4_000_000,
+)
 METRICS_PORT = 9180
 METRICS_TARGET = b"/metrics"
 
@@ -222,6 +231,8 @@
         )
         self._readiness_listener = Listener(self._handle_readiness, self.clock)
         self._metrics_listener = Listener(self._handle_metrics, self.clock)
+        for listener in (self._readiness_listener, self._metrics_listener):
+            listener.limits = SMALL_LIMITS
         self._is_ready = False
         self._is_stopping = False
         self._has_started = False
