Close a connection even if the handling of its failure raises

A connection whose result was a failure (an answer that is malformed or too large, a reset) delivered it and closed afterwards. If the handling raised, it stayed busy and open until its searcher closed it, and counted in its pool. One whose request could not be rendered was idle, but in no list of idle connections.

--- a/foxtailseam/http/_pool.py
+++ b/foxtailseam/http/_pool.py
@@ -79,8 +79,14 @@
     def start(self, connection: UpstreamConnection) -> None:
         """Send the request on an open, idle connection."""
         self._connection = connection
-        payload, self._payload = self._payload, None
-        connection.send(payload(), self.identifier, self.is_head, self.finish)
+        render, self._payload = self._payload, None
+        try:
+            payload = render()
+        except Exception:
+            # It is in no list of idle connections any more.
+            connection.abort()
+            raise
+        connection.send(payload, self.identifier, self.is_head, self.finish)
 
     def finish(self, result: ExchangeResult) -> None:
         """Pass the result to the callback, unless the exchange was cancelled."""
--- a/foxtailseam/http/_upstream_connection.py
+++ b/foxtailseam/http/_upstream_connection.py
@@ -150,8 +150,7 @@
 
     def abort(self) -> None:
         """Close immediately; a request in flight fails as cancelled."""
-        self._deliver(ExchangeFailure(FailureKind.CANCELLED, sent=True))
-        self._close()
+        self._end(ExchangeFailure(FailureKind.CANCELLED, sent=True))
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight."""
@@ -190,17 +189,14 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._must_close = True
             if not self._is_complete:
-                self._deliver(ExchangeFailure(FailureKind.MALFORMED, sent=True))
-                self._close()
+                self._end(ExchangeFailure(FailureKind.MALFORMED, sent=True))
                 return
         if self._is_complete and not self._is_too_large:
             self._complete_exchange()
         elif self._exceeds_limits():
-            self._deliver(ExchangeFailure(FailureKind.TOO_LARGE, sent=True))
-            self._close()
+            self._end(ExchangeFailure(FailureKind.TOO_LARGE, sent=True))
         elif not self._reserve():
-            self._deliver(ExchangeFailure(FailureKind.BUFFER_FULL, sent=True))
-            self._close()
+            self._end(ExchangeFailure(FailureKind.BUFFER_FULL, sent=True))
 
     def on_written(self) -> None:
         """Release the buffer space of the request."""
@@ -216,12 +212,11 @@
         if error is not None:
             is_full = error.errno == errno.ENOBUFS
             kind = FailureKind.BUFFER_FULL if is_full else FailureKind.RESET
-            self._deliver(ExchangeFailure(kind, sent=True))
+            self._end(ExchangeFailure(kind, sent=True))
         elif self._ends_at_close and not self._is_discarded:
-            self._deliver(Received(self._build_response()))
+            self._end(Received(self._build_response()))
         else:
-            self._deliver(ExchangeFailure(FailureKind.CLOSED, sent=True))
-        self._close()
+            self._end(ExchangeFailure(FailureKind.CLOSED, sent=True))
 
     def _reserve(self) -> bool:
         """Reserve space for what is unsent or unfinished; return whether it fits."""
@@ -254,10 +249,14 @@
             self.on_change(self)
         done(Received(response))
 
-    def _deliver(self, result: ExchangeResult) -> None:
+    def _end(self, result: ExchangeResult) -> None:
+        """Deliver a result and close, even if the handling of the result raises."""
         done, self._done = self._done, None
-        if done is not None:
-            done(result)
+        try:
+            if done is not None:
+                done(result)
+        finally:
+            self._close()
 
     def _close(self) -> None:
         if self._state is ConnectionState.CLOSED:
