Give a slot back when an attempt cannot be sent

If sending raised, the attempt was counted at its searcher but had no exchange: ending the request failed with AttributeError, so its slot was never given back.

--- a/foxtailseam/dispatch/_attempt_sender.py
+++ b/foxtailseam/dispatch/_attempt_sender.py
@@ -114,12 +114,17 @@
         attempt = Attempt(searcher, number, now)
         self._running[id(attempt)] = attempt
         self.record.attempts.append(attempt)
-        attempt.exchange = searcher.pool.send(
-            partial(self._render, attempt),
-            plan.identifier,
-            plan.request.method == b"HEAD",
-            partial(self._on_exchange, attempt),
-        )
+        try:
+            attempt.exchange = searcher.pool.send(
+                partial(self._render, attempt),
+                plan.identifier,
+                plan.request.method == b"HEAD",
+                partial(self._on_exchange, attempt),
+            )
+        except Exception:
+            del self._running[id(attempt)]
+            searcher.end_request(number, now)
+            raise
         if not attempt.exchange.is_sent:
             attempt.opens_connection = True
             dispatcher.metrics.add("connections_opened")
--- a/foxtailseam/dispatch/tests/test_waiting.py
+++ b/foxtailseam/dispatch/tests/test_waiting.py
@@ -219,3 +219,25 @@
         test.registry.is_calm = True
         time.run_until(3 * CHECK_SECONDS)
         assert all(request.is_done for request in test.requests)
+
+
+class TestFailingSend:
+    def test_a_request_that_cannot_be_sent_gives_its_slot_back(self):
+        results = []
+        service = StubService(ManualClock(), timers=VirtualTime())
+        (pool,) = service.pools.values()
+
+        def fail(*_):
+            raise RuntimeError("a fault of this host")
+
+        pool.send = fail
+        now = service.dispatcher.clock.monotonic()
+        route, times = make_route(), make_times(now)
+        query = SingleQuery(
+            service.dispatcher, make_plan(route, now), times, results.append
+        )
+        with pytest.raises(RuntimeError):
+            query.start()
+        query.cancel()
+        (searcher,) = service.dispatcher.searchers
+        assert searcher.in_flight == 0
