--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -47,6 +47,7 @@
     REQUEST_ID_HEADER,
     HostSettings,
     PlatformStore,
+    is_used_key,
     parse_response_headers,
 )
 from foxtailseam.quarantine import QuarantineController
@@ -69,6 +70,15 @@
     Supervisor,
 )
 
+# Limits of the listeners for readiness checks and metrics, whose requests are small.
+SMALL_LIMITS = ListenerLimits(
+    header_bytes=8_192,
+    body_bytes=1_024,
+    connections=50,
+    buffered_bytes=65_536,
+    buffered_header_bytes=1_000_000,
+    unsent_bytes=4_000_000,
+)
 CONNECT_TIMEOUT = timedelta(seconds=1)
 # A connection is closed when sent data stays unacknowledged for this long.
 UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=1)
@@ -177,7 +187,7 @@
             lambda: self._fleet.change_source,
         )
         self._replica = StoreReplica(self._apply_change, self._on_era)
-        self._store = PlatformStore(settings.service_address, self.clock)
+        self._store = PlatformStore(settings.service_address, self.clock, is_used_key)
         self._follower = StoreFollower(
             self._store,
             self._replica,
@@ -228,6 +238,8 @@
             self._failures,
         )
         self._metrics_listener = Listener(metrics_page.handle, self.clock)
+        for listener in (self._readiness_listener, self._metrics_listener):
+            listener.limits = SMALL_LIMITS
         self._is_ready = False
         self._is_stopping = False
         self._has_started = False
