Bound the content of a message between hosts by what a host's memory bears

It is 16 MB now, for messages that are not compressed, too: the entries of 50,000 searchers; a deployment of the target's size has 30,000.

--- a/foxtailseam/codecs/_message_pack.py
+++ b/foxtailseam/codecs/_message_pack.py
@@ -8,8 +8,8 @@
 
 from foxtailseam.utils import DocumentDecoder, DocumentFormat
 
-# Longest message that is decoded.
-MAX_MESSAGE_BYTES = 67_108_864
+# Longest message that is decoded: the forwarded request or the listing that is longest.
+MAX_MESSAGE_BYTES = 16_777_216
 
 
 @cache
--- a/foxtailseam/fleet/_messages.py
+++ b/foxtailseam/fleet/_messages.py
@@ -112,9 +112,9 @@
         return Item(self.key, self.value, position)
 
 
-# Longest content of a message before it was compressed: the entries of more searchers
-# than a deployment has.
-MAX_EXPANDED_BYTES = 67_108_864
+# Longest content of a message before it was compressed: entries of 50,000 searchers.
+# Decoded and applied it takes up to twelve times as much.
+MAX_EXPANDED_BYTES = 16_777_216
 _CHANGES_DECODER = DocumentDecoder(
     tuple[WireChange, ...], MAX_EXPANDED_BYTES, DocumentFormat.MESSAGE_PACK
 )
