Find the searchers that end at an address without going over all others there

Entries of another writer that all name one address still took time with their square. Only searchers that drain or have lapsed end at a later entry of their address, so these alone are kept by address.

--- a/foxtailseam/catalogue/_catalogue.py
+++ b/foxtailseam/catalogue/_catalogue.py
@@ -63,8 +63,8 @@
         self.clock = clock
         self.listener = listener
         self._entries: dict[str, SearcherEntry] = {}
-        # Identifiers of the searchers at each address.
-        self._by_address: defaultdict[str, set[str]] = defaultdict(set)
+        # Identifiers of the searchers at each address that drain or have lapsed.
+        self._ending: defaultdict[str, set[str]] = defaultdict(set)
         self._lapsed: dict[str, _Lapse] = {}
         # Last entries of removed searchers, oldest first, with the time of removal.
         self._removed: dict[str, tuple[SearcherEntry, float]] = {}
@@ -110,16 +110,16 @@
         self._removed.pop(entry.identifier, None)
         if self._lapsed.pop(entry.identifier, None) is not None:
             self.listener.searcher_lapsed(entry.identifier, False)
-        if self._entries.get(entry.identifier) == entry:
-            # Only the sequence may differ.
-            self._entries[entry.identifier] = entry
-            return
-        self._forget_address(entry.identifier)
+        is_unchanged = self._entries.get(entry.identifier) == entry
+        self._forget_ending(entry.identifier)
+        # Only the sequence may differ.
         self._entries[entry.identifier] = entry
-        self._by_address[entry.address].add(entry.identifier)
-        for other in self._others_with_address(entry):
-            is_ending = other.is_draining or other.identifier in self._lapsed
-            if is_ending and other.started_ms < entry.started_ms:
+        if entry.is_draining:
+            self._ending[entry.address].add(entry.identifier)
+        if is_unchanged:
+            return
+        for other in self._ending_at(entry.address):
+            if other.started_ms < entry.started_ms:
                 self._remove(other.identifier)
         self.listener.searcher_changed(entry)
 
@@ -136,6 +136,7 @@
             self._grace_ends_at, now + SINGLE_LAPSE_GRACE_PERIOD.total_seconds()
         )
         lapse = self._lapsed[identifier] = _Lapse(now, expires_at)
+        self._ending[entry.address].add(identifier)
         self.listener.searcher_lapsed(identifier, True)
         if len(self._lapsed) == OUTAGE_LAPSE_COUNT:
             self._extend(self._lapsed.values())
@@ -171,22 +172,22 @@
             if now >= lapse.expires_at:
                 self._remove(identifier)
 
-    def _others_with_address(self, entry: SearcherEntry) -> list[SearcherEntry]:
-        others = self._by_address[entry.address] - {entry.identifier}
-        return [self._entries[identifier] for identifier in others]
+    def _ending_at(self, address: str) -> list[SearcherEntry]:
+        """Return the entries of the searchers at an address that drain or lapsed."""
+        return [self._entries[item] for item in self._ending.get(address, ())]
 
-    def _forget_address(self, identifier: str) -> None:
+    def _forget_ending(self, identifier: str) -> None:
         known = self._entries.get(identifier)
-        if known is None:
+        if known is None or known.address not in self._ending:
             return
-        identifiers = self._by_address[known.address]
+        identifiers = self._ending[known.address]
         identifiers.discard(identifier)
         if not identifiers:
-            del self._by_address[known.address]
+            del self._ending[known.address]
 
     def _remove(self, identifier: str) -> None:
         self._lapsed.pop(identifier, None)
-        self._forget_address(identifier)
+        self._forget_ending(identifier)
         entry = self._entries.pop(identifier, None)
         if entry is not None:
             self._remember_removed(entry)
--- a/foxtailseam/catalogue/tests/test_catalogue.py
+++ b/foxtailseam/catalogue/tests/test_catalogue.py
@@ -217,13 +217,14 @@
     # Share of the processor time after which a host ends as stuck.
     MAX_SECONDS = 2.0
 
-    def test_their_changes_and_removals_take_time_in_proportion(self):
+    @pytest.mark.parametrize("addresses", [1, 65_536])
+    def test_their_changes_and_removals_take_time_in_proportion(self, addresses):
         subject, _, _ = catalogue()
         entries = [
             replace(
                 ENTRY,
                 identifier=f"i-{number}",
-                address=f"10.0.{number >> 8}.{number & 255}:80",
+                address=f"10.0.0.1:{1 + number % addresses}",
             )
             for number in range(self.COUNT)
         ]
