Move readiness and the shares of a process's resources out of Host

Its behaviour is unchanged:

- _resource_shares.py: the shares of memory and file descriptors, and the limits of the listener for callers that follow from them;
- _readiness.py: whether the load balancer may send callers to the host, the page that tells it and the log of its changes.

Before the first configuration the listener has the defaults of CallerLimits, which are those of ListenerLimits.

Evidence: the limits equal those of the code before for 84 combinations of memory, file descriptors and limits of callers (scratch script). foxtailseam/http, test_host, test_memory, test_unforeseen_failures, test_starts, test_planned_stop, test_process_ends and test_gather_cost pass on this code, with target/ built from it.

--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -6,7 +6,6 @@
 import signal
 import socket
 import sys
-from dataclasses import replace
 from datetime import timedelta
 from functools import partial
 
@@ -28,23 +27,20 @@
 from foxtailseam.front._overload_guard import OverloadGuard
 from foxtailseam.front._process_failure import ProcessFailure
 from foxtailseam.front._quarantine_guard import QuarantineGuard
+from foxtailseam.front._readiness import Readiness
+from foxtailseam.front._resource_shares import (
+    forwarded_body_bytes,
+    listener_limits,
+    searcher_buffer_bytes,
+)
 from foxtailseam.front._settings_file import read_settings
 from foxtailseam.front._shutdown import Shutdown, plan_shutdown
 from foxtailseam.front._timing import TimingSettings
-from foxtailseam.http import (
-    BufferSpace,
-    Call,
-    ConnectionPool,
-    HttpResponse,
-    Listener,
-    ListenerLimits,
-    PoolSettings,
-)
+from foxtailseam.http import BufferSpace, ConnectionPool, Listener, PoolSettings
 from foxtailseam.launch import EarlySignals, ExitCode
 from foxtailseam.logs import EventCode, LogWriter
 from foxtailseam.metrics import Metrics
 from foxtailseam.platform import (
-    READY_TARGET,
     REQUEST_ID_HEADER,
     HostSettings,
     PlatformStore,
@@ -52,7 +48,7 @@
 )
 from foxtailseam.quarantine import QuarantineController
 from foxtailseam.rate_limits import HostGroup
-from foxtailseam.routing import Configuration
+from foxtailseam.routing import CallerLimits, Configuration
 from foxtailseam.store import (
     Change,
     FollowerSettings,
@@ -74,20 +70,6 @@
 CONNECT_TIMEOUT = timedelta(seconds=1)
 # A connection is closed when sent data stays unacknowledged for this long.
 UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=1)
-# Fraction of the file descriptors, less RESERVED_DESCRIPTORS, for callers'
-# connections; files, listeners and connections to searchers need the rest.
-CALLER_DESCRIPTOR_SHARE = 0.5
-RESERVED_DESCRIPTORS = 200
-# Fractions of the memory limit that buffers may take: bodies and headers of callers'
-# requests, bodies of requests that other hosts have forwarded, requests and responses
-# on connections to searchers, and responses that callers have not read.
-BODY_MEMORY_SHARE = 0.15
-HEADER_MEMORY_SHARE = 0.1
-FORWARDED_BODY_MEMORY_SHARE = 0.05
-SEARCHER_MEMORY_SHARE = 0.15
-UNSENT_MEMORY_SHARE = 0.1
-MEGABYTE = 1_000_000
-
 # Time in which a host that starts together with all others waits for their copy of the
 # configuration service's data.
 JOINT_START_PATIENCE = timedelta(seconds=3)
@@ -131,8 +113,7 @@
         )
         loop = asyncio.get_running_loop()
         bounds = settings.bounds
-        memory = settings.limits.memory_mb * MEGABYTE
-        self._searcher_space = BufferSpace(int(memory * SEARCHER_MEMORY_SHARE))
+        self._searcher_space = BufferSpace(searcher_buffer_bytes(settings.limits))
         budget_settings = BudgetSettings(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
@@ -160,6 +141,7 @@
             self._generator,
             self._on_configuration,
         )
+        self._readiness = Readiness(self.configuration_manager, self.log)
         self._overload_guard = OverloadGuard(self.clock, self._generator)
         quarantine = QuarantineController(self.clock, HybridClock(self.clock))
         self._quarantine_guard = QuarantineGuard(quarantine, self.log)
@@ -217,7 +199,7 @@
         self._caller_listener = Listener(
             self.front.serve, self.clock, self._host_log.record_unreadable_request
         )
-        self._readiness_listener = Listener(self._handle_readiness, self.clock)
+        self._readiness_listener = Listener(self._readiness.handle, self.clock)
         sources = GaugeSources(
             self.configuration_manager,
             self._fleet,
@@ -232,8 +214,6 @@
         )
         metrics_page = MetricsPage(self.metrics, sources)
         self._metrics_listener = Listener(metrics_page.handle, self.clock)
-        self._is_ready = False
-        self._is_stopping = False
         self._has_started = False
         self._maintenance = PeriodicWork(
             {
@@ -242,7 +222,7 @@
                     self.configuration_manager.catalogue.remove_expired
                 ),
                 "check idle links": self.dispatcher.links.check_idle,
-                "log readiness": self._log_readiness_change,
+                "log readiness": self._readiness.log_change,
                 "flush log": self.log.flush,
             },
             MAINTENANCE_INTERVAL,
@@ -258,8 +238,7 @@
         peers = self.front.peers
         peers.address = settings.peers
         peers.failure_domain = settings.failure_domain
-        memory = settings.limits.memory_mb * MEGABYTE
-        peers.max_body_bytes = int(memory * FORWARDED_BODY_MEMORY_SHARE)
+        peers.max_body_bytes = forwarded_body_bytes(settings.limits)
         peers.forwarder = Forwarder(
             self._forward_sender,
             PeerSelector(self.clock, self._generator, settings.failure_domain),
@@ -269,14 +248,6 @@
         )
         self._fleet.serve_forwarded = self.front.serve_forwarded
 
-    @property
-    def is_ready(self) -> bool:
-        """Return whether the load balancer may send callers to this host."""
-        return (
-            self.configuration_manager.configuration is not None
-            and not self._is_stopping
-        )
-
     async def run(self, early_signals: EarlySignals | None = None) -> None:
         """Serve until SIGTERM or SIGINT, then drain the requests in flight.
 
@@ -334,7 +305,7 @@
 
     async def _listen(self) -> None:
         settings = self.settings
-        self._set_limits(ListenerLimits())
+        self._set_limits(CallerLimits())
         await self._caller_listener.start(settings.callers, self.listening_socket)
         # Callers can be served without these, so a host waits for their addresses.
         listeners = {
@@ -349,10 +320,10 @@
     async def _drain(self) -> None:
         grace = self.settings.bounds.shutdown_grace
         schedule = plan_shutdown(self.clock.monotonic(), grace)
-        self._is_stopping = True
+        self._readiness.stop()
         self.front.stop_by(schedule.end_requests_at)
         self.log.write(EventCode.PROCESS_DRAINING, in_flight=self.front.in_flight)
-        self._log_readiness_change()
+        self._readiness.log_change()
         shutdown = Shutdown(
             schedule,
             self._caller_listener,
@@ -371,11 +342,6 @@
         )
         return ConnectionPool(settings, self.clock, self._searcher_space)
 
-    def _log_readiness_change(self) -> None:
-        if self.is_ready != self._is_ready:
-            self._is_ready = self.is_ready
-            self.log.write(EventCode.READINESS_CHANGED, ready=self._is_ready)
-
     def _is_current(self) -> bool:
         return self._fleet.age < MAX_CURRENT_AGE_SECONDS
 
@@ -396,27 +362,10 @@
     def _on_configuration(self, configuration: Configuration) -> None:
         self._overload_guard.configure(configuration)
         self.front.serve_waiting()
-        limits = configuration.limits
-        self._set_limits(
-            ListenerLimits(
-                header_bytes=limits.header_bytes,
-                body_bytes=limits.body_bytes,
-                header_timeout=limits.header_timeout,
-                idle_timeout=limits.idle_timeout,
-            )
-        )
+        self._set_limits(configuration.limits)
 
-    def _set_limits(self, limits: ListenerLimits) -> None:
-        descriptors = self.settings.limits.max_file_descriptors - RESERVED_DESCRIPTORS
-        connections = max(1, int(descriptors * CALLER_DESCRIPTOR_SHARE))
-        memory = self.settings.limits.memory_mb * MEGABYTE
-        self._caller_listener.limits = replace(
-            limits,
-            connections=connections,
-            buffered_bytes=int(memory * BODY_MEMORY_SHARE),
-            buffered_header_bytes=int(memory * HEADER_MEMORY_SHARE),
-            unsent_bytes=int(memory * UNSENT_MEMORY_SHARE),
-        )
+    def _set_limits(self, limits: CallerLimits) -> None:
+        self._caller_listener.limits = listener_limits(self.settings.limits, limits)
 
     def _on_service_state(self, state: FollowerState, reason: str) -> None:
         if state is FollowerState.LOST:
@@ -432,11 +381,6 @@
     def _on_read_failure(self, failure: ReadFailure) -> None:
         self._host_log.record_read_failure(failure, self._replica.position.revision)
 
-    def _handle_readiness(self, call: Call) -> None:
-        is_known_target = call.request.target == READY_TARGET
-        status = (200 if self.is_ready else 503) if is_known_target else 404
-        call.respond(HttpResponse(status))
-
     def _reload_safely(self) -> None:
         self._supervisor.run_step("reload settings", self._reload)
 
