--- a/foxtailseam/http/_request_parser.py
+++ b/foxtailseam/http/_request_parser.py
@@ -86,9 +86,10 @@
         except httptools.HttpParserError:
             self._receiver.reject(BAD_REQUEST)
         else:
-            if self._received_header_bytes and self.is_incomplete:
-                self._reserve_header()
-            self._check_limits()
+            if self.is_incomplete:
+                if self._received_header_bytes:
+                    self._reserve_header()
+                self._check_limits()
 
     def is_overdue(self, now: float) -> bool:
         """Return whether the header or the body being read is due.
@@ -137,6 +138,9 @@
             self._parser.get_http_version(),
             tuple(self._headers),
         )
+        self._target = b""
+        self._headers = []
+        self._parsed_header_bytes = 0
         self._parser = httptools.HttpRequestParser(self)
         self._parser.feed_data(head)
 
@@ -146,9 +150,6 @@
         """Start a new request and its header timeout, or one that is parsed again."""
         if self.phase is ParserPhase.ENDED:
             return
-        received_header_bytes = self._received_header_bytes
-        self._reset_request()
-        self._received_header_bytes = received_header_bytes
         if self.phase is not ParserPhase.HEADER:
             self._enter_phase(ParserPhase.HEADER)
         self._arrived_at = self._phase_since
@@ -247,13 +248,9 @@
         self._phase_since = self._listener.clock.monotonic()
 
     def _check_limits(self) -> None:
-        if self.phase is ParserPhase.ENDED:
-            return
         limits = self._listener.limits
         parsed_bytes = self._parsed_header_bytes + len(self._target)
-        if parsed_bytes > limits.header_bytes or (
-            self._received_header_bytes > limits.header_bytes and self.is_incomplete
-        ):
+        if max(parsed_bytes, self._received_header_bytes) > limits.header_bytes:
             self._receiver.reject(HttpResponse(limits.long_header_status))
         elif self._is_body_too_large:
             self._receiver.reject(CONTENT_TOO_LARGE)
