--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -182,7 +182,8 @@
         """Release the buffers, drop queued requests and cancel the current one."""
         self.listener.closed(self)
         self._space.release_all()
-        self._unsent.release()
+        if self._unsent.size:
+            self._unsent.release()
         self._queue.clear()
         self._parser.close()
         current, self._current = self._current, None
--- a/foxtailseam/http/_request_parser.py
+++ b/foxtailseam/http/_request_parser.py
@@ -111,7 +111,7 @@
 
     def close(self) -> None:
         """End, and drop the references to the connection, so that it is freed."""
-        self.end()
+        self.phase = ParserPhase.ENDED
         self._parser = None
         self._receiver = None
 
