Move the creation of queries and the end of their admission out of FrontEnd

Its behaviour is unchanged:

- _query_factory.py: creates the queries of a request that has a route;
- _query_admission.py: reports the ends of gather queries to the overload guard.

--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -8,7 +8,6 @@
 from foxtailseam.clocks import Clock
 from foxtailseam.dispatch import (
     AnswerDelay,
-    CallPlan,
     Dispatcher,
     FailureReason,
     GatherQuery,
@@ -16,15 +15,16 @@
     MergedAnswer,
     NotAnswered,
     ServiceAnswer,
-    SingleQuery,
     SingleResult,
 )
 from foxtailseam.forwarding import ForwardedRequest, ForwardedResponse
 from foxtailseam.front._configuration import ConfigurationManager
 from foxtailseam.front._forwarding import PeerForwarding
 from foxtailseam.front._handover import Handover
-from foxtailseam.front._overload_guard import OverloadGuard, QueryDuration
+from foxtailseam.front._overload_guard import OverloadGuard
 from foxtailseam.front._quarantine_guard import QuarantineGuard
+from foxtailseam.front._query_admission import QueryAdmission
+from foxtailseam.front._query_factory import QueryFactory
 from foxtailseam.front._request_guard import RequestGuard
 from foxtailseam.front._request_log import AnyQuery, AnyResult, RequestLog
 from foxtailseam.front._responses import ResponseBuilder
@@ -37,7 +37,6 @@
 from foxtailseam.logs import LogWriter
 from foxtailseam.metrics import Metrics
 from foxtailseam.platform import (
-    PlatformRequestTemplate,
     RequestMetadata,
     parse_request_headers,
 )
@@ -51,13 +50,6 @@
 # out of date.
 RETRY_AFTER_STALE = timedelta(seconds=1)
 
-# Failure reasons that show that searchers are overloaded.
-_OVERLOAD_REASONS = frozenset(
-    {FailureReason.SHED, FailureReason.BUDGET, FailureReason.DEADLINE}
-)
-# Sample of a query that says nothing about the load of the searchers.
-_NO_DURATION = QueryDuration(None, None, 0.0)
-
 
 class FrontEnd:
     """Routes each caller's request, sends it to searchers and responds.
@@ -117,10 +109,12 @@
             log, metrics, clock, configuration_manager, dispatcher.contacts
         )
         self._running = RunningRequests()
+        self._admission = QueryAdmission(overload_guard, clock)
+        self._queries = QueryFactory(dispatcher, quarantine_guard)
         self._guard = RequestGuard(
             self._running,
             FailureLog(log, metrics, clock),
-            self._discard_admission,
+            self._admission.discard,
         )
         self._handover = Handover(
             self.peers,
@@ -131,7 +125,7 @@
             self._guard,
             self._run,
             self._finish,
-            self._discard_admission,
+            self._admission.discard,
         )
 
     @property
@@ -291,17 +285,6 @@
         else:
             self._start_single(routed, state is SuspicionState.SUSPECT)
 
-    def _call_plan(self, routed: RoutedRequest) -> CallPlan:
-        request = routed.call.request
-        return CallPlan(
-            routed.services[0],
-            routed.route,
-            request,
-            PlatformRequestTemplate(request),
-            routed.metadata.identifier,
-            routed.times.deadline_at,
-        )
-
     def _start_gather(self, routed: RoutedRequest, is_suspect: bool) -> None:
         retry_after = self.overload_guard.admit(routed.route)
         if retry_after is not None:
@@ -309,32 +292,21 @@
             self._refuse(routed, FailureReason.OVERLOADED, retry_after, inputs)
             return
         try:
-            query = self._create_gather(routed, is_suspect)
+            query = self._queries.create_gather(
+                routed,
+                is_suspect,
+                partial(self._guard.run, routed.call, self._on_gathered, routed),
+            )
         except Exception:
-            self.overload_guard.record_end(routed.route, _NO_DURATION, False)
+            self._admission.withdraw(routed.route)
             raise
         self._run(routed, query)
 
-    def _create_gather(self, routed: RoutedRequest, is_suspect: bool) -> GatherQuery:
-        request = routed.call.request
-        return GatherQuery(
-            self.dispatcher,
-            self._call_plan(routed).for_services(routed.services),
-            routed.route.destination,
-            routed.times,
-            partial(self._guard.run, routed.call, self._on_gathered, routed),
-            partial(self.quarantine_guard.record_survival, request)
-            if is_suspect
-            else None,
-        )
-
     def _start_single(self, routed: RoutedRequest, is_suspect: bool) -> None:
-        query = SingleQuery(
-            self.dispatcher,
-            self._call_plan(routed),
-            routed.times,
-            partial(self._guard.run, routed.call, self._on_single, routed),
+        query = self._queries.create_single(
+            routed,
             is_suspect,
+            partial(self._guard.run, routed.call, self._on_single, routed),
         )
         self._run(routed, query)
 
@@ -371,30 +343,16 @@
             return
         query = self._running.remove(routed)
         query.cancel()
-        self._release_admission(routed, query, False)
+        self._admission.release(routed, query, None)
         self._request_log.record_abandoned(routed)
 
     def _finish(
         self, routed: RoutedRequest, response: HttpResponse, result: AnyResult
     ) -> None:
         query = self._running.remove(routed)
-        self._release_admission(routed, query, _is_overload(result))
+        self._admission.release(routed, query, result)
         self._respond(routed, response, result, query)
 
-    def _release_admission(
-        self, routed: RoutedRequest, query: AnyQuery, shed: bool
-    ) -> None:
-        if isinstance(query, GatherQuery):
-            elapsed = self.clock.monotonic() - routed.times.started_at
-            duration = QueryDuration(query.time_to_half, query.time_to_quorum, elapsed)
-            self.overload_guard.record_end(routed.route, duration, shed)
-
-    def _discard_admission(
-        self, routed: RoutedRequest, query: GatherQuery | SingleQuery
-    ) -> None:
-        if isinstance(query, GatherQuery):
-            self.overload_guard.record_end(routed.route, _NO_DURATION, False)
-
     def _respond(
         self,
         routed: RoutedRequest,
@@ -437,11 +395,3 @@
 def _may_have_run(running: tuple[RoutedRequest, AnyQuery]) -> bool:
     _, query = running
     return query.may_have_run
-
-
-def _is_overload(result: AnyResult) -> bool:
-    match result:
-        case NotAnswered(reason=reason):
-            return reason in _OVERLOAD_REASONS
-        case _:
-            return False
