Begin no task again that fails while it is cancelled

Work whose clean-up raised when it was cancelled (such as closing the connection to a host that is no longer followed) counted as failed: the supervisor began it again, and nobody knew of it any more. At the stop it went on beside the drain.

--- a/foxtailseam/supervision/_supervisor.py
+++ b/foxtailseam/supervision/_supervisor.py
@@ -134,6 +134,10 @@
             except (Exception, asyncio.CancelledError) as error:
                 if _is_own_cancellation(error):
                     raise
+                if _is_cancelled():
+                    # Its clean-up failed; it must not be begun again.
+                    self.record(work.name, error)
+                    return
                 pause = self._record_restart(work, error)
             await self.sleep(pause)
 
@@ -155,5 +159,8 @@
 
 def _is_own_cancellation(error: BaseException) -> bool:
     """Return whether the current task was cancelled, and not what it waited for."""
-    is_cancellation = isinstance(error, asyncio.CancelledError)
-    return is_cancellation and asyncio.current_task().cancelling() > 0
+    return isinstance(error, asyncio.CancelledError) and _is_cancelled()
+
+
+def _is_cancelled() -> bool:
+    return asyncio.current_task().cancelling() > 0
--- a/foxtailseam/supervision/tests/test_supervisor.py
+++ b/foxtailseam/supervision/tests/test_supervisor.py
@@ -182,3 +182,27 @@
 
         asyncio.run(scenario())
         assert "Traceback" not in capfd.readouterr().err
+
+
+class TestCancellation:
+    def test_a_task_that_fails_while_it_is_cancelled_is_not_begun_again(self):
+        begun = []
+
+        async def work():
+            begun.append(1)
+            try:
+                await asyncio.Event().wait()
+            finally:
+                raise RuntimeError("the clean-up failed")
+
+        async def main():
+            supervisor = Harness().supervisor
+            task = supervisor.start("work", work)
+            await asyncio.sleep(0)
+            task.cancel()
+            await asyncio.wait([task], timeout=1.0)
+            is_done = task.done()
+            task.cancel()
+            return is_done, len(begun)
+
+        assert asyncio.run(main()) == (True, 1)
