Cut the texts of a log line of more than 16 KB short

Others choose some of them, such as the service of an entry, up to the megabyte of a value. The queue holds 2,000 lines, so it could take many times the memory limit of a process while its log is read slowly, and a line is written in pieces of 4 KB with a copy of the rest for each.

--- a/foxtailseam/logs/_writer.py
+++ b/foxtailseam/logs/_writer.py
@@ -9,6 +9,7 @@
 
 from foxtailseam.clocks import Clock
 from foxtailseam.logs._catalogue import EventCode, Severity
+from foxtailseam.utils import shorten
 
 # A writable pipe accepts at least this many bytes without blocking (POSIX,
 # PIPE_BUF).
@@ -17,6 +18,10 @@
 MAX_LINES_PER_SECOND = 60
 # Maximum number of lines that wait to be written; the oldest are dropped first.
 MAX_QUEUED_LINES = 2_000
+# Size of a line above which its texts are cut short: others choose some of them, such
+# as the names of services.
+LONG_LINE_BYTES = 16_384
+MAX_TEXT_CHARACTERS = 500
 # Minimum interval between two lines that report the number of dropped lines.
 SUPPRESSION_REPORT_SECONDS = 5.0
 
@@ -120,7 +125,17 @@
         if request_id:
             line["request"] = request_id
         line.update(fields)
-        return msgspec.json.encode(line) + b"\n"
+        encoded = msgspec.json.encode(line)
+        if len(encoded) > LONG_LINE_BYTES:
+            encoded = msgspec.json.encode(
+                {
+                    name: shorten(value, MAX_TEXT_CHARACTERS)
+                    if isinstance(value, str)
+                    else value
+                    for name, value in line.items()
+                }
+            )
+        return encoded + b"\n"
 
     def _is_within_rate(self, code: EventCode) -> bool:
         second = int(self.clock.monotonic())
