--- a/foxtailseam/conditions/tests/test_registry.py
+++ b/foxtailseam/conditions/tests/test_registry.py
@@ -213,3 +213,16 @@
                 host.record("i-1", report)
             results.append(host._known.get("i-1"))
         assert results[0] == results[1]
+
+
+class TestOddStart:
+    def test_a_start_time_that_was_written_once_does_not_hide_later_conditions(self):
+        # Another writer's entry for a searcher named a start far in the future while
+        # it reported a limit; its own entry is in force again.
+        clock = ManualClock()
+        registry = ConditionRegistry(clock, random.Random(1))
+        limit = RateLimit(5.0, clock.monotonic())
+        registry.record("i-1", SearcherConditions(2**61, rate_limit=limit))
+        leaving = SearcherConditions(1_000, leaving=Leaving(clock.monotonic()))
+        registry.record("i-1", leaving)
+        assert registry.get("i-1", 1_000) == leaving
