--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -28,6 +28,7 @@
 from foxtailseam.front._quarantine_guard import QuarantineGuard
 from foxtailseam.front._readiness import Readiness
 from foxtailseam.front._resource_shares import (
+    SMALL_LIMITS,
     forwarded_body_bytes,
     listener_limits,
     searcher_buffer_bytes,
@@ -66,15 +67,6 @@
     Supervisor,
 )
 
-# Limits of the listeners for readiness checks and metrics, whose requests are small.
-SMALL_LIMITS = ListenerLimits(
-    header_bytes=8_192,
-    body_bytes=1_024,
-    connections=50,
-    buffered_bytes=65_536,
-    buffered_header_bytes=1_000_000,
-    unsent_bytes=4_000_000,
-)
 CONNECT_TIMEOUT = timedelta(seconds=1)
 # A connection is closed when sent data stays unacknowledged for this long.
 UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=1)
--- a/foxtailseam/front/_resource_shares.py
+++ b/foxtailseam/front/_resource_shares.py
@@ -17,6 +17,15 @@
 SEARCHER_MEMORY_SHARE = 0.15
 UNSENT_MEMORY_SHARE = 0.1
 MEGABYTE = 1_000_000
+# Limits of the listeners for readiness checks and metrics, whose requests are small.
+SMALL_LIMITS = ListenerLimits(
+    header_bytes=8_192,
+    body_bytes=1_024,
+    connections=50,
+    buffered_bytes=65_536,
+    buffered_header_bytes=1_000_000,
+    unsent_bytes=4_000_000,
+)
 
 
 def searcher_buffer_bytes(resources: HostLimits) -> int:
