Close connections whose callers have stopped reading before others lose responses

When a response has no space, connections whose callers have read nothing for 0.25 s are closed, the longest first, until it has. A caller that reads slowly is not one of them, since each byte that it takes counts; if all read, the response is replaced by 502, as before.

--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -116,6 +116,15 @@
         """Close the connection once all written data is sent."""
         self._transport.close()
 
+    def stalled_time(self, now: float) -> float:
+        """Return for how many seconds the caller has read none of its responses."""
+        return self._unsent.stalled_time(now)
+
+    def abort(self) -> None:
+        """Close the connection at once; what is unsent is lost."""
+        self._unsent.release()
+        self._transport.abort()
+
     def reject_incomplete(self) -> None:
         """Answer a request that has not arrived whole, as the host stops."""
         if self._parser.is_incomplete:
--- a/foxtailseam/http/_connection_owner.py
+++ b/foxtailseam/http/_connection_owner.py
@@ -29,6 +29,12 @@
     def release(self, size: int) -> None:
         """Release `size` bytes of reserved buffer space."""
 
+    def make_unsent_space(self, size: int) -> bool:
+        """Return whether there is space for a response of `size` bytes.
+
+        Connections whose callers have stopped reading are closed for it.
+        """
+
     def opened(self, connection: asyncio.Protocol) -> None:
         """Register a new connection."""
 
--- a/foxtailseam/http/_listener.py
+++ b/foxtailseam/http/_listener.py
@@ -9,11 +9,15 @@
 from foxtailseam.http._buffer_space import BufferSpace
 from foxtailseam.http._call import Call
 from foxtailseam.http._caller_connection import CallerConnection
+from foxtailseam.http._error_responses import RESPONSE_DROPPED
 from foxtailseam.http._listener_limits import ListenerLimits
 from foxtailseam.launch import BACKLOG, open_listener
 
 # Interval at which the timeouts of all connections are checked.
 TIMEOUT_CHECK_SECONDS = 0.2
+# A caller that has read nothing for this long loses its responses to those that read,
+# once the space for unsent responses is used up.
+STALLED_SECONDS = 0.25
 
 
 def _report_to_loop(error: Exception) -> None:
@@ -174,6 +178,24 @@
         """Release `size` bytes of reserved buffer space."""
         self._buffered_bytes -= size
 
+    def make_unsent_space(self, size: int) -> bool:
+        """Return whether there is space for a response of `size` bytes.
+
+        If not, close the connections whose callers have read nothing for the longest
+        time, until there is.
+        """
+        if size <= self.unsent_space.available:
+            return True
+        now = self.clock.monotonic()
+        times = {item: item.stalled_time(now) for item in self._connections}
+        for connection in sorted(times, key=times.get, reverse=True):
+            has_space = size <= self.unsent_space.available
+            if has_space or times[connection] < STALLED_SECONDS:
+                return has_space
+            connection.abort()
+            self.on_rejected(RESPONSE_DROPPED.status)
+        return size <= self.unsent_space.available
+
     def opened(self, connection: CallerConnection) -> None:
         """Register a new connection.
 
--- a/foxtailseam/http/_unsent_responses.py
+++ b/foxtailseam/http/_unsent_responses.py
@@ -19,7 +19,7 @@
         Transport of the connection.
     """
 
-    __slots__ = ("_listener", "_transport", "_written_at", "size")
+    __slots__ = ("_listener", "_progressed_at", "_transport", "_written_at", "size")
 
     def __init__(self, listener: ConnectionOwner, transport: asyncio.Transport):
         # Number of unsent bytes when they were last counted.
@@ -27,10 +27,14 @@
         self._listener = listener
         self._transport = transport
         self._written_at = 0.0
+        # When the caller last read something, or the first unsent byte was written.
+        self._progressed_at = 0.0
 
     def write(self, response: HttpResponse, close: bool, is_head: bool) -> None:
         """Write a response, or a 502 if there is no space for its body.
 
+        Callers that have stopped reading lose theirs before it comes to that.
+
         Parameters
         ----------
         response : HttpResponse
@@ -40,7 +44,7 @@
         is_head : bool
             Whether it responds to a HEAD request.
         """
-        if len(response.body) > self._listener.unsent_space.available:
+        if not self._listener.make_unsent_space(len(response.body)):
             response = RESPONSE_DROPPED
             self._listener.on_rejected(response.status)
         self._transport.write(self._render(response, close, is_head))
@@ -50,12 +54,26 @@
 
     def count(self) -> None:
         """Count the unsent bytes again and reserve as much space."""
-        self._resize(self._transport.get_write_buffer_size())
+        size = self._transport.get_write_buffer_size()
+        if size < self.size or not self.size:
+            self._progressed_at = self._listener.clock.monotonic()
+        self._resize(size)
 
     def release(self) -> None:
         """Release the space, as the connection is lost."""
         self._resize(0)
 
+    def stalled_time(self, now: float) -> float:
+        """Return for how many seconds the caller has read none of its responses.
+
+        Parameters
+        ----------
+        now : float
+            Current monotonic time of the listener's clock, in seconds.
+        """
+        self.count()
+        return now - self._progressed_at if self.size else 0.0
+
     def is_overdue(self, now: float) -> bool:
         """Return whether the caller has not read the responses in time.
 
--- a/foxtailseam/http/tests/test_caller_connection.py
+++ b/foxtailseam/http/tests/test_caller_connection.py
@@ -88,6 +88,7 @@
             is_draining=False,
             header_space=self.header_space,
             unsent_space=BufferSpace(),
+            make_unsent_space=lambda size: True,
             reserve=lambda size: True,
             release=lambda size: None,
             opened=lambda connection: None,
