--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -212,7 +212,12 @@
             self._failures,
         )
         self._metrics_listener = Listener(metrics_page.handle, self.clock)
-        for listener in (self._readiness_listener, self._metrics_listener):
+        self._listeners = (
+            self._caller_listener,
+            self._readiness_listener,
+            self._metrics_listener,
+        )
+        for listener in self._listeners[1:]:
             listener.limits = SMALL_LIMITS
         self._has_started = False
         self._maintenance = PeriodicWork(
@@ -269,6 +274,8 @@
             self.log.write(EventCode.PROCESS_FAILED, **failure.describe())
             raise
         finally:
+            for listener in self._listeners:
+                listener.stop()
             self._processor_watch.stop()
             self._loop_errors.remove()
             self.log.flush()
