--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -22,6 +22,7 @@
     HttpResponse,
     render_response,
 )
+from foxtailseam.http._upgrade import head_without_upgrade
 
 BAD_REQUEST = HttpResponse(400)
 REQUEST_TIMEOUT = HttpResponse(408)
@@ -35,6 +36,10 @@
 # Another host can take the request at once.
 STOPPING = HttpResponse(503, ((b"Retry-After", b"0.05"),))
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+CONNECT_METHOD = b"CONNECT"
+
+# The handler failed, so it is not known whether the request was run.
+HANDLER_FAILED = HttpResponse(502)
 
 # Time that sent response data may stay unacknowledged by the caller before the
 # connection is closed.
@@ -117,6 +122,7 @@
     limits: ListenerLimits
     handler: Callable[[Call], None]
     on_rejected: Callable[[int], None]
+    on_error: Callable[[Exception], None]
     is_draining: bool
     # Space for the headers of requests and for responses that callers do not read.
     header_space: BufferSpace
@@ -165,6 +171,8 @@
         self._unsent_bytes = 0
         self._written_at = 0.0
         self._is_write_paused = False
+        self._header_size = 0
+        self._is_serving = False
         self._reset_request()
 
     @property
@@ -208,11 +216,19 @@
         self._release(len(call.request.body))
         self.listener.header_space.reserve(-self._header_sizes.popleft())
         keep_alive = self._keep_alive_flags.popleft()
-        has_next = self._queued_requests or self._phase in _INCOMPLETE
+        has_next = (
+            self._queued_requests
+            or self._phase in _INCOMPLETE
+            or self._error_response is not None
+        )
         close = not keep_alive or (self.listener.is_draining and not has_next)
         is_head = call.request.method == b"HEAD"
         self._write(response, close, is_head)
         if close:
+            # Nothing that follows is served.
+            self._phase = _Phase.FAILED
+            self._queued_requests.clear()
+            self._error_response = None
             self._transport.close()
             return
         if self._phase is _Phase.IDLE:
@@ -274,25 +290,44 @@
         """Parse received bytes and enforce the size limits."""
         if self._phase in _ENDED:
             return
-        if self._phase in (_Phase.IDLE, _Phase.HEADER):
-            self._received_header_bytes += len(data)
+        self._received_header_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # Protocol upgrades are not supported, but the request was read: it is
-            # answered, and the connection closes after it.
-            if self._keep_alive_flags:
-                self._keep_alive_flags[-1] = False
-            self._phase = _Phase.FAILED
+            self._parse(data)
         except httptools.HttpParserError:
             self._reject(BAD_REQUEST)
         else:
-            if self._phase is _Phase.HEADER:
-                self._reserve_header(self._received_header_bytes)
+            if self._phase in _INCOMPLETE and self._received_header_bytes:
+                self._reserve_header()
             self._check_limits()
         if len(self._queued_requests) >= MAX_QUEUED_REQUESTS:
             self._transport.pause_reading()
 
+    def _parse(self, data: bytes | memoryview) -> None:
+        """Parse received bytes, past the heads of requests that ask for an upgrade."""
+        while data and self._phase not in _ENDED:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                # The parser takes what follows, even a body, for the other protocol.
+                data = memoryview(data)[upgrade.args[0] :]
+                self._ignore_upgrade()
+
+    def _ignore_upgrade(self) -> None:
+        """Parse the head that was just read again, without its Upgrade headers."""
+        method = self._parser.get_method()
+        if method == CONNECT_METHOD:
+            self._reject(BAD_REQUEST)
+            return
+        head = head_without_upgrade(
+            method,
+            self._target,
+            self._parser.get_http_version(),
+            tuple(self._headers),
+        )
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(head)
+
     def pause_writing(self) -> None:
         """Serve no further request until the caller reads."""
         self._is_write_paused = True
@@ -319,6 +354,8 @@
         self.listener.unsent_space.reserve(-self._unsent_bytes)
         self._unsent_bytes = 0
         self._queued_requests.clear()
+        # The parser refers to this connection, which would not be freed at once.
+        self._parser = None
         self._phase = _Phase.FAILED
         call, self._current_call = self._current_call, None
         if call is not None:
@@ -327,13 +364,14 @@
     # httptools callbacks
 
     def on_message_begin(self) -> None:
-        """Start a new request and its header timeout."""
+        """Start a new request and its header timeout, or one that is parsed again."""
         if self._phase in _ENDED:
             return
         received_header_bytes = self._received_header_bytes
         self._reset_request()
         self._received_header_bytes = received_header_bytes
-        self._enter_phase(_Phase.HEADER)
+        if self._phase is not _Phase.HEADER:
+            self._enter_phase(_Phase.HEADER)
         self._arrived_at = self._phase_since
 
     def on_url(self, url: bytes) -> None:
@@ -341,9 +379,10 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header and count its size."""
+        """Store a header and count its size; only count a trailer."""
         self._parsed_header_bytes += len(name) + len(value) + HEADER_LINE_OVERHEAD
-        self._headers.append((name, value))
+        if self._phase is _Phase.HEADER:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Validate the header and answer ``Expect: 100-continue``.
@@ -351,10 +390,11 @@
         The header must have one Host field, and the target must start with a
         slash.
         """
-        if self._phase in _ENDED:
+        if self._phase in _ENDED or self._parser.should_upgrade():
             return
         self._enter_phase(_Phase.BODY)
-        self._reserve_header(self._parsed_header_bytes + len(self._target))
+        self._received_header_bytes = 0
+        self._reserve_header()
         host_headers = 0
         expects_continue = False
         for name, value in self._headers:
@@ -374,29 +414,29 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body if limit and buffer space allow it."""
+        self._received_header_bytes = 0
         self._body_size += len(body)
         if self._body_size > self.listener.limits.body_bytes:
             self._is_body_too_large = True
         elif self.listener.reserve(len(body)):
             self._reserved_bytes += len(body)
-            self._body.append(body)
+            self._body += body
         else:
             self._is_buffer_full = True
 
     def on_message_complete(self) -> None:
-        """Queue a complete request to be served."""
-        if self._phase in _ENDED:
+        """Queue a complete request to be served, unless its head is parsed again."""
+        if self._phase in _ENDED or self._parser.should_upgrade():
             return
         self._check_limits()
         if self._phase in _ENDED:
             return
         self._enter_phase(_Phase.IDLE)
-        self._received_header_bytes = 0
         request = HttpRequest(
             self._parser.get_method(),
             self._target,
             tuple(self._headers),
-            b"".join(self._body),
+            bytes(self._body),
             self._arrived_at,
             self._network_delay(),
         )
@@ -404,6 +444,7 @@
         self._header_size = 0
         self._keep_alive_flags.append(self._parser.should_keep_alive())
         self._queued_requests.append(request)
+        self._reset_request()
         self._serve_next()
 
     def _network_delay(self) -> float | None:
@@ -416,10 +457,11 @@
     def _reset_request(self) -> None:
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
+        # Bytes received since the request began or, in its body, since its last part:
+        # the parser may hold them as an unfinished line.
         self._received_header_bytes = 0
         self._parsed_header_bytes = 0
-        self._header_size = 0
         self._body_size = 0
         self._is_body_too_large = False
         self._is_buffer_full = False
@@ -435,8 +477,10 @@
             return
         limit = self.listener.limits.header_bytes
         parsed_bytes = self._parsed_header_bytes + len(self._target)
-        in_header = self._phase is _Phase.HEADER
-        if parsed_bytes > limit or (in_header and self._received_header_bytes > limit):
+        is_incomplete = self._phase in _INCOMPLETE
+        if parsed_bytes > limit or (
+            is_incomplete and self._received_header_bytes > limit
+        ):
             self._reject(HttpResponse(self.listener.limits.long_header_status))
         elif self._is_body_too_large:
             self._reject(CONTENT_TOO_LARGE)
@@ -445,9 +489,11 @@
         elif self._is_buffer_full:
             self._reject(BUFFER_FULL)
 
-    def _reserve_header(self, size: int) -> None:
-        """Reserve the memory for the header of which `size` bytes were received."""
-        size += HEADER_FIELD_BYTES * len(self._headers)
+    def _reserve_header(self) -> None:
+        """Reserve the memory for what was received of the header, or of a trailer."""
+        size = self._received_header_bytes + HEADER_FIELD_BYTES * len(self._headers)
+        if self._phase is _Phase.BODY:
+            size += self._parsed_header_bytes + len(self._target)
         if self.listener.header_space.reserve(size - self._header_size):
             self._header_size = size
         else:
@@ -458,7 +504,7 @@
         if len(response.body) > space.available:
             response = RESPONSE_DROPPED
             self.listener.on_rejected(response.status)
-        self._transport.write(render_response(response, close, is_head))
+        self._transport.write(self._render(response, close, is_head))
         if self._transport.get_write_buffer_size() or self._unsent_bytes:
             self._written_at = self.listener.clock.monotonic()
             self._count_unsent()
@@ -472,19 +518,48 @@
         self._reserved_bytes -= size
         self.listener.release(size)
 
+    @property
+    def _may_serve(self) -> bool:
+        return self._current_call is None and not self._is_write_paused
+
     def _serve_next(self) -> None:
-        if self._current_call is not None or self._is_write_paused:
+        if self._is_serving:
+            # A response to the request that is being passed on: the loop goes on.
             return
-        if self._queued_requests:
-            self._current_call = Call(self._queued_requests.popleft(), self)
-            if not self._transport.is_reading():
-                self._transport.resume_reading()
-            self.listener.handler(self._current_call)
-        elif self._error_response is not None:
-            self._send_error(self._error_response)
+        self._is_serving = True
+        try:
+            while self._may_serve and self._queued_requests:
+                self._serve(self._queued_requests.popleft())
+        finally:
+            self._is_serving = False
+        if self._may_serve and self._error_response is not None:
+            response, self._error_response = self._error_response, None
+            self._send_error(response)
+
+    def _serve(self, request: HttpRequest) -> None:
+        self._current_call = Call(request, self)
+        if not self._transport.is_reading():
+            self._transport.resume_reading()
+        self._handle(self._current_call)
+
+    def _handle(self, call: Call) -> None:
+        try:
+            self.listener.handler(call)
+        except Exception as error:
+            self.listener.on_error(error)
+            call.respond(HANDLER_FAILED)
+
+    def _render(self, response: HttpResponse, close: bool, is_head: bool) -> bytes:
+        try:
+            return render_response(response, close, is_head)
+        except Exception as error:
+            self.listener.on_error(error)
+            return render_response(HANDLER_FAILED, close, is_head)
 
     def _reject(self, response: HttpResponse) -> None:
         """Send an error after all outstanding responses, and close."""
+        if self._phase in _ENDED:
+            return
         self._phase = _Phase.FAILED
         self._error_response = response
         self._serve_next()
