End a call before a message longer than any is received

What callers would see: a host whose process is killed over its memory limit, and with it all requests in progress there.

Cause: grpclib collects a message of any length that its prefix announces, up to 4 GB, before it calls the codec, which checked MAX_MESSAGE_BYTES. That holds for requests on the port for other hosts and for the answers of other hosts, and for the daemons' calls alike.

Change: limit_messages compares the announced length with the limit before the message is read; both sides of all calls use it. grpclib has no public place for that, so one function sets the reading function of its stream. An honest message is never longer: the codec has refused these before.

Five tests failed before: TestEndlessMessage (a request, and answers to each of three calls) and TestOddReplies[endless] of the daemons.

--- a/foxtailseam/codecs/__init__.py
+++ b/foxtailseam/codecs/__init__.py
@@ -1,5 +1,18 @@
-"""Codec for the messages between processes."""
+"""Codec for the messages between processes, and the limit of their length."""
 
-from foxtailseam.codecs._message_pack import MessagePackCodec
+from foxtailseam.codecs._message_limit import (
+    MessageTooLongError,
+    NoMessageError,
+    call_unary,
+    limit_messages,
+)
+from foxtailseam.codecs._message_pack import MAX_MESSAGE_BYTES, MessagePackCodec
 
-__all__ = ["MessagePackCodec"]
+__all__ = [
+    "MAX_MESSAGE_BYTES",
+    "MessagePackCodec",
+    "MessageTooLongError",
+    "NoMessageError",
+    "call_unary",
+    "limit_messages",
+]
--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -13,7 +13,7 @@
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
 
-from foxtailseam.codecs import MessagePackCodec
+from foxtailseam.codecs import MessagePackCodec, call_unary, limit_messages
 from foxtailseam.fleet._messages import (
     FollowRequest,
     FollowUpdate,
@@ -151,6 +151,7 @@
             raise GRPCError(Status.INVALID_ARGUMENT, "malformed message") from error
 
     async def _receive(self, stream: Stream) -> Any:
+        limit_messages(stream)
         with self._refusing():
             return await stream.recv_message()
 
@@ -256,7 +257,7 @@
         with _calling():
             await self._connect()
             async with asyncio.timeout(timeout):
-                response = await method(message)
+                response = await call_unary(method, message)
             return _expanded(response)
 
     async def connect(self) -> None:
@@ -289,7 +290,7 @@
             self._channel, FORWARD_PATH, ForwardedRequest, ForwardedResponse
         )
         with _calling():
-            return await method(request)
+            return await call_unary(method, request)
 
     async def follow(
         self, request: FollowRequest, update_timeout: float
@@ -315,6 +316,7 @@
             await self._connect()
             async with method.open() as stream:
                 await stream.send_message(request, end=True)
+                limit_messages(stream)
                 while True:
                     async with asyncio.timeout(update_timeout):
                         update = await stream.recv_message()
--- a/foxtailseam/fleet/tests/test_message_sizes.py
+++ b/foxtailseam/fleet/tests/test_message_sizes.py
@@ -12,10 +12,21 @@
 import h2.events
 import msgspec
 import pytest
+from grpclib.server import Server
 
-from foxtailseam.codecs._message_pack import MAX_MESSAGE_BYTES
+from foxtailseam.codecs import (
+    MAX_MESSAGE_BYTES,
+    MessagePackCodec,
+    MessageTooLongError,
+)
 from foxtailseam.fleet import _rpc
-from foxtailseam.fleet._messages import WireChange
+from foxtailseam.fleet._messages import (
+    FollowRequest,
+    HostRecord,
+    MemberExchange,
+    WireChange,
+)
+from foxtailseam.forwarding import ForwardedRequest
 
 HEADERS = [
     (":method", "POST"),
@@ -33,6 +44,9 @@
     h2.events.ConnectionTerminated,
 )
 
+# Longest time that a call of a test takes, in seconds.
+CALL_SECONDS = 10.0
+
 # Memory limit of a host, and numbers of changes: those that just fit, and many more.
 MEMORY_MB = 300
 CHANGES = (550_000, 2_000_000)
@@ -83,7 +97,61 @@
         writer.transport.abort()
 
 
+class EndlessHandlers(_rpc._Handlers):
+    """Handlers of a host that answers each call with a message without end."""
+
+    async def _answer(self, stream):
+        await stream.recv_message()
+        await stream.send_initial_metadata()
+        prefix = struct.pack("?", False) + struct.pack(">I", ANNOUNCED_BYTES)
+        await stream._stream.send_data(prefix)
+        while True:
+            await stream._stream.send_data(bytes(65_536))
+
+    _exchange = _forward = _follow = _answer
+
+
+async def exchange(channel):
+    await channel.exchange(MemberExchange(()), CALL_SECONDS)
+
+
+async def forward(channel):
+    request = ForwardedRequest(
+        "127.0.0.1:1", "d1", b"GET", b"/", (), b"", 0.0, 0.0, 1, 1
+    )
+    await asyncio.wait_for(channel.forward(request), CALL_SECONDS)
+
+
+async def follow(channel):
+    request = FollowRequest(HostRecord("127.0.0.1:1", "d1", 1), 0)
+    async for _ in channel.follow(request, CALL_SECONDS):
+        pass
+
+
 class TestEndlessMessage:
+    # Guards against: another host's message of any length fills this host's memory.
+    @pytest.mark.parametrize("call", [exchange, forward, follow])
+    def test_an_answer_longer_than_any_ends_its_call_before_it_fills_the_memory(
+        self, call
+    ):
+        async def main():
+            server = Server(
+                [EndlessHandlers(None, lambda *_: None)], codec=MessagePackCodec()
+            )
+            await server.start("127.0.0.1", 0)
+            port = server._server.sockets[0].getsockname()[1]
+            channel = _rpc.FleetChannel(f"127.0.0.1:{port}", 1.0)
+            try:
+                with pytest.raises(_rpc.CallError) as error_info:
+                    await call(channel)
+                return error_info.value.cause
+            finally:
+                channel.close()
+                server.close()
+
+        assert isinstance(asyncio.run(main()), MessageTooLongError)
+
+    # Guards against: a caller on the port for hosts fills this host's memory.
     def test_a_message_longer_than_any_ends_its_call_before_it_fills_the_memory(self):
         async def main():
             with socket.socket() as probe:
--- a/foxtailseam/rpc/_client.py
+++ b/foxtailseam/rpc/_client.py
@@ -9,7 +9,7 @@
 from grpclib.client import Channel, UnaryUnaryMethod
 from result import Err, Ok, Result
 
-from foxtailseam.codecs import MessagePackCodec
+from foxtailseam.codecs import MessagePackCodec, call_unary
 from foxtailseam.rpc import _services as services
 from foxtailseam.rpc._messages import (
     Envelope,
@@ -136,7 +136,9 @@
             return Err(CallError(peer, False, type(error).__name__))
         call = UnaryUnaryMethod(channel, method.path, method.request, method.reply)
         try:
-            reply = await asyncio.wait_for(call(request), timeout.total_seconds())
+            reply = await asyncio.wait_for(
+                call_unary(call, request), timeout.total_seconds()
+            )
         # Of the connection, the library or the decoder: only the peer can cause it.
         except Exception as error:
             return Err(CallError(peer, True, type(error).__name__))
--- a/foxtailseam/rpc/_services.py
+++ b/foxtailseam/rpc/_services.py
@@ -7,6 +7,7 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.server import Stream
 
+from foxtailseam.codecs import limit_messages
 from foxtailseam.rpc._messages import (
     Envelope,
     ExchangeReply,
@@ -54,6 +55,7 @@
     implementation: Callable[[Any], Awaitable[Any]],
 ):
     async def handle(stream: Stream) -> None:
+        limit_messages(stream)
         request = await stream.recv_message()
         if request is None:
             return
--- a/foxtailseam/rpc/tests/test_client.py
+++ b/foxtailseam/rpc/tests/test_client.py
@@ -51,8 +51,16 @@
     await stream._stream.send_data(struct.pack("?", True) + struct.pack(">I", 1) + b"a")
 
 
+async def endless(stream):
+    await stream.send_initial_metadata()
+    await stream._stream.send_data(struct.pack("?", False) + b"\xf0\0\0\0")
+    while True:
+        await stream._stream.send_data(bytes(65_536))
+
+
 class TestOddReplies:
-    @pytest.mark.parametrize("answer", [malformed, cut_message, compressed])
+    # Guards against: a call that never ends, or whose reply fills the memory.
+    @pytest.mark.parametrize("answer", [malformed, cut_message, compressed, endless])
     def test_a_reply_that_cannot_be_read_is_a_failed_call(self, answer):
         async def main():
             server = Server([_Service(answer)], codec=_RawCodec())
@@ -74,3 +82,4 @@
         result = asyncio.run(main())
         assert result.is_err()
         assert result.unwrap_err().sent
+        assert result.unwrap_err().detail != "TimeoutError"
