Keep the conditions of each run of a searcher apart

What callers would see: requests that go on to a searcher although it has said that it leaves, or more requests than the limit that it names, for 300 s to an hour.

Cause: the registry kept the conditions of the run with the greatest start time alone. One entry of another writer that names a start far in the future, in force while the searcher reports something, hid all that it reported under its real start time.

Change: conditions are kept by searcher and start time, for at most four runs of a searcher, those that changed last. Each reader names the run of the entry in force.

--- a/foxtailseam/conditions/_registry.py
+++ b/foxtailseam/conditions/_registry.py
@@ -17,6 +17,8 @@
 MAX_NOTICES = 64
 # Seconds for which hosts tell one another that a searcher is leaving.
 LEAVING_NOTICE_SECONDS = 30.0
+# Maximum number of runs of one searcher whose conditions are kept.
+MAX_RUNS = 4
 
 # Returns the notice of one kind on a searcher's conditions at a time, if there is one.
 NoticeBuilder = Callable[[str, SearcherConditions, float], ConditionNotice | None]
@@ -25,7 +27,9 @@
 class ConditionRegistry:
     """Conditions that searchers reported to this host or, by gossip, to others.
 
-    Only searchers that have reported something are kept.
+    Only searchers that have reported something are kept. Each run of a searcher has
+    conditions of its own: a start time may be wrong, so that none is the latest for
+    sure.
 
     Parameters
     ----------
@@ -41,7 +45,8 @@
         # Called with the identifier of a searcher whose conditions another host's
         # notice has changed.
         self.on_notice: Callable[[str], None] = lambda searcher: None
-        self._known: dict[str, SearcherConditions] = {}
+        # By searcher and start time; the run that has changed last is the last one.
+        self._known: dict[str, dict[int, SearcherConditions]] = {}
 
     def get(self, searcher: str, started_ms: int) -> SearcherConditions | None:
         """Return the conditions of one run of a searcher; None if there are none.
@@ -53,8 +58,8 @@
         started_ms : int
             Start time of the searcher's process, in Unix milliseconds.
         """
-        known = self._known.get(searcher)
-        if known is None or known.started_ms != started_ms:
+        known = self._known.get(searcher, {}).get(started_ms)
+        if known is None:
             return None
         known = known.without_expired(self.clock.monotonic())
         return None if known.is_empty else known
@@ -69,11 +74,16 @@
         conditions : SearcherConditions
             What its response said.
         """
-        known = self._known.get(searcher)
+        started_ms = conditions.started_ms
+        known = self._known.get(searcher, {}).get(started_ms)
         merged = conditions if known is None else known.join(conditions)
         if merged == known or merged.is_empty:
             return False
-        self._known[searcher] = merged
+        runs = self._known.setdefault(searcher, {})
+        runs.pop(started_ms, None)
+        runs[started_ms] = merged
+        if len(runs) > MAX_RUNS:
+            del runs[next(iter(runs))]
         return True
 
     def notices(self) -> ConditionNotices:
@@ -103,7 +113,8 @@
         """Return the notices of one kind, a random choice if there are too many."""
         notices = [
             notice
-            for searcher, known in self._known.items()
+            for searcher, runs in self._known.items()
+            for known in runs.values()
             if (notice := build_notice(searcher, known, now)) is not None
         ]
         if len(notices) > MAX_NOTICES:
@@ -112,11 +123,17 @@
 
     def _remove_expired(self, now: float) -> None:
         current = {
-            name: known.without_expired(now) for name, known in self._known.items()
-        }
-        self._known = {
-            name: known for name, known in current.items() if not known.is_empty
+            searcher: _without_expired(runs, now)
+            for searcher, runs in self._known.items()
         }
+        self._known = {searcher: runs for searcher, runs in current.items() if runs}
+
+
+def _without_expired(
+    runs: dict[int, SearcherConditions], now: float
+) -> dict[int, SearcherConditions]:
+    current = (known.without_expired(now) for known in runs.values())
+    return {known.started_ms: known for known in current if not known.is_empty}
 
 
 def _limit_notice(
--- a/foxtailseam/conditions/tests/test_registry.py
+++ b/foxtailseam/conditions/tests/test_registry.py
@@ -21,7 +21,11 @@
 )
 from foxtailseam.conditions._model import RETENTION_SECONDS
 from foxtailseam.conditions._notices import RELAY_SECONDS
-from foxtailseam.conditions._registry import LEAVING_NOTICE_SECONDS, MAX_NOTICES
+from foxtailseam.conditions._registry import (
+    LEAVING_NOTICE_SECONDS,
+    MAX_NOTICES,
+    MAX_RUNS,
+)
 
 
 @pytest.fixture
@@ -216,6 +220,8 @@
 
 
 class TestOddStart:
+    # Guards against: a start time that another writer's entry names hides, for as long
+    # as its conditions last, what the searcher reports afterwards.
     def test_a_start_time_that_was_written_once_does_not_hide_later_conditions(self):
         # Another writer's entry for a searcher named a start far in the future while
         # it reported a limit; its own entry is in force again.
@@ -226,3 +232,23 @@
         leaving = SearcherConditions(1_000, leaving=Leaving(clock.monotonic()))
         registry.record("i-1", leaving)
         assert registry.get("i-1", 1_000) == leaving
+
+    # Guards against: the same, by the notice of another host.
+    def test_a_notice_with_an_odd_start_time_hides_no_conditions(self, clock):
+        first, second = Host(clock), Host(clock)
+        leaving = SearcherConditions(1_000, leaving=Leaving(clock.monotonic()))
+        first.record("i-1", leaving)
+        first.merge(ConditionNotices(leaving=(LeavingNotice("i-1", 2**61, 5),)))
+        second.merge(first.notices())
+        for host in (first, second):
+            assert host.get("i-1", 1_000).leaving is not None
+
+    def test_few_runs_of_a_searcher_are_kept_those_that_changed_last(self, clock):
+        host = Host(clock)
+        for number in range(20):
+            host.record_limit("i-1", 1_000 + number, 5.0)
+            host.record_limit("i-1", 7, float(number))
+            clock.advance(timedelta(seconds=1))
+        assert host.limit("i-1", 7) == 19.0
+        assert host.limit("i-1", 1_019) == 5.0
+        assert len(host.notices().limits) == MAX_RUNS
