Believe an era once two answers in a row name it

What callers would see: after one garbled answer of the configuration service a host that never gets a change again, so that requests go to services and searchers of the past.

Cause: PositionCheck believed the next era, and as the first one any up to 1,000, from a single answer, and nothing takes an era back.

Change: an era other than the believed one needs a second answer, which the client asks for at once by reading a key that no entry has. The stand-in of the service answers such reads. The tests of eras that were far off expected the first answer to fail and the second to be believed; they now give the second answer and check both outcomes, for the next era, too.

--- a/foxtailseam/platform/_store.py
+++ b/foxtailseam/platform/_store.py
@@ -24,6 +24,7 @@
 from foxtailseam.store import (
     IMPLAUSIBLE_REVISION,
     MAX_REVISION_STEP,
+    UNCONFIRMED_ERA,
     Change,
     HistoryCompacted,
     Item,
@@ -44,6 +45,8 @@
 # Response header that rises by one when the store comes back from an older copy.
 _ERA_HEADER = b"store-era"
 _MAX_ERA_DIGITS = 18
+# Key that no entry has: the response to reading it is short and names the era.
+_ABSENT_KEY = "-"
 # Longer than the slowest usual response; the store has no time limit of its own.
 _READ_TIMEOUT = timedelta(seconds=1.5)
 # Time after the end of a watch's wait until it counts as unanswered.
@@ -203,6 +206,30 @@
 
     async def _get(
         self, path: str, query: dict[str, object], timeout: timedelta
+    ) -> HttpResponse | StoreFailure:
+        response = await self._exchange(path, query, timeout)
+        if isinstance(response, StoreFailure):
+            return response
+        problem = self._read_era(response)
+        if problem == UNCONFIRMED_ERA:
+            problem = await self._confirm_era(response)
+        return StoreFailure(problem) if problem else response
+
+    async def _confirm_era(self, response: HttpResponse) -> str:
+        """Ask for the era of a response once more.
+
+        Returns why the response is unusable, if it is.
+        """
+        query = {"key": _ABSENT_KEY}
+        second = await self._exchange("/-/kv-key", query, _READ_TIMEOUT)
+        if isinstance(second, StoreFailure):
+            return UNCONFIRMED_ERA
+        problem = self._read_era(second)
+        named = [find_header(item.headers, _ERA_HEADER) for item in (response, second)]
+        return problem if named[0] == named[1] else UNCONFIRMED_ERA
+
+    async def _exchange(
+        self, path: str, query: dict[str, object], timeout: timedelta
     ) -> HttpResponse | StoreFailure:
         self.calls += 1
         target = f"{path}?{urlencode(query, safe='/')}".encode()
@@ -210,8 +237,7 @@
         payload = render_request_head(b"GET", target, headers, b"") + b"\r\n"
         match await self._pool.request(payload, timeout):
             case Received(response=response):
-                problem = self._read_era(response)
-                return StoreFailure(problem) if problem else response
+                return response
             case ExchangeFailure(kind=kind):
                 return StoreFailure(kind, would_repeat=kind in _LASTING_FAILURES)
 
--- a/foxtailseam/platform/tests/test_foreign_input.py
+++ b/foxtailseam/platform/tests/test_foreign_input.py
@@ -27,6 +27,7 @@
 from foxtailseam.routing import RouteTable, WeightedRoundRobin, WeightedServices
 from foxtailseam.store import (
     MAX_REVISION_STEP,
+    UNCONFIRMED_ERA,
     Listing,
     Position,
     StoreFailure,
@@ -257,16 +258,23 @@
 
 
 class AnsweredStore(PlatformStore):
-    """Client of a store whose responses are given."""
+    """Client of a store whose responses are given.
 
-    def __init__(self, *responses):
+    Its responses to being asked for the era alone name `era`, or else that of the
+    response before.
+    """
+
+    def __init__(self, *responses, era=None):
         super().__init__("127.0.0.1:1", ManualClock())
         self.responses = list(responses)
+        self.era = era
+        self._last = None
 
-    async def _get(self, path, query, timeout):
-        response = self.responses.pop(0)
-        problem = self._read_era(response)
-        return StoreFailure(problem) if problem else response
+    async def _exchange(self, path, query, timeout):
+        if path != "/-/kv-key":
+            self._last = self.responses.pop(0)
+            return self._last
+        return response(b"", self.era) if self.era else self._last
 
 
 def response(body, era=b"1"):
@@ -375,21 +383,35 @@
         kinds = [type(result) for result in results]
         assert kinds == [StoreFailure, Listing, Listing]
 
-    def test_a_later_era_that_is_not_the_next_one_has_to_be_confirmed(self):
-        later = response(text({"events": [], "current_rev": 9}), b"4")
+    @pytest.mark.parametrize("era", [b"2", b"4"])
+    def test_a_later_era_is_believed_when_a_second_answer_confirms_it(self, era):
+        later = response(text({"events": [], "current_rev": 9}), era)
         store = AnsweredStore(page(9, 8), later, later)
         listing = asyncio.run(store.list_items())
-        results = [
-            asyncio.run(store.watch(listing.position, timedelta())) for _ in range(2)
-        ]
-        assert isinstance(results[0], StoreFailure)
-        assert results[1].position == Position(4, 9)
+        results = []
+        for confirmed_era in (b"1", era):
+            store.era = confirmed_era
+            results.append(asyncio.run(store.watch(listing.position, timedelta())))
+        assert results[0] == StoreFailure(UNCONFIRMED_ERA)
+        assert results[1].position == Position(int(era), 9)
+
+    # Guards against: one answer that names another era makes all later ones unusable.
+    @pytest.mark.parametrize("odd_era", [b"2", b"900", b"900000000000"])
+    def test_one_garbled_first_era_does_not_outdate_all_later_answers(self, odd_era):
+        odd = response(text({"items": [], "current_rev": 9}), odd_era)
+        store = AnsweredStore(odd, page(9, 8), era=b"1")
+        results = [asyncio.run(store.list_items()) for _ in range(2)]
+        assert results[0] == StoreFailure(UNCONFIRMED_ERA)
+        assert results[1].position == Position(1, 9)
 
-    def test_one_garbled_era_does_not_outdate_all_later_answers(self):
+    # Guards against: the same, by an answer in the middle of a run.
+    @pytest.mark.parametrize("odd_era", [b"2", b"900000000000"])
+    def test_one_garbled_era_does_not_outdate_all_later_answers(self, odd_era):
         store = AnsweredStore(
             page(9, 8),
-            response(text({"events": [], "current_rev": 9}), b"900000000000"),
+            response(text({"events": [], "current_rev": 9}), odd_era),
             events(10, 10),
+            era=b"1",
         )
         listing = asyncio.run(store.list_items())
         results = [
--- a/foxtailseam/store/__init__.py
+++ b/foxtailseam/store/__init__.py
@@ -16,6 +16,7 @@
 from foxtailseam.store._position_check import (
     IMPLAUSIBLE_REVISION,
     MAX_REVISION_STEP,
+    UNCONFIRMED_ERA,
     PositionCheck,
     second_greatest,
 )
@@ -39,6 +40,7 @@
     "StoreFailure",
     "StoreFollower",
     "StoreReplica",
+    "UNCONFIRMED_ERA",
     "WatchResult",
     "second_greatest",
 ]
--- a/foxtailseam/store/_position_check.py
+++ b/foxtailseam/store/_position_check.py
@@ -10,20 +10,18 @@
 
 # Changes between two answers, at most. A larger number has to be confirmed.
 MAX_REVISION_STEP = 1_000_000
-# First era of a service that need not be confirmed.
-MAX_FIRST_ERA = 1_000
 # Further reasons why an answer is not used.
-IMPLAUSIBLE_ERA = "implausible era"
+UNCONFIRMED_ERA = "unconfirmed era"
 IMPLAUSIBLE_REVISION = "implausible revision"
 
 
 class PositionCheck:
-    """Believes an unlikely era or revision once a second answer confirms it."""
+    """Believes an era, and an unlikely revision, once a second answer confirms it."""
 
     def __init__(self):
         self._era: int | None = None
         self._revision = 0
-        self._unlikely_era: int | None = None
+        self._unconfirmed_era: int | None = None
         self._unlikely_revision: int | None = None
 
     @property
@@ -34,19 +32,20 @@
     def check_era(self, era: int) -> str:
         """Keep the era of an answer; return why the answer is unusable, if it is.
 
-        The era rises by one each time.
+        Another era than the one that is believed counts once two answers in a row name
+        it, the first one of all included; an earlier one never does.
         """
+        before, self._unconfirmed_era = self._unconfirmed_era, None
+        if era == self._era:
+            return ""
         if self._era is not None and era < self._era:
             return OLDER_ERA
-        max_era = MAX_FIRST_ERA if self._era is None else self._era + 1
-        if era > max_era and era != self._unlikely_era:
-            self._unlikely_era = era
-            return IMPLAUSIBLE_ERA
-        if era != self._era:
-            # Revisions are given out again.
-            self._revision = 0
+        if era != before:
+            self._unconfirmed_era = era
+            return UNCONFIRMED_ERA
         self._era = era
-        self._unlikely_era = None
+        # Revisions are given out again.
+        self._revision = 0
         return ""
 
     def check_revision(self, revision: int, known: int) -> str:
--- a/foxtailseam_bench/platform_stand_in.py
+++ b/foxtailseam_bench/platform_stand_in.py
@@ -141,8 +141,17 @@
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         if parts.path == "/-/kv-range":
             return self._range(query)
+        if parts.path == "/-/kv-key":
+            return self._item(query["key"])
         return await self._watch(query)
 
+    def _item(self, key: str) -> bytes:
+        newest = {event["key"]: event for event in self._events}
+        event = newest.get(key)
+        if event is None or event.get("removed"):
+            return self._render(404, b"")
+        return self._json(**event)
+
     def _range(self, query: dict) -> bytes:
         newest = {event["key"]: event for event in self._events}
         keys = sorted(k for k, e in newest.items() if not e.get("removed"))
