Name a later start than that of a previous process whose clock was ahead

What callers would see: hosts that share limits and budgets among one host fewer than there are, and a restarted host that gets no forwarded requests.

Cause: the records of a host are ordered by start time. After a step of the clock back a new process starts before the previous one, so that others keep the previous record, left or failed, until they forget it.

Change: a host sends back a later record of the host that has reached it, and a host that hears of a later run of its own address names a start after that one. It is the way in which a suspicion is refuted. Messages are unchanged.

--- a/foxtailseam/fleet/_membership.py
+++ b/foxtailseam/fleet/_membership.py
@@ -273,8 +273,10 @@
         member = self._others.get(record.address)
         if member is not None:
             member.is_unreachable = False
-            # A host that lives has to hear of a suspicion to refute it.
-            is_news = is_news or member.suspected_at is not None
+            # A host that lives has to hear of a suspicion, or of a run of it that
+            # seems to be later, to refute it.
+            is_superseded = record.started_ms < member.record.started_ms
+            is_news = is_news or is_superseded or member.suspected_at is not None
         if is_news:
             self._add_news(record.address)
         if record.failure_domain == self._suspected_domain:
@@ -393,14 +395,32 @@
 
     def _merge_own_news(self, item: MemberNews) -> None:
         own = self._own_record
-        is_this_run = item.record.started_ms == own.started_ms
-        if item.is_suspected and is_this_run and not own.is_leaving:
-            # Bounded, so that other hosts accept it and a later one.
-            heard = min(item.record.incarnation, MAX_INTEGER - 2)
-            incarnation = max(own.incarnation, heard + 1)
-            if incarnation > own.incarnation:
-                self._own_record = replace(own, incarnation=incarnation)
-                self._add_news(own.address)
+        heard = item.record
+        if heard.started_ms > own.started_ms:
+            self._supersede(heard.started_ms)
+        elif item.is_suspected and heard.started_ms == own.started_ms:
+            self._refute(heard.incarnation)
+
+    def _supersede(self, started_ms: int) -> None:
+        """Name a later start than that of a previous process.
+
+        The time of day was ahead when that one started.
+        """
+        # Bounded, so that other hosts accept it.
+        started_ms = min(started_ms + 1, MAX_INTEGER)
+        self._own_record = replace(self._own_record, started_ms=started_ms)
+        self._own_digest = self._own_record.digest
+        self._add_news(self._own_record.address)
+
+    def _refute(self, heard_incarnation: int) -> None:
+        """Refute a suspicion of an incarnation, unless this host is leaving."""
+        own = self._own_record
+        # Bounded, so that other hosts accept it and a later one.
+        heard = min(heard_incarnation, MAX_INTEGER - 2)
+        incarnation = max(own.incarnation, heard + 1)
+        if incarnation > own.incarnation and not own.is_leaving:
+            self._own_record = replace(own, incarnation=incarnation)
+            self._add_news(own.address)
 
     def _suspect(self, record: HostRecord, age: float = 0.0) -> None:
         member = self._others.get(record.address)
--- a/foxtailseam/fleet/tests/test_membership.py
+++ b/foxtailseam/fleet/tests/test_membership.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from datetime import timedelta
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -13,6 +14,7 @@
 from foxtailseam.clocks import ManualClock
 from foxtailseam.fleet import HostRecord, MemberNews, Membership, compute_position
 from foxtailseam.fleet._membership import MAX_NEWS, NEWS_FACTOR, SUSPICION_SECONDS
+from foxtailseam.utils import MAX_INTEGER, Integer
 
 OWN = HostRecord("10.0.0.1:1", "d1", 100)
 OTHER = HostRecord("10.0.0.2:1", "d1", 100, count=5)
@@ -116,6 +118,40 @@
         assert OTHER.address not in alive_addresses(subject)
 
 
+class TestClockThatWentBack:
+    """A host restarts after its clock went back, so its new start seems earlier."""
+
+    def exchange(self, caller, called):
+        for sender, receiver in ((caller, called), (called, caller)):
+            receiver.mark_reached(sender.own_record)
+            receiver.merge_news(sender.news(receiver.digest))
+
+    # Guards against: a restarted host that others leave out while they remember its
+    # previous process, since the clock was ahead when that one started.
+    @pytest.mark.parametrize("has_left", [True, False], ids=["left", "failed"])
+    def test_a_restarted_host_is_alive_after_an_exchange(self, has_left):
+        subject, clock = membership()
+        previous = replace(OTHER, started_ms=OTHER.started_ms + 8_000, incarnation=1)
+        subject.merge([replace(previous, is_leaving=has_left)])
+        if not has_left:
+            subject.merge_news([MemberNews(previous, is_suspected=True)])
+            clock.advance(timedelta(seconds=SUSPICION_SECONDS))
+        restarted = Membership(OTHER, clock, random.Random(2))
+        self.exchange(restarted, subject)
+        self.exchange(restarted, subject)
+        assert OTHER.address in alive_addresses(subject)
+        assert subject.digest == restarted.digest
+
+    def test_the_greatest_start_that_another_host_can_name_is_survived(self):
+        subject, clock = membership()
+        subject.merge([replace(OTHER, started_ms=MAX_INTEGER - 2, is_leaving=True)])
+        restarted = Membership(OTHER, clock, random.Random(2))
+        self.exchange(restarted, subject)
+        self.exchange(restarted, subject)
+        assert OTHER.address in alive_addresses(subject)
+        msgspec.convert(restarted.own_record.started_ms, Integer)
+
+
 class TestPosition:
     @pytest.mark.parametrize("size", [1, 2, 3, 7, 59, 91, 300])
     def test_every_host_is_connected_to_a_reader(self, size):
