Pause after a watch that ended at once without news

What callers would see: refused and billed calls at the configuration service, which all hosts share, and so changes that come into force late.

Cause: a watch without changes was repeated at once, since it was taken to have waited. An answer with neither events nor items is a usable one to a watch, so a service that gives it to each call was asked 170 times a second by four hosts. A watch that returns at once since others write unused keys was repeated without a pause, too.

Change: a watch that has not waited for half of its time is followed by a pause that grows as after failures, one with a later position only by that of a batch.

Evidence: two tests of TestWatchesThatReturnAtOnce failed before, with no pause at all. 206 tests of the store, the platform and the controller pass.

--- a/foxtailseam/store/_follower.py
+++ b/foxtailseam/store/_follower.py
@@ -20,6 +20,8 @@
 # A watch is overdue, so that the replica may be out of date, when it was not answered
 # this long after the service should have ended it.
 OVERDUE_SECONDS = 0.3
+# A watch without news that ended within this share of its wait has not waited.
+EARLY_SHARE = 0.5
 # Further failures in a row do not lengthen the backoff.
 MAX_COUNTED_FAILURES = 16
 # Reason of a failure: the response is of an earlier era than the replica.
@@ -36,15 +38,15 @@
         How long the service may hold one watch open while there is no change. Short,
         since a lost answer is not noticed until the watch times out.
     batch_delay : timedelta
-        Pause after a watch that returned changes, so that the next one returns
-        several changes at once.
+        Pause after a watch that returned changes, or a later position, so that the
+        next one returns several changes at once.
     initial_backoff, max_backoff : timedelta
         Time from the start of a read that failed to the next read, after the first
         failure, and the longest one. It doubles with each further failure; jitter
         shortens it by up to 40 %.
     max_listing_backoff : timedelta
         Longest time from the start of a watch whose response is unusable to the listing
-        that takes its place.
+        that takes its place, or of one that has not waited to the next one.
     min_pause : timedelta
         Shortest pause between a read that failed and the next one, before jitter.
     """
@@ -140,6 +142,8 @@
         self._unusable_watches = 0
         # Watches in a row that the service refused since it lacks their history.
         self._compactions = 0
+        # Watches in a row that ended at once without news.
+        self._early_watches = 0
         self._in_sync_at = float("-inf")
         self._read_started_at = float("-inf")
 
@@ -214,11 +218,11 @@
                     await self.sleep(delay * self.generator.random())
                     return
                 case WatchResult(changes=changes, position=position):
+                    has_news = position > self.replica.position or bool(changes)
                     self.replica.apply(changes, position)
                     self._unusable_watches = self._compactions = 0
                     self._on_success()
-                    if changes:
-                        await self.sleep(self.settings.batch_delay.total_seconds())
+                    await self._pause_after_watch(has_news)
                 case HistoryCompacted():
                     await self._on_compacted()
                     return
@@ -228,6 +232,22 @@
                 case StoreFailure(reason=reason):
                     await self._on_failure(reason)
 
+    async def _pause_after_watch(self, has_news: bool) -> None:
+        """Pause after a watch that has not waited, longer after each one without news.
+
+        No service is asked again and again only because it ends each watch at once.
+        """
+        elapsed = self.clock.monotonic() - self._read_started_at
+        if has_news:
+            self._early_watches = 0
+            await self.sleep(self.settings.batch_delay.total_seconds())
+        elif elapsed >= EARLY_SHARE * self.settings.watch_wait.total_seconds():
+            self._early_watches = 0
+        else:
+            self._early_watches = min(self._early_watches + 1, MAX_COUNTED_FAILURES)
+            longest = self.settings.max_listing_backoff
+            await self.sleep(self._compute_pause(elapsed, self._early_watches, longest))
+
     def _is_outdated(self, position: Position) -> bool:
         return position.era < self.replica.position.era
 
--- a/foxtailseam/store/tests/test_follower.py
+++ b/foxtailseam/store/tests/test_follower.py
@@ -318,3 +318,54 @@
         _, _, _, calls, _, pauses = run_follower(*script)
         assert calls.count("list") == 2
         assert sum(pauses) <= FollowerSettings().batch_delay.total_seconds()
+
+
+class TestWatchesThatReturnAtOnce:
+    # Guards against: calls without a pause to a service that ends each watch at once.
+    def test_watches_without_news_are_spaced_further_and_further(self):
+        nothing = WatchResult((), at(5))
+        state, _, _, calls, _, pauses = run_follower(LISTING, *[nothing] * 10)
+        assert calls == ["list"] + [("watch", at(5))] * 11
+        assert state is FollowerState.IN_SYNC
+        assert len(pauses) == 10
+        assert pauses[0] >= 0.6 * 0.25
+        assert all(pause >= 0.6 for pause in pauses[3:])
+        assert max(pauses) <= CONFIGURATION_SECONDS / 3
+
+    # Guards against: the same, while others write keys that this system does not use.
+    def test_watches_that_bring_only_a_later_position_are_spaced(self):
+        results = [WatchResult((), at(6 + number)) for number in range(10)]
+        _, _, replica, _, _, pauses = run_follower(LISTING, *results)
+        assert replica.position == at(15)
+        assert len(pauses) == 10
+        assert min(pauses) >= 0.2
+
+    def test_a_watch_that_waited_is_repeated_at_once(self):
+        clock = ManualClock()
+
+        class WaitingClient(ScriptedClient):
+            async def watch(self, after, wait):
+                clock.advance(wait)
+                return await super().watch(after, wait)
+
+        client = WaitingClient(LISTING, *[WatchResult((), at(5))] * 5)
+        pauses = []
+
+        async def run():
+            follower = StoreFollower(
+                client,
+                StoreReplica(lambda change: None),
+                clock,
+                FollowerSettings(),
+                lambda *_: None,
+                random.Random(1),
+                sleep=lambda seconds: asyncio.sleep(pauses.append(seconds) or 0),
+            )
+            task = asyncio.create_task(follower.run())
+            for _ in range(50):
+                await asyncio.sleep(0)
+            task.cancel()
+
+        asyncio.run(run())
+        assert len(client.calls) == 7
+        assert pauses == []
