Believe a revision that no change explains once two answers name it

What callers would see: requests that go to services and searchers of the past, on all hosts that follow the one that read a garbled answer.

Cause: one answer of the configuration service moved the position by up to a million revisions. The service answers 410 to watches from there, the listing does not lower the position, and followers are sent only changes after it.

Change: a watch moves the position to its newest change, or to the lower of the last two revisions named; a listing is at the lower one of its first and last page, or of its only page and one short read, which also confirms the era at a start.

--- a/foxtailseam/platform/_store.py
+++ b/foxtailseam/platform/_store.py
@@ -45,8 +45,8 @@
 # Response header that rises by one when the store comes back from an older copy.
 _ERA_HEADER = b"store-era"
 _MAX_ERA_DIGITS = 18
-# Key that no entry has: the response to reading it is short and names the era.
-_ABSENT_KEY = "-"
+# Query for keys that nobody writes: its response is short, and names era and revision.
+_PROBE_QUERY = {"path_prefix": "-"}
 # Longer than the slowest usual response; the store has no time limit of its own.
 _READ_TIMEOUT = timedelta(seconds=1.5)
 # Time after the end of a watch's wait until it counts as unanswered.
@@ -120,6 +120,10 @@
         self.is_used = is_used
         self.calls = 0
         self._check = PositionCheck()
+        # Last response to `_PROBE_QUERY` in the listing in progress.
+        self._probe: HttpResponse | None = None
+        # Revision that the last answer has named.
+        self._last_revision = 0
         settings = PoolSettings(
             address,
             _MAX_CONNECTIONS,
@@ -130,11 +134,15 @@
         self._pool = ConnectionPool(settings, clock)
 
     async def list_items(self) -> Listing | StoreFailure:
-        """Return all existing keys, read page by page."""
+        """Return all existing keys, read page by page.
+
+        The position is the lower one of those that two answers name.
+        """
         items: list[Item] = []
         size = 0
         first: Position | None = None
         query = {"path_prefix": ""}
+        self._probe = None
         for _ in range(_MAX_PAGES):
             response = await self._get("/-/kv-range", query, _READ_TIMEOUT)
             if isinstance(response, StoreFailure):
@@ -161,7 +169,12 @@
                 for i in used
             )
             if not page.has_more:
-                return Listing(tuple(items), first)
+                is_only_page = "after" not in query
+                second = page.current_rev
+                if is_only_page:
+                    second = await self._probe_revision(page)
+                self._last_revision = min(first.revision, second)
+                return Listing(tuple(items), Position(era, self._last_revision))
             query["after"] = page.items[-1].key
         return StoreFailure("too many pages")
 
@@ -190,15 +203,19 @@
         if isinstance(events, StoreFailure):
             return events
         problem = self._check.check_revision(events.current_rev, after.revision)
+        before, self._last_revision = self._last_revision, events.current_rev
         if problem:
             return StoreFailure(problem)
         if _has_implausible_item(events.events, events.current_rev):
             return StoreFailure(IMPLAUSIBLE_REVISION, would_repeat=True)
+        # Without a change up to it, a revision has to be named by two answers.
+        newest = max((event.revision for event in events.events), default=0)
+        revision = max(after.revision, newest, min(before, events.current_rev))
         era = self._check.era
         changes = tuple(
             _to_change(event, era) for event in events.events if self.is_used(event.key)
         )
-        return WatchResult(changes, Position(era, events.current_rev))
+        return WatchResult(changes, Position(era, revision))
 
     def close(self) -> None:
         """Close all connections and abort the calls in progress."""
@@ -220,14 +237,28 @@
 
         Returns why the response is unusable, if it is.
         """
-        query = {"key": _ABSENT_KEY}
-        second = await self._exchange("/-/kv-key", query, _READ_TIMEOUT)
-        if isinstance(second, StoreFailure):
+        probe = await self._exchange("/-/kv-range", _PROBE_QUERY, _READ_TIMEOUT)
+        if isinstance(probe, StoreFailure):
             return UNCONFIRMED_ERA
-        problem = self._read_era(second)
-        named = [find_header(item.headers, _ERA_HEADER) for item in (response, second)]
+        self._probe = probe
+        problem = self._read_era(probe)
+        named = [find_header(item.headers, _ERA_HEADER) for item in (response, probe)]
         return problem if named[0] == named[1] else UNCONFIRMED_ERA
 
+    async def _probe_revision(self, page: _Page) -> int:
+        """Return the revision of the store that an answer beside a page names.
+
+        Without such an answer, that of the newest item is known.
+        """
+        probe = self._probe
+        if probe is None:
+            probe = await self._get("/-/kv-range", _PROBE_QUERY, _READ_TIMEOUT)
+        if isinstance(probe, HttpResponse) and probe.status == _OK:
+            document = _decode(_PAGE_DECODER, probe.body)
+            if isinstance(document, _Page):
+                return document.current_rev
+        return max((item.revision for item in page.items), default=0)
+
     async def _exchange(
         self, path: str, query: dict[str, object], timeout: timedelta
     ) -> HttpResponse | StoreFailure:
