Receive long messages of other hosts in the space of one

What callers would see: a host whose process is killed over its memory limit.

Cause: a message's length has a limit, the messages that arrive together had none: a connection carries a hundred calls, and each keeps what it has received until its message is complete, for as long as its sender likes.

Change: the announced lengths of messages over 64 KB are reserved while these arrive, 16 MB in all, and each has 3 s.

Evidence: TestManyMessages sends eight messages of 16 MB that stop after 10 KB.

--- a/foxtailseam/codecs/__init__.py
+++ b/foxtailseam/codecs/__init__.py
@@ -3,6 +3,7 @@
 from foxtailseam.codecs._message_limit import (
     MessageTooLongError,
     NoMessageError,
+    NoSpaceError,
     call_unary,
     limit_messages,
 )
@@ -13,6 +14,7 @@
     "MessagePackCodec",
     "MessageTooLongError",
     "NoMessageError",
+    "NoSpaceError",
     "call_unary",
     "limit_messages",
 ]
--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -13,7 +13,13 @@
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
 
-from foxtailseam.codecs import MessagePackCodec, call_unary, limit_messages
+from foxtailseam.codecs import (
+    MAX_MESSAGE_BYTES,
+    MessagePackCodec,
+    NoSpaceError,
+    call_unary,
+    limit_messages,
+)
 from foxtailseam.fleet._messages import (
     FollowRequest,
     FollowUpdate,
@@ -22,8 +28,12 @@
     decompress_records,
 )
 from foxtailseam.forwarding import ForwardedRequest, ForwardedResponse
+from foxtailseam.http import BufferSpace
 from foxtailseam.launch import BACKLOG, open_listener
 
+# Space for long messages of other hosts while they arrive: one of the longest.
+RECEIVED_BYTES = MAX_MESSAGE_BYTES
+
 _ENCODER = msgspec.msgpack.Encoder()
 EXCHANGE_PATH = "/foxtailseam.Fleet/Exchange"
 FOLLOW_PATH = "/foxtailseam.Fleet/Follow"
@@ -124,6 +134,7 @@
     def __init__(self, servicer: FleetServicer, on_sent: SentCallback):
         self.servicer = servicer
         self.on_sent = on_sent
+        self._received = BufferSpace(RECEIVED_BYTES)
 
     def __mapping__(self) -> dict[str, Handler]:
         return {
@@ -143,15 +154,18 @@
 
     @contextlib.contextmanager
     def _refusing(self) -> Iterator[None]:
-        """End the call if its message is malformed."""
+        """End the call if its message is malformed, too slow or has no space."""
         try:
             yield
+        except (NoSpaceError, TimeoutError) as error:
+            self.servicer.refuse(str(error) or "message that did not arrive in time")
+            raise GRPCError(Status.RESOURCE_EXHAUSTED, "no space") from error
         except msgspec.MsgspecError as error:
             self.servicer.refuse(str(error))
             raise GRPCError(Status.INVALID_ARGUMENT, "malformed message") from error
 
     async def _receive(self, stream: Stream) -> Any:
-        limit_messages(stream)
+        limit_messages(stream, self._received)
         with self._refusing():
             return await stream.recv_message()
 
--- a/foxtailseam/fleet/tests/test_message_sizes.py
+++ b/foxtailseam/fleet/tests/test_message_sizes.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import zlib
+from datetime import timedelta
 
 import h2.config
 import h2.connection
@@ -18,6 +19,7 @@
     MAX_MESSAGE_BYTES,
     MessagePackCodec,
     MessageTooLongError,
+    _message_limit,
 )
 from foxtailseam.fleet import _rpc
 from foxtailseam.fleet._messages import (
@@ -47,6 +49,12 @@
 # Longest time that a call of a test takes, in seconds.
 CALL_SECONDS = 10.0
 
+# Messages that arrive at the same time, each of most of the longest one's bytes, and
+# the time after which one that does not go on gives way, in seconds.
+MESSAGES = 8
+LONG_MESSAGE_BYTES = MAX_MESSAGE_BYTES - 1_000
+RECEIVE_SECONDS = 1.0
+
 # Memory limit of a host, and numbers of changes: those that just fit, and many more.
 MEMORY_MB = 300
 CHANGES = (550_000, 2_000_000)
@@ -166,6 +174,63 @@
         assert asyncio.run(main())
 
 
+class RefusingServicer:
+    """Servicer that keeps why messages were refused."""
+
+    def __init__(self):
+        self.refused = []
+
+    def refuse(self, problem):
+        self.refused.append(problem)
+
+
+async def hold_long_message(port):
+    """Announce a long message and send a part; return once its call has ended."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    connection = h2.connection.H2Connection(h2.config.H2Configuration())
+    connection.initiate_connection()
+    connection.send_headers(1, HEADERS)
+    prefix = struct.pack("?", False) + struct.pack(">I", LONG_MESSAGE_BYTES)
+    connection.send_data(1, prefix + bytes(10_000))
+    writer.write(connection.data_to_send())
+    try:
+        while received := await reader.read(65_536):
+            events = connection.receive_data(received)
+            if any(isinstance(event, END_EVENTS) for event in events):
+                return
+    finally:
+        writer.transport.abort()
+
+
+class TestManyMessages:
+    # Guards against: messages below the limit fill the memory, since they are many.
+    def test_long_messages_arrive_one_at_a_time_and_give_way(self, monkeypatch):
+        monkeypatch.setattr(
+            _message_limit, "RECEIVE_TIMEOUT", timedelta(seconds=RECEIVE_SECONDS)
+        )
+
+        async def main():
+            servicer = RefusingServicer()
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                port = probe.getsockname()[1]
+            stop = await _rpc.serve(f"127.0.0.1:{port}", servicer, lambda *_: None)
+            tasks = [
+                asyncio.create_task(hold_long_message(port)) for _ in range(MESSAGES)
+            ]
+            try:
+                await asyncio.sleep(RECEIVE_SECONDS / 2)
+                ended_at_once = sum(task.done() for task in tasks)
+                await asyncio.wait_for(asyncio.gather(*tasks), CALL_SECONDS)
+            finally:
+                await stop()
+            return ended_at_once, servicer.refused
+
+        ended_at_once, refused = asyncio.run(main())
+        assert ended_at_once == MESSAGES - 1
+        assert len(refused) == MESSAGES
+
+
 class TestExpandingMessage:
     @pytest.mark.parametrize("count", CHANGES)
     def test_compressed_changes_do_not_take_a_host_over_its_memory_limit(self, count):
