Bound the responses that other hosts have not taken together

What callers would see: a host whose process is killed over its memory limit while it serves requests of hosts that are cut from the searchers.

Cause: a response to a forwarded request has at most 8 MB, and 256 are served at a time, with no bound on what waits for other hosts to read.

A call without space ends with RESOURCE_EXHAUSTED, which the host that forwarded the request takes as a loss after sending: it may have run.

--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -33,6 +33,8 @@
 
 # Space for long messages of other hosts while they arrive: one of the longest.
 RECEIVED_BYTES = MAX_MESSAGE_BYTES
+# Space for responses to forwarded requests until the other hosts have taken them.
+UNSENT_BYTES = MAX_MESSAGE_BYTES
 
 _ENCODER = msgspec.msgpack.Encoder()
 EXCHANGE_PATH = "/foxtailseam.Fleet/Exchange"
@@ -135,6 +137,7 @@
         self.servicer = servicer
         self.on_sent = on_sent
         self._received = BufferSpace(RECEIVED_BYTES)
+        self._unsent = BufferSpace(UNSENT_BYTES)
 
     def __mapping__(self) -> dict[str, Handler]:
         return {
@@ -184,7 +187,19 @@
         if request is not None:
             response = _ENCODER.encode(await self.servicer.forward(request))
             self.on_sent(MessageKind.FORWARD, request.failure_domain, len(response))
+            await self._send_within_space(stream, response)
+
+    async def _send_within_space(self, stream: Stream, response: bytes) -> None:
+        """Send a response, or end its call if others take the space.
+
+        The other host then counts the request as one that may have run.
+        """
+        if not self._unsent.reserve(len(response)):
+            raise GRPCError(Status.RESOURCE_EXHAUSTED, "no space for the response")
+        try:
             await stream.send_message(response)
+        finally:
+            self._unsent.reserve(-len(response))
 
     async def _follow(self, stream: Stream) -> None:
         request = await self._receive(stream)
--- a/foxtailseam/fleet/tests/test_message_sizes.py
+++ b/foxtailseam/fleet/tests/test_message_sizes.py
@@ -13,6 +13,9 @@
 import h2.events
 import msgspec
 import pytest
+from grpclib.client import UnaryUnaryMethod
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 
 from foxtailseam.codecs import (
@@ -28,7 +31,7 @@
     MemberExchange,
     WireChange,
 )
-from foxtailseam.forwarding import ForwardedRequest
+from foxtailseam.forwarding import ForwardedRequest, ForwardedResponse
 
 HEADERS = [
     (":method", "POST"),
@@ -46,6 +49,9 @@
     h2.events.ConnectionTerminated,
 )
 
+FORWARDED = ForwardedRequest("127.0.0.1:1", "d1", b"GET", b"/", (), b"", 0.0, 0.0, 1, 1)
+# Longer than what a host takes in before it reads.
+RESPONSE_BYTES = 7_000_000
 # Longest time that a call of a test takes, in seconds.
 CALL_SECONDS = 10.0
 
@@ -124,10 +130,7 @@
 
 
 async def forward(channel):
-    request = ForwardedRequest(
-        "127.0.0.1:1", "d1", b"GET", b"/", (), b"", 0.0, 0.0, 1, 1
-    )
-    await asyncio.wait_for(channel.forward(request), CALL_SECONDS)
+    await asyncio.wait_for(channel.forward(FORWARDED), CALL_SECONDS)
 
 
 async def follow(channel):
@@ -231,6 +234,68 @@
         assert len(refused) == MESSAGES
 
 
+class RespondingServicer(RefusingServicer):
+    """Servicer that answers forwarded requests with long responses."""
+
+    async def forward(self, request):
+        return ForwardedResponse(200, (), bytes(RESPONSE_BYTES))
+
+
+async def call_without_reading(address, hold):
+    """Forward a request and take none of its response until `hold` is set.
+
+    Returns the status of the call, or None if it is answered.
+    """
+    channel = _rpc.FleetChannel(address, 1.0)
+    method = UnaryUnaryMethod(
+        channel._channel, _rpc.FORWARD_PATH, ForwardedRequest, ForwardedResponse
+    )
+    try:
+        async with method.open() as stream:
+            await stream.send_message(FORWARDED, end=True)
+            await stream.recv_initial_metadata()
+            await hold.wait()
+            await stream.recv_message()
+    except GRPCError as error:
+        return error.status
+    finally:
+        channel.close()
+
+
+class TestUnreadResponses:
+    # Guards against: responses that other hosts do not take fill the memory together.
+    def test_responses_to_forwarded_requests_share_a_space(self):
+        async def main():
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                address = f"127.0.0.1:{probe.getsockname()[1]}"
+            stop = await _rpc.serve(address, RespondingServicer(), lambda *_: None)
+            hold = asyncio.Event()
+            calls = [
+                asyncio.create_task(call_without_reading(address, hold))
+                for _ in range(MESSAGES)
+            ]
+            try:
+                await asyncio.sleep(RECEIVE_SECONDS)
+                refused = [call.result() for call in calls if call.done()]
+                hold.set()
+                results = await asyncio.wait_for(
+                    asyncio.gather(*calls), 2 * CALL_SECONDS
+                )
+                channel = _rpc.FleetChannel(address, 1.0)
+                response = await channel.forward(FORWARDED)
+                channel.close()
+            finally:
+                await stop()
+            return refused, results, response
+
+        refused, results, response = asyncio.run(main())
+        fitting = _rpc.UNSENT_BYTES // RESPONSE_BYTES
+        assert refused == [Status.RESOURCE_EXHAUSTED] * (MESSAGES - fitting)
+        assert results.count(None) == fitting
+        assert len(response.body) == RESPONSE_BYTES
+
+
 class TestExpandingMessage:
     @pytest.mark.parametrize("count", CHANGES)
     def test_compressed_changes_do_not_take_a_host_over_its_memory_limit(self, count):
