List all keys after a watch that has timed out twice

What callers would see: requests that go by an old configuration for as long as large versions follow one another over a slow link.

Cause: a watch that times out while its response arrives was repeated from the same position, and its response is then at least as large.

Change: the second timeout in a row from one position counts as a failure that would repeat, which the follower answers with a listing: newest versions only, in pages.

Evidence: test_a_watch_that_times_out_twice_is_likely_to_do_so_again failed before.

--- a/foxtailseam/platform/_store.py
+++ b/foxtailseam/platform/_store.py
@@ -3,7 +3,7 @@
 import binascii
 from base64 import b64decode
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -122,6 +122,8 @@
         self._check = PositionCheck()
         # Last response to `_PROBE_QUERY` in the listing in progress.
         self._probe: HttpResponse | None = None
+        # Position of the last watch, if it timed out.
+        self._timed_out_after: Position | None = None
         # Revision that the last answer has named.
         self._last_revision = 0
         settings = PoolSettings(
@@ -194,7 +196,8 @@
         query = {"path_prefix": "", "after": after.revision, "wait_ms": wait_ms}
         response = await self._get("/-/kv-watch", query, wait + _WATCH_MARGIN)
         if isinstance(response, StoreFailure):
-            return response
+            return self._mark_repeated_timeout(response, after)
+        self._timed_out_after = None
         if response.status == _GONE:
             return HistoryCompacted()
         if response.status != _OK:
@@ -217,6 +220,18 @@
         )
         return WatchResult(changes, Position(era, revision))
 
+    def _mark_repeated_timeout(
+        self, failure: StoreFailure, after: Position
+    ) -> StoreFailure:
+        """Return the failure of a watch, as lasting if it has timed out before.
+
+        Its response may take longer than the timeout each time.
+        """
+        has_timed_out = failure.reason == FailureKind.TIMEOUT
+        is_repeated = has_timed_out and after == self._timed_out_after
+        self._timed_out_after = after if has_timed_out else None
+        return replace(failure, would_repeat=True) if is_repeated else failure
+
     def close(self) -> None:
         """Close all connections and abort the calls in progress."""
         self._pool.abort()
--- a/foxtailseam/platform/tests/test_foreign_input.py
+++ b/foxtailseam/platform/tests/test_foreign_input.py
@@ -418,6 +418,26 @@
         kinds = [type(result) for result in results]
         assert kinds == [StoreFailure, Listing, Listing]
 
+    # Guards against: a response that takes longer than the timeout is asked for again
+    # and again, so that no change gets through.
+    def test_a_watch_that_times_out_twice_is_likely_to_do_so_again(self):
+        timeout = StoreFailure("timeout")
+        store = AnsweredStore(
+            page(9, 8), timeout, timeout, events(10, 10), timeout, timeout, timeout
+        )
+        position = asyncio.run(store.list_items()).position
+        results = []
+        for _ in range(6):
+            results.append(asyncio.run(store.watch(position, timedelta())))
+            if isinstance(results[-1], WatchResult):
+                position = results[-1].position
+        repeats = [
+            result.would_repeat
+            for result in results
+            if isinstance(result, StoreFailure)
+        ]
+        assert repeats == [False, True, False, True, True]
+
     @pytest.mark.parametrize("era", [b"2", b"4"])
     def test_a_later_era_is_believed_when_a_second_answer_confirms_it(self, era):
         later = response(text({"events": [], "current_rev": 9}), era)
