--- a/foxtailseam/front/tests/test_memory.py
+++ b/foxtailseam/front/tests/test_memory.py
@@ -13,6 +13,7 @@
 ANSWER_BYTES = 7_000_000
 REQUEST_BODY = b"b" * 250_000
 LOAD_SECONDS = 6.0
+ENDLESS_HEADS = 4
 
 
 def peak_memory_mb(host):
@@ -99,6 +100,24 @@
 
 
 class TestEndlessHeads:
+    # Guards against: responses whose head has no end take a host's process over its
+    # memory limit, so that the platform kills it with all requests in progress.
+    def test_they_do_not_take_a_host_over_its_memory_limit(self, run_scenario):
+        async def scenario(deployment):
+            for name, searcher in deployment.searchers.items():
+                if "single" in name:
+                    searcher._run = MethodType(send_endless_head, searcher)
+            host = await deployment.start_host(1)
+            await host.wait_until_ready()
+            calls = (host.get("/book/x", "POST", b"slot") for _ in range(ENDLESS_HEADS))
+            answers = await asyncio.gather(*calls, return_exceptions=True)
+            assert peak_memory_mb(host) < MEMORY_MB
+            assert [answer[0] for answer in answers] == [502] * ENDLESS_HEADS
+            assert (await host.get("/all/x"))[0] == 200
+
+        run_scenario(scenario)
+
+    # Guards against: the same, seen by its caller as a request that hangs.
     def test_they_fail_as_answers_that_may_have_run(self, run_scenario):
         async def scenario(deployment):
             single = [s for name, s in deployment.searchers.items() if "single" in name]
--- a/foxtailseam/front/tests/test_process_ends.py
+++ b/foxtailseam/front/tests/test_process_ends.py
@@ -56,6 +56,8 @@
 
 
 class TestForeignInput:
+    # Guards against: an entry that cannot be read ends the processes of all hosts,
+    # again and again, for as long as it stays.
     def test_entries(self, run_scenario):
         async def scenario(deployment):
             hosts = await start_two_hosts(deployment)
--- a/foxtailseam/http/tests/test_response_limits.py
+++ b/foxtailseam/http/tests/test_response_limits.py
@@ -98,6 +98,7 @@
 
 
 class TestEndlessResponse:
+    # Guards against: a head, or other framing, without end that fills the memory.
     @pytest.mark.parametrize("kind", ENDLESS_FRAMING)
     def test_a_response_whose_framing_does_not_end_takes_little_memory(self, kind):
         result, peak = exchange(*ENDLESS_FRAMING[kind])
--- a/foxtailseam/platform/tests/test_foreign_input.py
+++ b/foxtailseam/platform/tests/test_foreign_input.py
@@ -71,6 +71,7 @@
 
 
 class TestEntries:
+    # Guards against: an entry that cannot be read raises in the hosts that read it.
     @EXAMPLES
     @example(b'{"a":' * 1500, "i-1")
     @example(text(ENTRY | {"warmup_left_ms": 1e18}), "i-1")
