Count a connection no more once it is closed for the limit

What callers would see: hosts without descriptors for their searchers after a burst of connections.

Cause: above its limit a listener closes the connection that has been idle longest, and forgets it when its loss is reported, in a later turn of the event loop. Connections that are accepted in one turn all found the same one to close.

Change: the closed one leaves the set at once.

Evidence: 60 connections in one turn with a limit of 20: all open before, 20 now (TestManyConnections of the listener, failed before). It was no matter of time: the count stayed for 3 s.

--- a/foxtailseam/http/_listener.py
+++ b/foxtailseam/http/_listener.py
@@ -207,6 +207,8 @@
             oldest = min(idle, key=lambda item: item.idle_since, default=None)
             if oldest is not None:
                 oldest.close()
+                # It is lost in a later turn of the event loop only.
+                self._connections.discard(oldest)
 
     def closed(self, connection: CallerConnection) -> None:
         """Remove a closed connection."""
--- a/foxtailseam/http/tests/test_listener.py
+++ b/foxtailseam/http/tests/test_listener.py
@@ -263,6 +263,30 @@
         )
 
 
+class TestManyConnections:
+    # Guards against: connections that are accepted in one turn of the event loop are
+    # kept beyond the limit, and take the descriptors that searchers need.
+    def test_those_that_are_accepted_together_are_bounded(self):
+        async def scenario(reader, writer, handler, listener):
+            address = writer.get_extra_info("peername")
+            # The kernel accepts them while the event loop does not turn.
+            sockets = [socket.create_connection(address) for _ in range(60)]
+            await asyncio.sleep(0.1)
+            is_open = []
+            for sock in sockets:
+                sock.setblocking(False)
+                try:
+                    is_open.append(bool(sock.recv(1)))
+                except BlockingIOError:
+                    is_open.append(True)
+                sock.close()
+            assert sum(is_open) <= 20
+            # Those that have been idle longest are the first ones.
+            assert is_open == [False] * 40 + [True] * 20
+
+        run(scenario, limits=replace(LIMITS, connections=20))
+
+
 class TestStopping:
     """A caller whose connection was made before the stop gets an answer."""
 
