Share the raw call and the server among the tests of message sizes

The two tests that send bytes of their own on an HTTP/2 connection had it written out twice, and three started a server in the same way. The assertions are the same; the request tests fail again without the limits (checked).

--- a/foxtailseam/fleet/tests/test_message_sizes.py
+++ b/foxtailseam/fleet/tests/test_message_sizes.py
@@ -1,7 +1,7 @@
 """Tests of what one message of another host can take of a host's memory."""
 
 import asyncio
-import socket
+import contextlib
 import struct
 import subprocess
 import sys
@@ -31,6 +31,7 @@
     MemberExchange,
     WireChange,
 )
+from foxtailseam.fleet.tests.test_controller import free_addresses
 from foxtailseam.forwarding import ForwardedRequest, ForwardedResponse
 
 HEADERS = [
@@ -80,35 +81,83 @@
 """
 
 
+class RawCall:
+    """A call on a connection of its own, whose bytes the test sends itself."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+        self.connection = h2.connection.H2Connection(h2.config.H2Configuration())
+        self.connection.initiate_connection()
+        self.connection.send_headers(1, HEADERS)
+
+    @property
+    def window(self):
+        """Number of bytes that may be sent before the server has read more."""
+        window = self.connection.local_flow_control_window(1)
+        return min(window, self.connection.max_outbound_frame_size)
+
+    async def announce(self, length):
+        """Send the prefix of a message of `length` bytes."""
+        await self.send(struct.pack("?", False) + struct.pack(">I", length))
+
+    async def send(self, data):
+        self.connection.send_data(1, data)
+        self.writer.write(self.connection.data_to_send())
+        await self.writer.drain()
+
+    async def receive(self):
+        """Receive what the server has sent; return whether it has ended the call."""
+        received = await self.reader.read(65_536)
+        events = self.connection.receive_data(received) if received else []
+        self.writer.write(self.connection.data_to_send())
+        return not received or any(isinstance(item, END_EVENTS) for item in events)
+
+
+@contextlib.asynccontextmanager
+async def raw_call(port):
+    """Open a connection to a server and begin a call on it."""
+    call = RawCall(*await asyncio.open_connection("127.0.0.1", port))
+    try:
+        yield call
+    finally:
+        call.writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def served(servicer):
+    """Serve other hosts; provides the port."""
+    (address,) = free_addresses(1)
+    stop = await _rpc.serve(address, servicer, lambda *_: None)
+    try:
+        yield int(address.rpartition(":")[2])
+    finally:
+        await stop()
+
+
 async def send_endless_message(port):
     """Send a part of a message; return whether the server ended its call meanwhile."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    connection = h2.connection.H2Connection(h2.config.H2Configuration())
-    connection.initiate_connection()
-    connection.send_headers(1, HEADERS)
-    data = struct.pack("?", False) + struct.pack(">I", ANNOUNCED_BYTES)
-    sent = 0
-    try:
+    async with raw_call(port) as call:
+        await call.announce(ANNOUNCED_BYTES)
+        sent = 0
         while sent < SENT_BYTES:
-            window = connection.local_flow_control_window(1)
-            size = min(window, connection.max_outbound_frame_size)
-            if size:
-                connection.send_data(1, data or bytes(size))
-                sent += len(data) or size
-                data = b""
-            writer.write(connection.data_to_send())
-            await writer.drain()
+            size = call.window
             if size:
-                continue
-            received = await reader.read(65_536)
-            if not received:
-                return True
-            events = connection.receive_data(received)
-            if any(isinstance(event, END_EVENTS) for event in events):
+                await call.send(bytes(size))
+                sent += size
+            elif await call.receive():
                 return True
-        return False
-    finally:
-        writer.transport.abort()
+    return False
+
+
+class RefusingServicer:
+    """Servicer that keeps why messages were refused."""
+
+    def __init__(self):
+        self.refused = []
+
+    def refuse(self, problem):
+        self.refused.append(problem)
 
 
 class EndlessHandlers(_rpc._Handlers):
@@ -165,44 +214,19 @@
     # Guards against: a caller on the port for hosts fills this host's memory.
     def test_a_message_longer_than_any_ends_its_call_before_it_fills_the_memory(self):
         async def main():
-            with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
-                port = probe.getsockname()[1]
-            stop = await _rpc.serve(f"127.0.0.1:{port}", None, lambda *_: None)
-            try:
+            async with served(RefusingServicer()) as port:
                 return await asyncio.wait_for(send_endless_message(port), 30)
-            finally:
-                await stop()
 
         assert asyncio.run(main())
 
 
-class RefusingServicer:
-    """Servicer that keeps why messages were refused."""
-
-    def __init__(self):
-        self.refused = []
-
-    def refuse(self, problem):
-        self.refused.append(problem)
-
-
 async def hold_long_message(port):
     """Announce a long message and send a part; return once its call has ended."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    connection = h2.connection.H2Connection(h2.config.H2Configuration())
-    connection.initiate_connection()
-    connection.send_headers(1, HEADERS)
-    prefix = struct.pack("?", False) + struct.pack(">I", LONG_MESSAGE_BYTES)
-    connection.send_data(1, prefix + bytes(10_000))
-    writer.write(connection.data_to_send())
-    try:
-        while received := await reader.read(65_536):
-            events = connection.receive_data(received)
-            if any(isinstance(event, END_EVENTS) for event in events):
-                return
-    finally:
-        writer.transport.abort()
+    async with raw_call(port) as call:
+        await call.announce(LONG_MESSAGE_BYTES)
+        await call.send(bytes(10_000))
+        while not await call.receive():
+            pass
 
 
 class TestManyMessages:
@@ -214,19 +238,12 @@
 
         async def main():
             servicer = RefusingServicer()
-            with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
-                port = probe.getsockname()[1]
-            stop = await _rpc.serve(f"127.0.0.1:{port}", servicer, lambda *_: None)
-            tasks = [
-                asyncio.create_task(hold_long_message(port)) for _ in range(MESSAGES)
-            ]
-            try:
+            async with served(servicer) as port:
+                calls = [hold_long_message(port) for _ in range(MESSAGES)]
+                tasks = [asyncio.create_task(call) for call in calls]
                 await asyncio.sleep(RECEIVE_SECONDS / 2)
                 ended_at_once = sum(task.done() for task in tasks)
                 await asyncio.wait_for(asyncio.gather(*tasks), CALL_SECONDS)
-            finally:
-                await stop()
             return ended_at_once, servicer.refused
 
         ended_at_once, refused = asyncio.run(main())
@@ -266,27 +283,19 @@
     # Guards against: responses that other hosts do not take fill the memory together.
     def test_responses_to_forwarded_requests_share_a_space(self):
         async def main():
-            with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
-                address = f"127.0.0.1:{probe.getsockname()[1]}"
-            stop = await _rpc.serve(address, RespondingServicer(), lambda *_: None)
             hold = asyncio.Event()
-            calls = [
-                asyncio.create_task(call_without_reading(address, hold))
-                for _ in range(MESSAGES)
-            ]
-            try:
+            async with served(RespondingServicer()) as port:
+                address = f"127.0.0.1:{port}"
+                calls = [call_without_reading(address, hold) for _ in range(MESSAGES)]
+                tasks = [asyncio.create_task(call) for call in calls]
                 await asyncio.sleep(RECEIVE_SECONDS)
-                refused = [call.result() for call in calls if call.done()]
+                refused = [task.result() for task in tasks if task.done()]
                 hold.set()
-                results = await asyncio.wait_for(
-                    asyncio.gather(*calls), 2 * CALL_SECONDS
-                )
+                answered = asyncio.gather(*tasks)
+                results = await asyncio.wait_for(answered, 2 * CALL_SECONDS)
                 channel = _rpc.FleetChannel(address, 1.0)
                 response = await channel.forward(FORWARDED)
                 channel.close()
-            finally:
-                await stop()
             return refused, results, response
 
         refused, results, response = asyncio.run(main())
