--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -37,6 +37,7 @@
 @when("the fault happens: {name}")
 def step_fault(context, name):
     inject_fault(context.deployment, name)
+    context.fault_ended = time.monotonic()
 
 
 @when("{seconds:g} s pass")
@@ -60,12 +61,19 @@
     ]
     complete_count = sum(is_complete(item) for item in last)
     expected = {"complete": LAST_OBSERVATION_COUNT, "partial": 0}
-    incomplete = [describe(item) for item in last if not is_complete(item)]
-    assert kind == "of any kind" or complete_count == expected[kind], incomplete
+    fault_ended = getattr(context, "fault_ended", None)
+    found = [describe(item) for item in last]
+    assert kind == "of any kind" or complete_count == expected[kind], (
+        f"fault injected until {fault_ended}, searches {found}"
+    )
 
 
 def describe(observation):
-    """Return start and duration of a search in seconds, and its body or error."""
+    """Return start and duration of a search, whether it is complete, and its result.
+
+    Times are in seconds; the result is the body or error.
+    """
     body = observation.reply.body if observation.reply else observation.error
     duration = observation.ended - observation.started
-    return round(observation.started, 3), round(duration, 3), body
+    is_whole = is_complete(observation)
+    return round(observation.started, 3), round(duration, 3), is_whole, body
