Run the tests of several fleet controllers in virtual time

Cause: four tests of TestFleet and TestManyChangesAtOnce are listed as red because they wait 6 s of real time for hosts whose calls time out after 150 ms. Where the machine gives the process a twelfth of a core, these timeouts pass before the hosts have run, so that hosts count one another as lost: what failed was the pace, not a decision or a message.

Change: `VirtualEventLoop`, an asyncio loop whose time advances from timer to timer and whose connections stay in memory. The same assertions and the same bounds, in seconds of that loop; grpclib, gossip, following and reading run as before. One test on sockets and the system's clock is left (TestLoopback), which bounds nothing but a hang.

Ruled out: a lost message or decision.

Mutations, each noticed by the named test: updates not applied (all-get-the-changes, removal, many-changes), removals not relayed (removal), conditions not merged or not sent (conditions), every host reads, no host reads for others (two-hosts-read).

--- a/foxtailseam/fleet/tests/test_controller.py
+++ b/foxtailseam/fleet/tests/test_controller.py
@@ -1,6 +1,7 @@
-"""Tests of several fleet controllers in one process, connected over loopback.
+"""Tests of several fleet controllers in one process, which call one another.
 
-The configuration service is replaced by a fake.
+The configuration service is replaced by a fake. Time is virtual and connections stay in
+memory, but for the tests of `TestLoopback`.
 """
 
 import asyncio
@@ -50,6 +51,7 @@
     WatchResult,
 )
 from foxtailseam.supervision import FailureLog, Supervisor
+from foxtailseam_bench.simulation import run_in_virtual_time
 
 FAST = FleetSettings(
     exchange_interval=timedelta(milliseconds=60),
@@ -153,8 +155,11 @@
 
 
 class Host:
-    def __init__(self, address, seeds, service, settings=FAST):
-        clock, generator = SystemClock(), random.Random(address)
+    """A fleet controller and what it needs; its clock is the event loop by default."""
+
+    def __init__(self, address, seeds, service, settings=FAST, clock=None):
+        clock = clock or asyncio.get_running_loop()
+        generator = random.Random(address)
         self.conditions = ConditionRegistry(clock, generator)
         self.address = address
         self.replica = StoreReplica(lambda _: self.fleet.notify_followers())
@@ -228,7 +233,7 @@
             for host in hosts:
                 await host.fleet.stop()
 
-    asyncio.run(main())
+    run_in_virtual_time(main())
 
 
 def changes_of(update):
@@ -320,7 +325,7 @@
             assert parent.age == float("inf")
             assert host.replica.position.era == 2
 
-        asyncio.run(check())
+        run_in_virtual_time(check())
 
     def test_a_removal_is_relayed(self):
         async def scenario(service, hosts):
@@ -368,7 +373,7 @@
             finally:
                 await host.fleet.stop()
 
-        asyncio.run(main())
+        run_in_virtual_time(main())
 
     def test_a_new_host_refused_by_the_service_gets_the_state_from_peers(self):
         async def scenario(service, hosts):
@@ -397,6 +402,46 @@
         run_scenario(scenario)
 
 
+class TestLoopback:
+    """Hosts on sockets and the system's clock, however slow the machine is."""
+
+    # Ends a test that hangs.
+    HANG_SECONDS = 300.0
+
+    def test_all_hosts_get_what_the_service_and_one_of_them_say(self):
+        async def main():
+            service = FakeService()
+            service.put("a", b"1")
+            service.put("b", b"1")
+            addresses = free_addresses(6)
+            clock = SystemClock()
+            hosts = [
+                Host(address, addresses[:2], service, clock=clock)
+                for address in addresses
+            ]
+            for host in hosts:
+                await host.fleet.start()
+            try:
+                await eventually(lambda: all_have(hosts, "a", b"1"), self.HANG_SECONDS)
+                service.put("b", b"2")
+                service.remove("a")
+                leaving = SearcherConditions(7, leaving=Leaving(clock.monotonic()))
+                hosts[0].conditions.record("i-1", leaving)
+                await eventually(
+                    lambda: (
+                        all_have(hosts, "b", b"2")
+                        and all_have(hosts, "a", None)
+                        and all(host.conditions.get("i-1", 7) for host in hosts)
+                    ),
+                    self.HANG_SECONDS,
+                )
+            finally:
+                for host in hosts:
+                    await host.fleet.stop()
+
+        asyncio.run(main())
+
+
 class TestJointStart:
     def test_most_hosts_take_their_copy_from_others(self):
         settings = replace(
@@ -429,7 +474,7 @@
             finally:
                 await host.fleet.stop()
 
-        asyncio.run(main())
+        run_in_virtual_time(main())
 
 
 class TestManyChangesAtOnce:
@@ -510,7 +555,7 @@
                 for update in (first, second)
             ]
 
-        first, second = asyncio.run(main())
+        first, second = run_in_virtual_time(main())
         assert second - first == {"late"}
 
     @pytest.mark.parametrize("data", [b"x", compress_changes(())[:-1], b"\x00" * 40])
@@ -546,7 +591,7 @@
                 if "_follow_parent" in repr(task) or "_loop" in repr(task)
             ]
 
-        assert asyncio.run(main()) == []
+        assert run_in_virtual_time(main()) == []
 
 
 class TestUnforeseenFailures:
--- a/foxtailseam_bench/simulation/__init__.py
+++ b/foxtailseam_bench/simulation/__init__.py
@@ -1,5 +1,9 @@
 """Simulation of a host in virtual time: the real front end with simulated searchers."""
 
+from foxtailseam_bench.simulation._event_loop import (
+    VirtualEventLoop,
+    run_in_virtual_time,
+)
 from foxtailseam_bench.simulation._fleet import SimulatedFleet, SimulatedHost
 from foxtailseam_bench.simulation._link import LinkFault, SimulatedLink
 from foxtailseam_bench.simulation._searcher import SimulatedSearcher
@@ -21,7 +25,9 @@
     "SimulatedLink",
     "SimulatedSearcher",
     "SimulatedTier",
+    "VirtualEventLoop",
     "VirtualTime",
+    "run_in_virtual_time",
     "simulated_hosts",
     "simulated_service",
     "simulated_shards",
