Delegate queries of hosts with narrow links to a faster host of their domain

Cause: on the grown deployment of Déviations Armor callers of the kind with the goal of 71 ms get their answers late.

Change: each host publishes in its record how many calls to shards it can send in a second, by its link and its processor. A host hands a query of all shards to a host of its own failure domain if the query's calls take less time there, the way included. The coordinator says by its initial metadata that it has the query; until then one attempt of each shard is kept, so that a query that is lost on the way is served by the host itself after 25 ms and no shard is asked more often than the route allows. A coordinator with a backlog, one that stops, is cut or older gives the query back. One of another host is never delegated. Between equal hosts, and at the target, where all hosts are warm and busy, nothing is delegated.

Conclusion: a few hosts with wide links gather for the others of their domain.

--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -85,6 +85,7 @@
         "_is_over",
         "_rejections",
         "_wait_entry",
+        "max_attempts",
         "may_repeat",
         "on_held",
         "on_result",
@@ -102,6 +103,8 @@
         super().__init__(dispatcher, plan, created_at)
         self.on_result = on_result
         self.may_repeat = may_repeat
+        # Largest number of searchers that the request may be sent to.
+        self.max_attempts = plan.route.max_attempts
         # Called when the call is held.
         self.on_held: Callable[[], None] = _ignore
         # Whether the budget denied a hedge or a retry.
@@ -375,7 +378,7 @@
         remaining_time = self.plan.deadline_at - self.dispatcher.clock.monotonic()
         attempts = self._run_count + len(self._running)
         return (
-            attempts < self.plan.route.max_attempts
+            attempts < self.max_attempts
             and self._rejections < MAX_REJECTIONS
             and remaining_time >= MIN_REMAINING_TIME
         )
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -166,6 +166,11 @@
         for call in self._calls:
             call.cancel()
 
+    def allow_attempts(self, attempts: int) -> None:
+        """Set the largest number of searchers that each shard's call may be sent to."""
+        for call in self._calls:
+            call.max_attempts = attempts
+
     @property
     def time_to_quorum(self) -> float | None:
         """Return the seconds until as many shards answered as a success needs.
--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -7,6 +7,7 @@
 from foxtailseam.catalogue import Catalogue
 from foxtailseam.clocks import Clock
 from foxtailseam.conditions import ConditionRegistry
+from foxtailseam.delegation import DelegatedCall
 from foxtailseam.fleet._following import Following
 from foxtailseam.fleet._gossip import Gossip
 from foxtailseam.fleet._gossip_loop import GossipLoop
@@ -105,6 +106,10 @@
             [ForwardedRequest, Callable[[ForwardedResponse], None]],
             Callable[[], None],
         ] = _refuse_forwarded
+        # Serves a delegated query.
+        self.serve_delegated: Callable[
+            [ForwardedRequest, Callable[[ForwardedResponse], None]], DelegatedCall
+        ] = _refuse_delegated
         self._peer_hosts: tuple[PeerHost, ...] = ()
         self._gossip = Gossip(
             self.membership,
@@ -254,6 +259,20 @@
             cancel()
             raise
 
+    def delegate(
+        self, request: ForwardedRequest, done: Callable[[ForwardedResponse], None]
+    ) -> DelegatedCall:
+        """Serve a query that another host has delegated.
+
+        Parameters
+        ----------
+        request : ForwardedRequest
+            The query.
+        done : callable
+            Called once with the response, unless the query is cancelled first.
+        """
+        return self.serve_delegated(request, done)
+
     def refuse(self, problem: str) -> None:
         """Handle that a message was malformed; its call has ended."""
         self.metrics.add("peer_messages_refused")
@@ -277,7 +296,9 @@
             )
             if has_changed:
                 self._peer_hosts = tuple(
-                    PeerHost(record.address, record.failure_domain)
+                    PeerHost(
+                        record.address, record.failure_domain, record.shard_call_rate
+                    )
                     for record in self.membership.alive[1:]
                 )
                 self.on_members(members)
@@ -347,6 +368,23 @@
         return not self._is_seed() and elapsed < patience
 
 
+class _NoCall:
+    """A query that was refused; a `DelegatedCall`."""
+
+    def allow_attempts(self, attempts: int) -> None:
+        pass
+
+    def cancel(self) -> None:
+        pass
+
+
+def _refuse_delegated(
+    request: ForwardedRequest, done: Callable[[ForwardedResponse], None]
+) -> DelegatedCall:
+    _refuse_forwarded(request, done)
+    return _NoCall()
+
+
 def _refuse_forwarded(
     _request: ForwardedRequest, done: Callable[[ForwardedResponse], None]
 ) -> Callable[[], None]:
--- a/foxtailseam/fleet/_forward_sender.py
+++ b/foxtailseam/fleet/_forward_sender.py
@@ -1,12 +1,14 @@
 """Sends forwarded requests to other hosts over channels that are kept open."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from typing import Any
 
 from foxtailseam.clocks import Clock
 from foxtailseam.forwarding import (
     ForwardedRequest,
+    ForwardedResponse,
     PeerAnswered,
     PeerFailed,
     PeerResult,
@@ -22,6 +24,9 @@
 # response has come since: the connection may have fallen silent for good.
 SILENCE_SECONDS = 0.5
 
+# Sends a request on a `FleetChannel` and returns the response.
+_Call = Callable[[Any], Awaitable[ForwardedResponse]]
+
 
 class ChannelSend:
     """A forwarded request whose answer is awaited; implements `PendingSend`.
@@ -97,7 +102,7 @@
 
 
 class ChannelForwardSender:
-    """Sender of forwarded requests; implements `ForwardSender`.
+    """Sender of requests; implements `ForwardSender` and `DelegationSender`.
 
     Parameters
     ----------
@@ -120,11 +125,22 @@
         done: Callable[[PeerResult], None],
     ) -> ChannelSend:
         """Send a request; see `ForwardSender.send`."""
-        self._retire_unused()
-        task = asyncio.create_task(self._send(address, request))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return ChannelSend(task, done)
+        return self._start(address, lambda channel: channel.forward(request), done)
+
+    def delegate(
+        self,
+        address: str,
+        request: ForwardedRequest,
+        attempts: int,
+        on_accepted: Callable[[], None],
+        done: Callable[[PeerResult], None],
+    ) -> ChannelSend:
+        """Send a query to a coordinator; see `DelegationSender.delegate`."""
+        return self._start(
+            address,
+            lambda channel: channel.delegate(request, attempts, on_accepted),
+            done,
+        )
 
     def close(self) -> None:
         """Cancel all requests and close all channels."""
@@ -134,25 +150,32 @@
             shared.retire()
         self._channels.clear()
 
-    async def _send(self, address: str, request: ForwardedRequest) -> PeerResult:
+    def _start(
+        self, address: str, call: _Call, done: Callable[[PeerResult], None]
+    ) -> ChannelSend:
+        self._retire_unused()
+        task = asyncio.create_task(self._send(address, call))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return ChannelSend(task, done)
+
+    async def _send(self, address: str, call: _Call) -> PeerResult:
         try:
-            return await self._send_on_channel(address, request)
+            return await self._send_on_channel(address, call)
         except Exception as error:
             self.supervisor.record("forward", error)
             return PeerFailed(Unavailability.LOST, sent=True)
 
-    async def _send_on_channel(
-        self, address: str, request: ForwardedRequest
-    ) -> PeerResult:
+    async def _send_on_channel(self, address: str, call: _Call) -> PeerResult:
         shared = self._choose_channel(address)
         shared.begin(self.clock.monotonic())
         try:
-            return await self._call(address, shared, request)
+            return await self._call(address, shared, call)
         finally:
             shared.end()
 
     async def _call(
-        self, address: str, shared: _SharedChannel, request: ForwardedRequest
+        self, address: str, shared: _SharedChannel, call: _Call
     ) -> PeerResult:
         from foxtailseam.fleet import _rpc
 
@@ -162,7 +185,7 @@
             self._retire(address, shared)
             return PeerFailed(Unavailability.UNREACHABLE, sent=False)
         try:
-            response = await shared.channel.forward(request)
+            response = await call(shared.channel)
         except _rpc.CallError as error:
             if error.is_unimplemented:
                 return PeerFailed(Unavailability.UNSUPPORTED, sent=False)
--- a/foxtailseam/fleet/_membership.py
+++ b/foxtailseam/fleet/_membership.py
@@ -60,6 +60,9 @@
     incarnation : int
         Incremented to refute a suspicion and to announce the shutdown; 0 in records of
         hosts of an earlier release.
+    shard_call_rate : int
+        Calls to shards that the host can send in a second; 0 if unknown, and in records
+        of hosts of an earlier release, which coordinate no queries.
     """
 
     address: Address
@@ -68,6 +71,7 @@
     count: Integer = 0
     is_leaving: bool = False
     incarnation: Integer = 0
+    shard_call_rate: Integer = 0
 
     @property
     def version_key(self) -> tuple[int, int, int]:
--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -8,18 +8,25 @@
 from typing import Any, Protocol
 
 import msgspec
-from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
+from grpclib.client import (
+    Channel,
+    StreamUnaryMethod,
+    UnaryStreamMethod,
+    UnaryUnaryMethod,
+)
 from grpclib.const import Cardinality, Handler, Status
-from grpclib.exceptions import GRPCError
+from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
 from foxtailseam.codecs import (
     MAX_MESSAGE_BYTES,
     MessagePackCodec,
+    NoMessageError,
     NoSpaceError,
     call_unary,
     limit_messages,
 )
+from foxtailseam.delegation import DelegatedCall, DelegationMessage
 from foxtailseam.fleet._messages import (
     FollowRequest,
     FollowUpdate,
@@ -40,6 +47,7 @@
 EXCHANGE_PATH = "/foxtailseam.Fleet/Exchange"
 FOLLOW_PATH = "/foxtailseam.Fleet/Follow"
 FORWARD_PATH = "/foxtailseam.Fleet/Forward"
+DELEGATE_PATH = "/foxtailseam.Fleet/Delegate"
 # grpclib's server leaves this header out of its response to an unknown method, and its
 # client reports only that.
 _NO_HANDLER_MESSAGE = "Missing content-type header"
@@ -115,6 +123,11 @@
     async def forward(self, request: ForwardedRequest) -> ForwardedResponse:
         """Serve a request that another host has forwarded."""
 
+    def delegate(
+        self, request: ForwardedRequest, done: Callable[[ForwardedResponse], None]
+    ) -> DelegatedCall:
+        """Serve a query that another host has delegated; call `done` at its end."""
+
     def refuse(self, problem: str) -> None:
         """Handle that a message was malformed; its call has ended."""
 
@@ -153,6 +166,12 @@
                 ForwardedRequest,
                 ForwardedResponse,
             ),
+            DELEGATE_PATH: Handler(
+                self._delegate,
+                Cardinality.STREAM_UNARY,
+                DelegationMessage,
+                ForwardedResponse,
+            ),
         }
 
     @contextlib.contextmanager
@@ -189,6 +208,38 @@
             self.on_sent(MessageKind.FORWARD, request.failure_domain, len(response))
             await self._send_within_space(stream, response)
 
+    async def _delegate(self, stream: Stream) -> None:
+        """Serve a delegated query; the initial metadata say that it has arrived."""
+        message = await self._receive(stream)
+        if message is None or message.request is None:
+            return
+        request = message.request
+        result: asyncio.Future[ForwardedResponse] = asyncio.Future()
+
+        def finish(response: ForwardedResponse) -> None:
+            if not result.done():
+                result.set_result(response)
+
+        call = self.servicer.delegate(request, finish)
+        next_message = asyncio.create_task(self._receive_attempts(stream, call))
+        try:
+            await stream.send_initial_metadata()
+            response = _ENCODER.encode(await result)
+        finally:
+            next_message.cancel()
+            # The cancellation of this handler has cancelled the future, too.
+            if result.cancelled() or not result.done():
+                call.cancel()
+        self.on_sent(MessageKind.FORWARD, request.failure_domain, len(response))
+        await self._send_within_space(stream, response)
+
+    async def _receive_attempts(self, stream: Stream, call: DelegatedCall) -> None:
+        # A stream that ends, or a malformed message, leaves the attempts as they are.
+        with contextlib.suppress(StreamTerminatedError, GRPCError), self._refusing():
+            message = await stream.recv_message()
+            if message is not None:
+                call.allow_attempts(message.attempts)
+
     async def _send_within_space(self, stream: Stream, response: bytes) -> None:
         """Send a response, or end its call if others take the space.
 
@@ -321,6 +372,47 @@
         with _calling():
             return await call_unary(method, request)
 
+    async def delegate(
+        self,
+        request: ForwardedRequest,
+        attempts: int,
+        on_accepted: Callable[[], None],
+    ) -> ForwardedResponse:
+        """Ask the other host to serve a query and return the response.
+
+        Cancelling this cancels the query at the other host.
+
+        Parameters
+        ----------
+        request : ForwardedRequest
+            Query to serve, with the attempts that are allowed at first.
+        attempts : int
+            Attempts that are allowed once the other host has the query.
+        on_accepted : callable
+            Called once the other host has the query.
+
+        Raises
+        ------
+        CallError
+            If the call fails.
+        """
+        method = StreamUnaryMethod(
+            self._channel, DELEGATE_PATH, DelegationMessage, ForwardedResponse
+        )
+        with _calling():
+            async with method.open() as stream:
+                await stream.send_message(DelegationMessage(request))
+                limit_messages(stream)
+                await stream.recv_initial_metadata()
+                on_accepted()
+                await stream.send_message(
+                    DelegationMessage(attempts=attempts), end=True
+                )
+                response = await stream.recv_message()
+            if response is None:
+                raise NoMessageError("the call ended without a message")
+            return response
+
     async def follow(
         self, request: FollowRequest, update_timeout: float
     ) -> AsyncIterator[FollowUpdate]:
--- a/foxtailseam/fleet/tests/test_foreign_messages.py
+++ b/foxtailseam/fleet/tests/test_foreign_messages.py
@@ -15,6 +15,7 @@
 from foxtailseam.clocks import HybridTimestamp
 from foxtailseam.codecs import MessagePackCodec
 from foxtailseam.conditions import LeavingNotice, LimitNotice, PauseNotice
+from foxtailseam.delegation import DelegationMessage
 from foxtailseam.fleet import HostRecord, MemberExchange, _rpc
 from foxtailseam.fleet._membership import MemberNews
 from foxtailseam.fleet._messages import (
@@ -69,6 +70,7 @@
 FORWARDED = ForwardedRequest(
     "10.0.0.2:1", "d1", b"GET", b"/", ((b"Host", b"a"),), b"", 2.5, 6.0, 7, 2
 )
+DELEGATED = DelegationMessage(FORWARDED, 2)
 DECLINED = ForwardedResponse(attempts_run=1, helpers=("10.0.0.3:1",))
 
 
@@ -157,6 +159,15 @@
             elapsed = time.monotonic() - call.request.arrived_at
             assert timedelta() <= timedelta(seconds=elapsed + 0.001)
 
+    @EXAMPLES
+    @given(message_pack_documents(DELEGATED))
+    def test_any_delegated_query_can_be_taken_as_a_call(self, data):
+        message = decoded(data, DelegationMessage)
+        if message is not None and message.request is not None:
+            call = to_call(message.request, VirtualTime(), print, print)
+            assert call.forward.attempts == message.request.attempts
+            assert isinstance(message.attempts, int)
+
     @EXAMPLES
     @given(message_pack_documents(DECLINED))
     def test_the_helpers_of_any_forwarded_response_can_be_asked(self, data):
--- a/foxtailseam/forwarding/__init__.py
+++ b/foxtailseam/forwarding/__init__.py
@@ -12,6 +12,7 @@
 from foxtailseam.forwarding._results import Forwarded, ForwardResult, NotForwarded
 from foxtailseam.forwarding._selection import PeerHost, PeerSelector
 from foxtailseam.forwarding._sending import (
+    HOP_SECONDS,
     ForwardSender,
     PeerAnswered,
     PeerFailed,
@@ -20,6 +21,7 @@
 )
 
 __all__ = [
+    "HOP_SECONDS",
     "Forward",
     "ForwardResult",
     "ForwardSender",
--- a/foxtailseam/forwarding/_selection.py
+++ b/foxtailseam/forwarding/_selection.py
@@ -45,10 +45,13 @@
         ``IP:PORT`` for calls between hosts.
     failure_domain : str
         Its failure domain.
+    shard_call_rate : int
+        Calls to shards that it can send in a second; 0 if unknown.
     """
 
     address: str
     failure_domain: str
+    shard_call_rate: int = 0
 
 
 class PeerSelector:
--- a/foxtailseam/forwarding/_sending.py
+++ b/foxtailseam/forwarding/_sending.py
@@ -10,6 +10,10 @@
     Unavailability,
 )
 
+# Time that a request and its response take between two hosts, in seconds, including
+# the work of both.
+HOP_SECONDS = 0.008
+
 
 @dataclass(frozen=True, slots=True)
 class PeerAnswered:
--- a/foxtailseam/front/_forwarding.py
+++ b/foxtailseam/front/_forwarding.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from foxtailseam.delegation import MAX_BACKLOG_SECONDS, DelegatedCall
 from foxtailseam.dispatch import Dispatcher, GatherQuery, SingleQuery
 from foxtailseam.forwarding import (
     Forward,
@@ -22,6 +23,41 @@
 DEFAULT_BODY_BYTES = 16_000_000
 
 
+def _ignore_attempts(_call: Call, _attempts: int) -> None:
+    pass
+
+
+class _AcceptedCall:
+    """A request of another host that is being served; a `DelegatedCall`."""
+
+    def __init__(
+        self,
+        call: Call,
+        release: Callable[[], None],
+        allow: Callable[[Call, int], None],
+    ):
+        self._call = call
+        self._release = release
+        self._allow = allow
+
+    def allow_attempts(self, attempts: int) -> None:
+        self._allow(self._call, attempts)
+
+    def cancel(self) -> None:
+        self._release()
+        self._call.notify_disconnect()
+
+
+class _DeclinedCall:
+    """A query of another host that was declined; a `DelegatedCall`."""
+
+    def allow_attempts(self, attempts: int) -> None:
+        pass
+
+    def cancel(self) -> None:
+        pass
+
+
 class PeerForwarding:
     """Both sides of forwarding on one host.
 
@@ -42,6 +78,10 @@
         Whether the host accepts no more requests of other hosts.
     max_body_bytes : int
         Largest total size of the bodies of other hosts' requests, in bytes.
+    shard_call_rate : int
+        Calls to shards that this host can send in a second; 0 if unknown.
+    count_calls : callable
+        Returns the number of shards of the other hosts' queries that are being served.
     """
 
     def __init__(
@@ -54,6 +94,8 @@
         self.failure_domain = ""
         self.is_stopping = False
         self.max_body_bytes = DEFAULT_BODY_BYTES
+        self.shard_call_rate = 0
+        self.count_calls: Callable[[], int] = lambda: 0
         # Size of the body of each request of another host that is being served.
         self._accepted: dict[int, int] = {}
         self._last_number = 0
@@ -100,10 +142,10 @@
             routed.times.deadline_at,
             on_result,
             routed.route.idempotent,
-            lambda: self._take_extra(routed.services),
+            lambda: self.take_extra(routed.services),
         )
 
-    def _take_extra(self, services: tuple[str, ...]) -> bool:
+    def take_extra(self, services: tuple[str, ...]) -> bool:
         """Charge one more request to the budget of each service, if all allow it."""
         dispatcher = self.dispatcher
         budgets = [dispatcher.budget(service) for service in services]
@@ -139,24 +181,65 @@
         if unavailable is not None:
             done(self._declined(unavailable))
             return lambda: None
+        return self._serve(message, done, serve).cancel
+
+    def accept_delegated(
+        self,
+        message: ForwardedRequest,
+        done: Callable[[ForwardedResponse], None],
+        serve: Callable[[Call], None],
+        allow_attempts: Callable[[Call, int], None],
+    ) -> DelegatedCall:
+        """Serve a query that another host has delegated, or decline it at once.
+
+        Parameters
+        ----------
+        message : ForwardedRequest
+            The query.
+        done : callable
+            Called once with the response, unless the query is cancelled first.
+        serve : callable
+            Called with the call to serve.
+        allow_attempts : callable
+            Called with that call and the attempts that it may use from now on.
+        """
+        unavailable = self._unavailability(message)
+        if unavailable is None and self._has_backlog():
+            unavailable = Unavailability.BUSY
+        if unavailable is not None:
+            done(self._declined(unavailable))
+            return _DeclinedCall()
+        return self._serve(message, done, serve, allow_attempts)
+
+    def _serve(
+        self,
+        message: ForwardedRequest,
+        done: Callable[[ForwardedResponse], None],
+        serve: Callable[[Call], None],
+        allow_attempts: Callable[[Call, int], None] = _ignore_attempts,
+    ) -> "_AcceptedCall":
         self._last_number += 1
         number = self._last_number
         self._accepted[number] = len(message.body)
 
-        def finish(response: ForwardedResponse) -> None:
+        def release() -> None:
             self._accepted.pop(number, None)
+
+        def finish(response: ForwardedResponse) -> None:
+            release()
             done(response)
 
         def decline(attempts_run: int) -> None:
             finish(self._declined(Unavailability.ISOLATED, attempts_run))
 
-        def cancel() -> None:
-            self._accepted.pop(number, None)
-            call.notify_disconnect()
-
         call = to_call(message, self.dispatcher.clock, finish, decline)
         serve(call)
-        return cancel
+        return _AcceptedCall(call, release, allow_attempts)
+
+    def _has_backlog(self) -> bool:
+        """Return whether this host has no capacity left for the queries of others."""
+        seconds = self.count_calls() / max(1, self.shard_call_rate)
+        return seconds > MAX_BACKLOG_SECONDS
 
     def _unavailability(self, message: ForwardedRequest) -> Unavailability | None:
         if self.is_stopping:
--- a/foxtailseam/front/_front.py
+++ b/foxtailseam/front/_front.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 from foxtailseam.clocks import Clock
+from foxtailseam.delegation import DelegatedCall
 from foxtailseam.dispatch import (
     AnswerDelay,
     Dispatcher,
@@ -19,6 +20,7 @@
 )
 from foxtailseam.forwarding import ForwardedRequest, ForwardedResponse
 from foxtailseam.front._configuration import ConfigurationManager
+from foxtailseam.front._delegation import QueryDelegation
 from foxtailseam.front._forwarding import PeerForwarding
 from foxtailseam.front._handover import Handover
 from foxtailseam.front._overload_guard import OverloadGuard
@@ -79,6 +81,8 @@
     ----------
     peers : PeerForwarding
         Forwards requests to other hosts while this one does not reach the searchers.
+    delegation : QueryDelegation
+        Delegates queries of all shards to hosts that send their calls faster.
     """
 
     def __init__(
@@ -127,6 +131,16 @@
             self._finish,
             self._admission.discard,
         )
+        self.peers.count_calls = self._running.count_calls_for_others
+        self.delegation = QueryDelegation(
+            self.peers,
+            self._running,
+            self._request_log,
+            self._guard,
+            self._run,
+            self._finish,
+            lambda routed: self._start_gather(routed, False),
+        )
 
     @property
     def in_flight(self) -> int:
@@ -190,7 +204,7 @@
                 self._guard.run(routed.call, self._abort, routed, query)
 
     def _abort(self, routed: RoutedRequest, query: AnyQuery) -> None:
-        may_have_run = query.may_have_run
+        may_have_run = query.may_have_run or routed.has_run_before
         query.cancel()
         reason = FailureReason.DEADLINE if may_have_run else FailureReason.STOPPING
         result = NotAnswered(reason, may_have_run)
@@ -260,7 +274,7 @@
         retry_after: timedelta | None,
         inputs: dict[str, object] | None = None,
     ) -> None:
-        result = NotAnswered(reason, False, retry_after)
+        result = NotAnswered(reason, routed.has_run_before, retry_after)
         response = routed.responses.failed(result)
         self._respond(routed, response, result, None, inputs)
 
@@ -281,7 +295,9 @@
         elif self.peers.must_forward(routed):
             self._handover.forward_new(routed)
         elif isinstance(routed.route.destination, AllShards):
-            self._start_gather(routed, state is SuspicionState.SUSPECT)
+            is_suspect = state is SuspicionState.SUSPECT
+            if is_suspect or not self.delegation.delegate(routed):
+                self._start_gather(routed, is_suspect)
         else:
             self._start_single(routed, state is SuspicionState.SUSPECT)
 
@@ -324,6 +340,8 @@
             case MergedAnswer():
                 response = routed.responses.merged(result)
             case NotAnswered():
+                may_have_run = result.may_have_run or routed.has_run_before
+                result = replace(result, may_have_run=may_have_run)
                 response = routed.responses.failed(result)
         self._finish(routed, response, result)
 
@@ -391,6 +409,33 @@
         """
         return self.peers.accept(message, done, self.serve)
 
+    def serve_delegated(
+        self, message: ForwardedRequest, done: Callable[[ForwardedResponse], None]
+    ) -> DelegatedCall:
+        """Serve a query that another host has delegated.
+
+        Parameters
+        ----------
+        message : ForwardedRequest
+            The query.
+        done : callable
+            Called once with the response, unless the query is cancelled first.
+        """
+        return self.peers.accept_delegated(
+            message, done, self.serve, self._allow_attempts
+        )
+
+    def _allow_attempts(self, call: Call, attempts: int) -> None:
+        routed = self._running.find_by_call(call)
+        if routed is None:
+            return
+        query = self._running.find(routed)
+        route = self.configuration_manager.find_route(
+            call.request.host, call.request.path
+        )
+        if isinstance(query, GatherQuery) and route is not None:
+            query.allow_attempts(min(attempts, route.max_attempts))
+
 
 def _may_have_run(running: tuple[RoutedRequest, AnyQuery]) -> bool:
     _, query = running
--- a/foxtailseam/front/_handover.py
+++ b/foxtailseam/front/_handover.py
@@ -103,7 +103,7 @@
         """
         if not self.peers.may_hand_over(routed, query):
             return False
-        may_have_run = query.may_have_run
+        may_have_run = query.may_have_run or routed.has_run_before
         attempts_run = query.attempts_run
         query.cancel()
         self.running.remove(routed)
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -10,6 +10,7 @@
 from functools import partial
 
 from foxtailseam.clocks import HybridClock, SuspendAwareClock
+from foxtailseam.delegation import CoordinatorSelector, Delegator
 from foxtailseam.dispatch import BudgetSettings, Dispatcher
 from foxtailseam.fleet import (
     ChannelForwardSender,
@@ -30,6 +31,7 @@
 from foxtailseam.front._resource_shares import (
     SMALL_LIMITS,
     forwarded_body_bytes,
+    host_shard_call_rate,
     listener_limits,
     searcher_buffer_bytes,
 )
@@ -251,7 +253,19 @@
             self.clock,
             self.dispatcher.timers,
         )
+        peers.shard_call_rate = host_shard_call_rate(settings.limits)
+        self.front.delegation.delegator = Delegator(
+            self._forward_sender,
+            CoordinatorSelector(
+                PeerSelector(self.clock, self._generator, settings.failure_domain),
+                peers.shard_call_rate,
+                lambda: self._fleet.peer_hosts,
+            ),
+            self.clock,
+            self.dispatcher.timers,
+        )
         self._fleet.serve_forwarded = self.front.serve_forwarded
+        self._fleet.serve_delegated = self.front.serve_delegated
 
     async def run(self, early_signals: EarlySignals | None = None) -> None:
         """Serve until SIGTERM or SIGINT, then drain the requests in flight.
@@ -357,7 +371,12 @@
 
     def _own_record(self) -> HostRecord:
         started_ms = int(self.clock.now().timestamp() * 1000)
-        return HostRecord(self.settings.peers, self.settings.failure_domain, started_ms)
+        return HostRecord(
+            self.settings.peers,
+            self.settings.failure_domain,
+            started_ms,
+            shard_call_rate=host_shard_call_rate(self.settings.limits),
+        )
 
     def _apply_change(self, change: Change) -> None:
         self._changes.apply(change)
--- a/foxtailseam/front/_peer_requests.py
+++ b/foxtailseam/front/_peer_requests.py
@@ -5,6 +5,7 @@
 from foxtailseam.clocks import Clock
 from foxtailseam.dispatch import NOT_RUN_STATUSES, FailureReason, NotAnswered
 from foxtailseam.forwarding import (
+    HOP_SECONDS,
     Forwarded,
     ForwardedRequest,
     ForwardedResponse,
@@ -15,10 +16,6 @@
 from foxtailseam.front._routed_request import RoutedRequest
 from foxtailseam.http import Call, ForwardContext, HttpRequest, HttpResponse
 
-# Time that a request and its response take between two hosts, in seconds, including
-# the work of both.
-HOP_SECONDS = 0.008
-
 
 class _ResponseSink:
     """Takes the response to a forwarded request."""
--- a/foxtailseam/front/_request_log.py
+++ b/foxtailseam/front/_request_log.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from foxtailseam.clocks import Clock
+from foxtailseam.delegation import DelegatedQuery
 from foxtailseam.dispatch import (
     GatherQuery,
     GatherResult,
@@ -20,7 +21,7 @@
 from foxtailseam.platform import RequestMetadata
 from foxtailseam.reachability import ContactTracker
 
-AnyQuery = GatherQuery | SingleQuery | Forward
+AnyQuery = GatherQuery | SingleQuery | Forward | DelegatedQuery
 AnyResult = GatherResult | SingleResult | Forwarded
 
 _FIRST_SERVER_ERROR = 500
@@ -154,6 +155,29 @@
         sender = routed.call.forward.sender
         self._record_hop(EventCode.FORWARD_DECLINED, routed, reason, sender=sender)
 
+    def count_delegated(self) -> None:
+        """Count a query that is delegated; its line is written when it ends."""
+        self.metrics.add("delegations_sent")
+
+    def record_returned(
+        self, routed: RoutedRequest, reason: str, coordinator: str
+    ) -> None:
+        """Record that a coordinator has not answered a delegated query.
+
+        Parameters
+        ----------
+        routed : RoutedRequest
+            The query.
+        reason : str
+            Why.
+        coordinator : str
+            The coordinator, and whether it had accepted the query.
+        """
+        self.metrics.add("delegations_returned")
+        self._record_hop(
+            EventCode.DELEGATION_RETURNED, routed, reason, coordinator=coordinator
+        )
+
     def _record_hop(
         self, code: EventCode, routed: RoutedRequest, reason: str, **fields: object
     ) -> None:
--- a/foxtailseam/front/_resource_shares.py
+++ b/foxtailseam/front/_resource_shares.py
@@ -1,5 +1,6 @@
 """Shares of a process's memory and file descriptors that its connections may take."""
 
+from foxtailseam.delegation import shard_call_rate
 from foxtailseam.http import ListenerLimits
 from foxtailseam.platform import HostLimits
 from foxtailseam.routing import CallerLimits
@@ -61,5 +62,10 @@
     )
 
 
+def host_shard_call_rate(resources: HostLimits) -> int:
+    """Return the calls to shards that the host can send in a second; 0 if unknown."""
+    return shard_call_rate(resources.link_mbps, resources.cores)
+
+
 def _memory_share(resources: HostLimits, share: float) -> int:
     return int(resources.memory_mb * MEGABYTE * share)
--- a/foxtailseam/front/_routed_request.py
+++ b/foxtailseam/front/_routed_request.py
@@ -29,6 +29,8 @@
         Identifier and remaining time from the caller's headers.
     version : int
         Version of the configuration that routed the request.
+    has_run_before : bool
+        Whether another host may have run the request already.
     """
 
     call: Call
@@ -38,6 +40,7 @@
     times: QueryTimes
     metadata: RequestMetadata
     version: int
+    has_run_before: bool = False
 
     @property
     def request_id(self) -> str:
--- a/foxtailseam/front/_running_requests.py
+++ b/foxtailseam/front/_running_requests.py
@@ -31,6 +31,14 @@
         """Return the query that serves a request in progress."""
         return self._queries[id(routed)][1]
 
+    def count_calls_for_others(self) -> int:
+        """Return the number of shards that queries of other hosts call."""
+        return sum(
+            len(routed.services)
+            for routed, _ in self._queries.values()
+            if routed.call.forward is not None
+        )
+
     def find_by_call(self, call: Call) -> RoutedRequest | None:
         """Return the request in progress that answers a call, if there is one."""
         return next((routed for routed, _ in self if routed.call is call), None)
--- a/foxtailseam/logs/_catalogue.py
+++ b/foxtailseam/logs/_catalogue.py
@@ -63,6 +63,7 @@
     REQUEST_UNREADABLE = (334, Severity.WARNING, "a request is invalid or over a limit")
     REQUEST_FORWARDED = (335, Severity.INFO, "a request was forwarded to another host")
     FORWARD_DECLINED = (336, Severity.INFO, "a forwarded request was given back")
+    DELEGATION_RETURNED = (337, Severity.INFO, "a delegated query was not answered")
     REQUEST_BROKEN = (339, Severity.ERROR, "the handling of a request failed")
     SEARCHER_STATE = (400, Severity.INFO, "a searcher's state changed")
     SEARCHER_LOST = (401, Severity.WARNING, "a searcher was lost with work in flight")
--- a/foxtailseam/platform/_settings.py
+++ b/foxtailseam/platform/_settings.py
@@ -67,10 +67,16 @@
         Memory in megabytes.
     max_file_descriptors : int
         Number of open file descriptors.
+    link_mbps : float
+        Bandwidth of the host's link in megabits per second; 0 if unknown.
+    cores : float
+        Processor time in cores; 0 if unknown.
     """
 
     memory_mb: int
     max_file_descriptors: int
+    link_mbps: float = 0.0
+    cores: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,10 +129,17 @@
     control_plane: Address
 
 
+_Amount = Annotated[float, Meta(ge=0, le=1e9)]
+
+
 @dataclass(frozen=True)
 class _Limits:
     memory_mb: Annotated[float, Meta(ge=1, le=1e9)] = 300
     max_fds: PositiveCount = 1024
+    link_mbps: _Amount = 0
+    # Share of a core that is as fast as `cpu_cores` ordinary ones.
+    cpu_share: _Amount = 0
+    cpu_cores: _Amount = 1
 
 
 @dataclass(frozen=True)
@@ -188,7 +201,7 @@
         peers=document.listen_addrs.control_plane,
         seeds=tuple(filter(is_address, document.seeds)),
         service_address=document.platform.address,
-        limits=HostLimits(int(document.limits.memory_mb), document.limits.max_fds),
+        limits=_to_limits(document.limits),
         bounds=Bounds(
             shutdown_grace=timedelta(seconds=bounds.grace_s),
             searcher_drain=timedelta(milliseconds=bounds.drain_ms),
@@ -202,3 +215,12 @@
             describe_value(seed) for seed in document.seeds if not is_address(seed)
         ),
     )
+
+
+def _to_limits(limits: _Limits) -> HostLimits:
+    return HostLimits(
+        int(limits.memory_mb),
+        limits.max_fds,
+        limits.link_mbps,
+        limits.cpu_share * limits.cpu_cores,
+    )
--- a/foxtailseam/platform/tests/test_decoding.py
+++ b/foxtailseam/platform/tests/test_decoding.py
@@ -154,6 +154,24 @@
         decode_configuration(value)
 
 
+class TestResources:
+    def limits(self, **fields):
+        document = SETTINGS | {"limits": fields}
+        return decode_settings(text(document)).map(lambda settings: settings.limits)
+
+    def test_the_processor_time_counts_the_speed_of_the_core(self):
+        limits = self.limits(cpu_share=0.5, cpu_cores=3, link_mbps=14.5).unwrap()
+        assert (limits.cores, limits.link_mbps) == (1.5, 14.5)
+
+    def test_what_the_file_does_not_name_is_unknown(self):
+        limits = self.limits(memory_mb=300).unwrap()
+        assert (limits.cores, limits.link_mbps) == (0.0, 0.0)
+
+    @pytest.mark.parametrize("name", ["link_mbps", "cpu_share", "cpu_cores"])
+    def test_a_negative_amount_is_a_problem(self, name):
+        assert self.limits(**{name: -1}).is_err()
+
+
 class TestSettings:
     def test_settings_with_unknown_fields_are_decoded(self):
         settings = decode_settings(text(SETTINGS)).unwrap()
--- a/foxtailseam_bench/simulation/_link.py
+++ b/foxtailseam_bench/simulation/_link.py
@@ -41,10 +41,25 @@
 
 
 class SimulatedLink:
-    """State of the links of one host; `fault` may be set at any time."""
+    """State of the links of one host; its attributes may be set at any time.
+
+    Attributes
+    ----------
+    fault : LinkFault
+        What happens to the connections.
+    call_seconds : float
+        Virtual seconds for which a request occupies the link of the host.
+    """
 
     def __init__(self):
         self.fault = LinkFault.NONE
+        self.call_seconds = 0.0
+        self._free_at = 0.0
+
+    def take_turn(self, now: float) -> float:
+        """Return the virtual seconds after which a request has left the host."""
+        self._free_at = max(now, self._free_at) + self.call_seconds
+        return self._free_at - now
 
 
 class LinkedExchange:
@@ -167,8 +182,17 @@
             self._idle.append(self.time.monotonic())
             exchange.finish(result)
 
-        exchange.inner = self.searcher.send(payload, identifier, is_head, on_result)
-        exchange.is_sent = exchange.inner.is_sent
+        def send() -> None:
+            if exchange.done is not None:
+                exchange.inner = self.searcher.send(
+                    payload, identifier, is_head, on_result
+                )
+                exchange.is_sent = exchange.inner.is_sent
+
+        if self.link.call_seconds:
+            self.time.call_later(self.link.take_turn(self.time.monotonic()), send)
+        else:
+            send()
         return exchange
 
     def _schedule_failure(self, exchange: LinkedExchange) -> None:
