--- a/foxtailseam/codecs/__init__.py
+++ b/foxtailseam/codecs/__init__.py
@@ -6,6 +6,7 @@
     NoSpaceError,
     call_unary,
     limit_messages,
+    receive_response,
 )
 from foxtailseam.codecs._message_pack import MAX_MESSAGE_BYTES, MessagePackCodec
 
@@ -17,4 +18,5 @@
     "NoSpaceError",
     "call_unary",
     "limit_messages",
+    "receive_response",
 ]
--- a/foxtailseam/codecs/_message_limit.py
+++ b/foxtailseam/codecs/_message_limit.py
@@ -94,7 +94,25 @@
     async with method.open() as stream:
         await stream.send_message(request, end=True)
         limit_messages(stream)
-        response = await stream.recv_message()
+        return await receive_response(stream)
+
+
+async def receive_response(stream: Any) -> Any:
+    """Return the message that answers a call.
+
+    Parameters
+    ----------
+    stream : grpclib.client.Stream
+        A stream on which the request was sent.
+
+    Raises
+    ------
+    NoMessageError
+        If the call ends without an answer.
+    Exception
+        What grpclib raises if the call fails in another way.
+    """
+    response = await stream.recv_message()
     if response is None:
         raise NoMessageError("the call ended without a message")
     return response
--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -21,10 +21,10 @@
 from foxtailseam.codecs import (
     MAX_MESSAGE_BYTES,
     MessagePackCodec,
-    NoMessageError,
     NoSpaceError,
     call_unary,
     limit_messages,
+    receive_response,
 )
 from foxtailseam.delegation import DelegatedCall, DelegationMessage
 from foxtailseam.fleet._messages import (
@@ -408,10 +408,7 @@
                 await stream.send_message(
                     DelegationMessage(attempts=attempts), end=True
                 )
-                response = await stream.recv_message()
-            if response is None:
-                raise NoMessageError("the call ended without a message")
-            return response
+                return await receive_response(stream)
 
     async def follow(
         self, request: FollowRequest, update_timeout: float
--- a/foxtailseam/fleet/tests/test_delegation.py
+++ b/foxtailseam/fleet/tests/test_delegation.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import contextlib
-import random
-import sys
 from dataclasses import replace
 
 import msgspec
@@ -12,6 +10,7 @@
 from foxtailseam.delegation import DelegationMessage
 from foxtailseam.fleet import ChannelForwardSender, HostRecord, MemberExchange, _rpc
 from foxtailseam.fleet.tests.test_controller import free_addresses
+from foxtailseam.fleet.tests.test_forward_sender import supervisor
 from foxtailseam.forwarding import (
     ForwardedRequest,
     ForwardedResponse,
@@ -19,9 +18,6 @@
     PeerFailed,
     Unavailability,
 )
-from foxtailseam.logs import LogWriter
-from foxtailseam.metrics import Metrics
-from foxtailseam.supervision import FailureLog, Supervisor
 from foxtailseam_bench.simulation import run_in_virtual_time
 
 REQUEST = ForwardedRequest(
@@ -82,12 +78,10 @@
 @contextlib.asynccontextmanager
 async def delegated():
     clock = asyncio.get_running_loop()
-    generator = random.Random(1)
-    failures = FailureLog(LogWriter(sys.stderr.fileno(), "h", clock), Metrics(), clock)
     servicer = Servicer()
     (address,) = free_addresses(1)
     stop = await _rpc.serve(address, servicer, lambda *_: None)
-    sender = ChannelForwardSender(clock, Supervisor(failures, clock, generator))
+    sender = ChannelForwardSender(clock, supervisor(clock))
     try:
         yield Delegation(servicer, sender, address)
     finally:
--- a/foxtailseam/fleet/tests/test_forward_sender.py
+++ b/foxtailseam/fleet/tests/test_forward_sender.py
@@ -63,8 +63,7 @@
         return ForwardedResponse(200, ((b"Stamp", b"s"),), b"\x00records\xff")
 
 
-def supervisor():
-    clock = SystemClock()
+def supervisor(clock):
     log = LogWriter(sys.stderr.fileno(), "host", clock)
     failures = FailureLog(log, Metrics(), clock)
     return Supervisor(failures, clock, random.Random(1))
@@ -106,7 +105,8 @@
             servicer = Servicer(seconds)
             address = free_address()
             stop = await _rpc.serve(address, servicer, lambda *_: None)
-            sender = ChannelForwardSender(SystemClock(), supervisor())
+            clock = SystemClock()
+            sender = ChannelForwardSender(clock, supervisor(clock))
             try:
                 await asyncio.wait_for(scenario(servicer, sender, address, stop), 10)
             finally:
--- a/foxtailseam/front/tests/test_delegation.py
+++ b/foxtailseam/front/tests/test_delegation.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from foxtailseam.http import find_header
 from foxtailseam.logs import EventCode
+from foxtailseam.platform import REQUEST_ID_HEADER
 from foxtailseam.quarantine import SuspicionState
 from foxtailseam_bench.simulation import simulated_hosts, simulated_service
 
@@ -28,8 +30,7 @@
 
 def runs_by_shard(tier, call):
     """Return how often each shard has run the request of a call."""
-    headers = dict(call.request.headers)
-    identifier = headers[b"Foxtailseam-Request-Id"]
+    identifier = find_header(call.request.headers, REQUEST_ID_HEADER)
     return [
         sum(searcher.runs.count(identifier) for searcher in members)
         for members in tier.searchers.values()
