Treat a response status outside 100 to 599 as malformed

Callers saw: with 000 or 099 the caller of a request that may run once waited out its deadline; 600 and 999 reached callers as answers.

Cause: the response reader took each status below 200 as interim and had no upper bound.

Change: a status outside 100 to 599 ends the exchange as malformed, like garbled bytes.

Conclusion: the failure takes the path of every unreadable answer, so that retries and the at-most-once rule hold as before.

--- a/foxtailseam/http/_response_reader.py
+++ b/foxtailseam/http/_response_reader.py
@@ -15,6 +15,8 @@
 # Small chunks need this many more bytes of framing for a byte of the body.
 MAX_FRAMING_PER_BODY_BYTE = 8
 MAX_HEADER_FIELDS = 1_024
+# Statuses of the protocol; those before the first final one are interim.
+_STATUSES = range(100, 600)
 _FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUS = (204, 304)
 
@@ -43,6 +45,7 @@
         "_is_complete",
         "_is_discarded",
         "_is_head",
+        "_is_status_invalid",
         "_is_too_large",
         "_keep_alive",
         "_must_close",
@@ -82,6 +85,9 @@
         if self._is_complete:
             return
         self._status = self._parser.get_status_code()
+        self._is_status_invalid |= self._status not in _STATUSES
+        if self._is_status_invalid:
+            return
         has_length = self._status in _NO_BODY_STATUS
         for name, value in self._headers:
             lower = name.lower()
@@ -103,7 +109,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body, up to `MAX_RESPONSE_BYTES` in total."""
-        if self._is_complete:
+        if self._is_complete or self._is_status_invalid:
             return
         size = len(body)
         self._framing_size -= size
@@ -121,7 +127,7 @@
 
     def on_message_complete(self) -> None:
         """Complete the response, or discard it and wait for the expected one."""
-        if self._is_complete:
+        if self._is_complete or self._is_status_invalid:
             return
         if self._is_discarded:
             self._reset_response()
@@ -134,6 +140,7 @@
         self._framing_size = 0
         self._discarded_size = 0
         self._is_too_large = False
+        self._is_status_invalid = False
         self._reset_response()
 
     def _reset_response(self) -> None:
--- a/foxtailseam/http/_upstream_connection.py
+++ b/foxtailseam/http/_upstream_connection.py
@@ -193,6 +193,8 @@
                 return
         if self._is_complete and not self._is_too_large:
             self._complete_exchange()
+        elif self._is_status_invalid:
+            self._end(ExchangeFailure(FailureKind.MALFORMED, sent=True))
         elif self._exceeds_limits():
             self._end(ExchangeFailure(FailureKind.TOO_LARGE, sent=True))
         elif not self._reserve():
