Let hosts share further kinds of state by gossip

Cause: admission and spillover need figures of the fleet; the gossip carried membership, quarantine and conditions only. Change: sources register with StateExchange, each with an optional field of the message. Conclusion: no source is registered yet, so the messages are as before.

--- a/foxtailseam/fleet/__init__.py
+++ b/foxtailseam/fleet/__init__.py
@@ -15,6 +15,7 @@
     WireChange,
 )
 from foxtailseam.fleet._settings import FleetSettings
+from foxtailseam.fleet._state_exchange import StateExchange, StateSource
 from foxtailseam.fleet._tree import TreePosition, compute_position
 
 __all__ = [
@@ -28,6 +29,8 @@
     "MemberExchange",
     "MemberNews",
     "Membership",
+    "StateExchange",
+    "StateSource",
     "TreePosition",
     "WireChange",
     "compute_position",
--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -15,6 +15,7 @@
 from foxtailseam.fleet._messages import FollowRequest, FollowUpdate, MemberExchange
 from foxtailseam.fleet._relay import Relay
 from foxtailseam.fleet._settings import FleetSettings
+from foxtailseam.fleet._state_exchange import StateExchange
 from foxtailseam.fleet._tree import TreePosition, compute_position
 from foxtailseam.forwarding import (
     ForwardedRequest,
@@ -155,6 +156,11 @@
         """
         return min(self.follower.age, self._following.age)
 
+    @property
+    def state_exchange(self) -> StateExchange:
+        """Return the sources of state that the hosts share by gossip."""
+        return self._gossip.state_exchange
+
     @property
     def peer_hosts(self) -> tuple[PeerHost, ...]:
         """Return the other alive hosts, as of the last change of the members."""
--- a/foxtailseam/fleet/_gossip.py
+++ b/foxtailseam/fleet/_gossip.py
@@ -12,6 +12,7 @@
     compress_records,
     decompress_records,
 )
+from foxtailseam.fleet._state_exchange import StateExchange
 from foxtailseam.quarantine import QuarantineController, SuspicionNotice
 
 # Shortest time between two complete views that a host asks for, for each member, in
@@ -50,6 +51,8 @@
         self.conditions = conditions
         self.on_members = on_members
         self.on_quarantine = on_quarantine
+        # Further state that the hosts share.
+        self.state_exchange = StateExchange()
         # Whether the last exchange was with a host that knows the same members.
         self.is_converged = False
         self._wants_view = True
@@ -133,6 +136,7 @@
             digest=self.membership.digest,
             wants_view=wants_view,
             view=view,
+            **self.state_exchange.notices(),
         )
 
     def _merge(self, message: MemberExchange) -> None:
@@ -149,5 +153,7 @@
         if membership.addresses != before:
             self.on_members()
         self.conditions.merge(message.conditions)
+        if message.records:
+            self.state_exchange.merge(message.records[0], message)
         if self.quarantine.merge(message.notices):
             self.on_quarantine()
