Relay the operator's orders as a complete set beside the changes

Cause: a host of the previous release leaves keys that it does not know out of what it reads, so its listings would remove orders on the hosts that follow it, and a watch from its position would miss them. Change: a replica keeps the position up to which orders are known; each update of the relay carries all orders and that position; what other updates say of orders is ignored; a watch starts from that position; a host that follows only earlier releases reads the service. Orders of a listing are applied before its other keys. Conclusion: with one release the messages grow by two empty fields, and nothing else changes.

--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -324,7 +324,9 @@
 
     def _update_read_task(self) -> None:
         now = self.clock.monotonic()
-        is_fresh = self._following.age < self.settings.max_staleness.total_seconds()
+        # Hosts of an earlier release relay no orders, so they do not suffice.
+        max_age = self.settings.max_staleness.total_seconds()
+        is_fresh = self._following.orders_age < max_age
         is_reader = self._is_reader()
         if is_reader or not (is_fresh or self._waits_for_others()):
             self._read_until = now + self.settings.read_hold_time.total_seconds()
--- a/foxtailseam/fleet/_following.py
+++ b/foxtailseam/fleet/_following.py
@@ -13,7 +13,7 @@
 from foxtailseam.fleet._relay import Relay
 from foxtailseam.fleet._settings import FleetSettings, jittered
 from foxtailseam.logs import EventCode, LogWriter
-from foxtailseam.store import Item, Listing, StoreReplica
+from foxtailseam.store import Item, Listing, Position, StoreReplica
 from foxtailseam.supervision import Supervisor
 
 
@@ -22,6 +22,8 @@
     task: asyncio.Task
     age: float = float("inf")
     updated_at: float = float("-inf")
+    # Whether it knows all orders up to its position.
+    has_all_orders: bool = False
 
     def age_at(self, now: float) -> float:
         """Return the age of what this parent has sent, at a monotonic time."""
@@ -201,6 +203,7 @@
         if parent.age == float("inf"):
             self.log.write(EventCode.FOLLOWING, peer=address, age_ms=update.age_ms)
         parent.age = update.age_ms / 1000
+        parent.has_all_orders = update.has_all_orders
         parent.updated_at = self.clock.monotonic()
         if change_count:
             self.relay.notify()
@@ -209,10 +212,25 @@
 
     def _apply_changes(self, update: FollowUpdate) -> int:
         changes = [change.to_change(update.era) for change in update.changes]
+        replica = self.replica
+        # Of the era that is known the orders come first: they hold for the entries.
+        change_count = self._apply_orders(update)
         if update.is_listing:
             items = tuple(item for item in changes if isinstance(item, Item))
-            return self.replica.apply_listing(Listing(items, update.position))
-        return self.replica.apply(changes, update.position)
+            listing = Listing(items, update.position)
+            change_count += replica.apply_listing(listing, has_orders=False)
+        else:
+            change_count += replica.apply(changes, update.position, has_orders=False)
+        # A listing may have started their era.
+        return change_count + self._apply_orders(update)
+
+    def _apply_orders(self, update: FollowUpdate) -> int:
+        if not update.orders_revision:
+            return 0
+        orders = [change.to_change(update.era) for change in update.orders]
+        items = [item for item in orders if isinstance(item, Item)]
+        position = Position(update.era, update.orders_revision)
+        return self.replica.apply_orders(items, position)
 
     def _on_outdated_parent(self, address: str, parent: _Parent) -> None:
         """Ignore a host that does not know of the service's latest era yet."""
@@ -238,3 +256,16 @@
         now = self.clock.monotonic()
         ages = (parent.age_at(now) for parent in self._parents.values())
         return min(ages, default=float("inf"))
+
+    @property
+    def orders_age(self) -> float:
+        """Return the age of the newest data of a host that knows all orders."""
+        now = self.clock.monotonic()
+        return min(
+            (
+                parent.age_at(now)
+                for parent in self._parents.values()
+                if parent.has_all_orders
+            ),
+            default=float("inf"),
+        )
--- a/foxtailseam/fleet/_messages.py
+++ b/foxtailseam/fleet/_messages.py
@@ -223,6 +223,11 @@
         the follower does not accept them.
     era : int
         Era of `revision` and of all changes; hosts that know of no eras send none.
+    orders : tuple of WireChange
+        All orders of the operator that exist, also if `changes` has some of them.
+    orders_revision : int
+        Revision up to which the sender knows all orders; 0 from hosts of an earlier
+        release, whose `changes` and listings may lack orders.
     """
 
     changes: tuple[WireChange, ...]
@@ -232,8 +237,15 @@
     grace_ms: WholeMilliseconds
     compressed_changes: bytes = b""
     era: WholeNumber = 0
+    orders: tuple[WireChange, ...] = ()
+    orders_revision: WholeNumber = 0
 
     @property
     def position(self) -> Position:
         """Return the position up to which the receiver then has every change."""
         return Position(self.era, self.revision)
+
+    @property
+    def has_all_orders(self) -> bool:
+        """Return whether the sender knows all orders up to its position."""
+        return bool(self.revision) and self.orders_revision >= self.revision
--- a/foxtailseam/fleet/_relay.py
+++ b/foxtailseam/fleet/_relay.py
@@ -108,6 +108,8 @@
     def _build_update(self, sent: Position, is_first: bool) -> FollowUpdate:
         position = self.replica.position
         changes, is_listing = self.replica.changes_for(sent, is_first)
+        orders_position = self.replica.orders_position
+        is_same_era = orders_position.era == position.era
         age = self.age()
         age_ms = UNKNOWN_AGE_MS if age == float("inf") else int(age * 1000)
         return FollowUpdate(
@@ -117,6 +119,8 @@
             min(UNKNOWN_AGE_MS, age_ms),
             int(self.catalogue.remaining_grace * 1000),
             era=position.era,
+            orders=tuple(map(WireChange.from_change, self.replica.orders)),
+            orders_revision=orders_position.revision if is_same_era else 0,
         )
 
     def _compressed(self, update: FollowUpdate) -> FollowUpdate:
--- a/foxtailseam/fleet/tests/test_controller.py
+++ b/foxtailseam/fleet/tests/test_controller.py
@@ -175,7 +175,10 @@
         generator = random.Random(address)
         self.conditions = ConditionRegistry(clock, generator)
         self.address = address
-        self.replica = StoreReplica(lambda _: self.fleet.notify_followers())
+        self.replica = StoreReplica(
+            lambda _: self.fleet.notify_followers(),
+            is_order=lambda key: key.startswith("o/"),
+        )
         follower = StoreFollower(
             FakeClient(service, address),
             self.replica,
@@ -323,6 +326,48 @@
         update = msgspec.msgpack.decode(old_update, type=FollowUpdate)
         assert update.position == Position(0, 6)
 
+    def test_orders_reach_all_hosts_beside_hosts_that_relay_none(self):
+        # A host of the previous release leaves orders out of what it reads and sends.
+        async def scenario(service, hosts):
+            orders = [host.replica.orders for host in hosts]
+            assert orders == [()] * len(hosts)
+            service.put("o/1", b"")
+            await eventually(lambda: all(h.replica.orders for h in hosts), 1.0)
+            following = hosts[-1].fleet._following
+            parent = following._parents["old"] = _Parent(asyncio.Future(), 0.0, 0.0)
+            revision = service.position.revision
+            listing = FollowUpdate((), revision, True, 0, 0)
+            following._apply_update("old", listing)
+            following._apply_update("old", FollowUpdate((), revision + 5, False, 0, 0))
+            assert hosts[-1].replica.orders
+            assert hosts[-1].replica.orders_position == service.position
+            assert not parent.has_all_orders
+            del following._parents["old"]
+            service.remove("o/1")
+            await eventually(lambda: not any(h.replica.orders for h in hosts), 1.0)
+
+        run_scenario(scenario)
+
+    def test_a_host_that_follows_only_earlier_releases_reads_the_service(self):
+        async def check():
+            host = Host("127.0.0.1:9", ("127.0.0.1:8",), FakeService())
+            following = host.fleet._following
+            parent = following._parents["old"] = _Parent(asyncio.Future(), 0.0, 0.0)
+            following._apply_update("old", FollowUpdate((), 5, False, 0, 0))
+            assert host.fleet.age < 1.0
+            host.fleet._update_read_task()
+            assert host.fleet.is_reading
+            host.fleet._read_task.cancel()
+            host.fleet._read_task = None
+            host.fleet._read_until = float("-inf")
+            update = FollowUpdate((), 5, False, 0, 0, orders_revision=5)
+            following._apply_update("old", update)
+            assert parent.has_all_orders
+            host.fleet._update_read_task()
+            assert not host.fleet.is_reading
+
+        run_in_virtual_time(check())
+
     def test_a_host_that_knows_of_an_earlier_era_does_not_count_as_in_sync(self):
         async def check():
             host = Host("127.0.0.1:9", (), FakeService())
--- a/foxtailseam/store/_follower.py
+++ b/foxtailseam/store/_follower.py
@@ -171,13 +171,13 @@
         """List all keys once, then watch for changes, until cancelled.
 
         The first listing is skipped if the replica already has a position to watch
-        from. When the service does not have the changes since the last known position,
-        cannot return them in one response, or came back from an older copy, all keys
-        are listed again.
+        from, one up to which orders are known as well. When the service does not have
+        the changes since the last known position, cannot return them in one response,
+        or came back from an older copy, all keys are listed again.
         """
         try:
             while True:
-                if not self.replica.is_empty or await self._list():
+                if not self.replica.needs_listing or await self._list():
                     await self._watch()
                     while not await self._list():
                         pass
@@ -206,10 +206,10 @@
         same watch would fail again: a listing has only the newest change of each key.
         After another failure it watches again from the same position.
         """
-        while True:
+        while not self.replica.needs_listing:
             self._read_started_at = self.clock.monotonic()
             wait = self._choose_wait()
-            result = await self.client.watch(self.replica.position, wait)
+            result = await self.client.watch(self.replica.orders_position, wait)
             match result:
                 case WatchResult(position=position) if self._is_outdated(position):
                     await self._on_failure(OLDER_ERA)
--- a/foxtailseam/store/tests/test_replica.py
+++ b/foxtailseam/store/tests/test_replica.py
@@ -198,3 +198,72 @@
 
 def values_of(replica):
     return {known.key: known.value for known in replica.items}
+
+
+def replica_with_orders():
+    applied = []
+    return StoreReplica(applied.append, is_order=lambda key: key[0] == "o"), applied
+
+
+class TestOrders:
+    """Hosts of earlier releases do not relay orders, and must not undo any."""
+
+    def test_a_listing_without_orders_removes_none_and_adds_none(self):
+        replica, applied = replica_with_orders()
+        replica.apply_listing(Listing((Item("o1", b"", at(3)),), at(4)))
+        items = Item("a", b"1", at(5)), Item("o2", b"", at(2))
+        replica.apply_listing(Listing(items, at(6)), has_orders=False)
+        assert replica.orders == (Item("o1", b"", at(3)),)
+        assert applied == [Item("o1", b"", at(3)), Item("a", b"1", at(5))]
+
+    def test_changes_without_orders_do_not_move_the_position_of_orders(self):
+        replica, _ = replica_with_orders()
+        replica.apply_listing(Listing((), at(4)))
+        replica.apply([Removal("o1", at(6))], at(7), has_orders=False)
+        assert replica.position == at(7)
+        assert replica.orders_position == at(4)
+        assert not replica.needs_listing
+        replica.apply([Item("o1", b"", at(5))], at(7))
+        assert replica.orders == (Item("o1", b"", at(5)),)
+        assert replica.orders_position == at(7)
+
+    def test_the_set_of_all_orders_replaces_what_is_older(self):
+        replica, applied = replica_with_orders()
+        replica.apply([Item("o1", b"", at(3)), Item("o2", b"", at(4))], at(4))
+        replica.apply_orders([Item("o2", b"", at(4))], at(5))
+        assert applied[-1] == Removal("o1", at(5))
+        replica.apply_orders([Item("o1", b"", at(3))], at(4))
+        assert replica.orders == (Item("o2", b"", at(4)),)
+
+    def test_orders_stay_in_an_era_that_a_listing_without_them_starts(self):
+        replica, applied = replica_with_orders()
+        replica.apply([Item("o1", b"", at(3))], at(4))
+        replica.apply_listing(Listing((), at(2, era=1)), has_orders=False)
+        assert replica.needs_listing
+        assert [item.key for item in replica.orders] == ["o1"]
+        assert len(applied) == 1
+        replica.apply_orders([], at(3, era=1))
+        assert applied[-1] == Removal("o1", at(3, era=1))
+        assert not replica.needs_listing
+
+    def test_an_era_that_lacks_an_order_removes_it_after_its_start(self):
+        replica, applied = replica_with_orders()
+        replica.on_era = applied.append
+        replica.apply([Item("o1", b"", at(3))], at(4))
+        replica.apply_listing(Listing((), at(2, era=1)))
+        assert applied[1:] == [at(2, era=1), Removal("o1", at(2, era=1))]
+        assert replica.orders == ()
+
+    def test_orders_are_applied_before_other_keys_of_a_listing(self):
+        replica, applied = replica_with_orders()
+        items = Item("a", b"1", at(1)), Item("o1", b"", at(2))
+        replica.apply_listing(Listing(items, at(3)))
+        assert [item.key for item in applied] == ["o1", "a"]
+
+    def test_a_position_without_orders_is_not_enough_to_watch_from(self):
+        replica, _ = replica_with_orders()
+        assert replica.needs_listing
+        replica.apply([Item("a", b"1", at(1))], at(1), has_orders=False)
+        assert replica.needs_listing
+        replica.apply_orders([], at(1))
+        assert not replica.needs_listing
