Evacuate failure domains by order of the configuration service

Cause: nothing read op/evacuate/ZONE; searchers of the domain got requests on. Change: the keys are decoded, kept as EvacuationOrders and applied to the dispatcher, which leaves the domain's searchers out of usable_searchers (a cached tuple, nothing on the path of a call). Attempts whose connection is being opened are withdrawn and sent elsewhere, queued requests are admitted again and refused at once if no searcher is left.

--- a/foxtailseam/dispatch/_attempt_sender.py
+++ b/foxtailseam/dispatch/_attempt_sender.py
@@ -98,6 +98,10 @@
     def _on_exchange(self, attempt: Attempt, result: ExchangeResult) -> None:
         """Handle the result of an attempt."""
 
+    @abstractmethod
+    def _on_withdrawn(self) -> None:
+        """Handle that an attempt was withdrawn before it was sent."""
+
     def _send(self, searcher: Searcher) -> None:
         plan = self.plan
         dispatcher = self.dispatcher
@@ -127,6 +131,7 @@
             raise
         if not attempt.exchange.is_sent:
             attempt.opens_connection = True
+            searcher.on_withdrawal(number, partial(self._withdraw, attempt))
             dispatcher.metrics.add("connections_opened")
 
     def _render(self, attempt: Attempt) -> bytes:
@@ -150,6 +155,19 @@
             if not attempt.exchange.is_sent:
                 self._abandon(attempt)
 
+    def _withdraw(self, attempt: Attempt) -> bool:
+        """Withdraw an attempt whose searcher must get no more requests.
+
+        Returns False if the attempt is sent or over.
+        """
+        if id(attempt) not in self._running or attempt.exchange.is_sent:
+            return False
+        self._abandon(attempt)
+        attempt.outcome = "withdrawn"
+        # Later, so that one request that fails leaves none at the searcher.
+        self.dispatcher.timers.call_later(0.0, self._on_withdrawn)
+        return True
+
     def _abandon(self, attempt: Attempt) -> None:
         del self._running[id(attempt)]
         now = self.dispatcher.clock.monotonic()
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -287,6 +287,12 @@
         else:
             self._on_failure(is_unsent=not sent)
 
+    def _on_withdrawn(self) -> None:
+        try:
+            self._on_failure(is_unsent=True)
+        finally:
+            self._release_callbacks()
+
     def _on_unforeseen_error(self) -> None:
         """Retry or end the call after a result, which may be of a request that ran."""
         self._run_count += 1
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -91,7 +91,9 @@
         self._hosts = ASSUMED_HOSTS
         self._searchers: dict[str, Searcher] = {}
         self._by_service: dict[str, dict[str, Searcher]] = {}
-        # Searchers of each service that are not draining.
+        # Failure domains whose searchers get no requests.
+        self._evacuated: frozenset[str] = frozenset()
+        # Searchers of each service that are not draining and not evacuated.
         self._usable: dict[str, tuple[Searcher, ...]] = {}
         self._max_connections: dict[str, int] = {}
         self._budgets: dict[str, ExtraLoadBudget] = {}
@@ -160,12 +162,81 @@
             del self._by_service[searcher.entry.service][identifier]
             searcher.pool.retire()
 
+    def set_evacuated(self, domains: frozenset[str]) -> int:
+        """Set the failure domains whose searchers get no requests.
+
+        Requests that are sent run to completion. Those that wait for a connection to
+        such a searcher, or for a searcher, go to another one or are refused.
+
+        Parameters
+        ----------
+        domains : frozenset of str
+            Names of the failure domains.
+
+        Returns
+        -------
+        int
+            Number of requests that waited for a connection to a searcher that is
+            evacuated now.
+        """
+        added = domains - self._evacuated
+        changed = domains ^ self._evacuated
+        self._evacuated = domains
+        self._usable.clear()
+        withdrawn = 0
+        services: dict[str, None] = {}
+        for searcher in list(self._searchers.values()):
+            domain = searcher.entry.failure_domain
+            if domain in changed:
+                services[searcher.entry.service] = None
+            if domain in added:
+                withdrawn += searcher.withdraw_unsent()
+        if withdrawn:
+            self.metrics.add("requests_withdrawn", withdrawn)
+        for service in services:
+            self.waiting.admit_soon(service)
+        return withdrawn
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether some searchers of a service are evacuated, and all unusable.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        """
+        return (
+            bool(self._evacuated)
+            and not self.usable_searchers(service)
+            and any(
+                item.entry.failure_domain in self._evacuated
+                for item in self._by_service.get(service, {}).values()
+            )
+        )
+
+    @property
+    def evacuated_searchers(self) -> int:
+        """Return the number of searchers in evacuated failure domains."""
+        if not self._evacuated:
+            return 0
+        domains = [item.entry.failure_domain for item in self._searchers.values()]
+        return sum(domain in self._evacuated for domain in domains)
+
     def usable_searchers(self, service: str) -> tuple[Searcher, ...]:
-        """Return the searchers of a service that are not draining."""
+        """Return the searchers of a service that are not draining and not evacuated.
+
+        The tuple is kept until the service's searchers or the evacuated domains change,
+        since it is asked for at each call to a service.
+        """
         usable = self._usable.get(service)
         if usable is None:
-            searchers = self._by_service.get(service, {}).values()
-            usable = tuple(item for item in searchers if not item.entry.is_draining)
+            evacuated = self._evacuated
+            usable = tuple(
+                item
+                for item in self._by_service.get(service, {}).values()
+                if not item.entry.is_draining
+                and item.entry.failure_domain not in evacuated
+            )
             self._usable[service] = usable
         return usable
 
--- a/foxtailseam/dispatch/_searcher.py
+++ b/foxtailseam/dispatch/_searcher.py
@@ -105,6 +105,9 @@
         # response time of the route.
         self._in_flight: dict[int, tuple[float, float]] = {}
         self._last_number = 0
+        # What withdraws each request that had to open a connection, by number; kept
+        # until the request ends.
+        self._withdrawals: dict[int, Callable[[], bool]] = {}
 
     @property
     def identifier(self) -> str:
@@ -163,8 +166,35 @@
             Current monotonic time in seconds.
         """
         sent_at, _ = self._in_flight.pop(number)
+        if self._withdrawals:
+            self._withdrawals.pop(number, None)
         return now - sent_at
 
+    def on_withdrawal(self, number: int, withdraw: Callable[[], bool]) -> None:
+        """Set what withdraws a request whose connection is being opened.
+
+        Parameters
+        ----------
+        number : int
+            Number of the request.
+        withdraw : callable
+            Withdraws the request unless it is sent; returns whether it did.
+        """
+        self._withdrawals[number] = withdraw
+
+    def withdraw_unsent(self) -> int:
+        """Withdraw the requests whose connections are being opened.
+
+        They go to other searchers, or fail as requests that were not run.
+
+        Returns
+        -------
+        int
+            Number of requests withdrawn.
+        """
+        withdrawals, self._withdrawals = self._withdrawals, {}
+        return sum([withdraw() for withdraw in withdrawals.values()])
+
     def is_stalled(self, now: float) -> bool:
         """Return whether the oldest request is overdue without a response since.
 
--- a/foxtailseam/dispatch/_waiting_requests.py
+++ b/foxtailseam/dispatch/_waiting_requests.py
@@ -19,7 +19,10 @@
     """Knows the searchers that the requests wait for."""
 
     def usable_searchers(self, service: str) -> tuple[Searcher, ...]:
-        """Return the searchers of a service that are not draining."""
+        """Return the searchers of a service that are not draining and not evacuated."""
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether searchers of a service are evacuated, and all unusable."""
 
     def open_searchers(self, service: str) -> tuple[Searcher, ...]:
         """Return the searchers of a service that take requests of this host now."""
@@ -104,9 +107,9 @@
 
     def _is_closed(self, service: str) -> bool:
         registry = self.registry
-        return bool(registry.usable_searchers(service)) and not registry.open_searchers(
-            service
-        )
+        if registry.usable_searchers(service):
+            return not registry.open_searchers(service)
+        return registry.is_evacuated(service)
 
     def _has_capacity(self, service: str) -> bool:
         return any(item.has_capacity for item in self.registry.open_searchers(service))
--- a/foxtailseam/dispatch/tests/test_waiting.py
+++ b/foxtailseam/dispatch/tests/test_waiting.py
@@ -150,6 +150,7 @@
     return SimpleNamespace(
         usable_searchers=lambda service: (searcher,),
         open_searchers=lambda service: (searcher,) if is_open else (),
+        is_evacuated=lambda service: False,
     )
 
 
--- a/foxtailseam/front/_configuration.py
+++ b/foxtailseam/front/_configuration.py
@@ -6,12 +6,14 @@
 from foxtailseam.catalogue import Catalogue, SearcherEntry
 from foxtailseam.clocks import Clock
 from foxtailseam.dispatch import Dispatcher
+from foxtailseam.front._evacuation import EvacuationManager
 from foxtailseam.front._refusal_log import RefusalLog
 from foxtailseam.logs import EventCode, LogWriter
 from foxtailseam.platform import (
     CONFIGURATION_KEY,
     decode_configuration,
     decode_entry,
+    evacuated_domain_from_key,
     searcher_id_from_key,
 )
 from foxtailseam.routing import (
@@ -57,6 +59,7 @@
         self.generator = generator
         self.on_configuration = on_configuration
         self.catalogue = Catalogue(clock, self)
+        self.evacuation = EvacuationManager(dispatcher, clock, log, self._known_domains)
         self._refusal_log = RefusalLog(log, clock)
         self._configuration: Configuration | None = None
         self._route_table = RouteTable(())
@@ -114,6 +117,7 @@
             Who sent the change: ``service`` or the address of another host.
         """
         identifier = searcher_id_from_key(change.key)
+        domain = evacuated_domain_from_key(change.key)
         match change:
             case Item(key=key, value=value) if key == CONFIGURATION_KEY:
                 self._apply_configuration(value, change.position, source)
@@ -122,15 +126,20 @@
             case Removal() if identifier is not None:
                 self._refusal_log.forget(change.key)
                 self.catalogue.mark_missing(identifier)
+            case Item(position=position) if domain is not None:
+                self.evacuation.issue(domain, position, source)
+            case Removal(position=position) if domain is not None:
+                self.evacuation.revoke(domain, position, source)
             case _:
-                # Keys that neither hold the configuration nor a searcher's entry.
+                # Keys that this system does not use.
                 pass
 
     def start_era(self, position: Position) -> None:
         """Handle that the service came back from an older copy of its data.
 
         Entries up to `position` may be older than what is known of their searchers;
-        those that are missing get the grace period of an outage.
+        those that are missing get the grace period of an outage, and so do orders to
+        evacuate a failure domain.
 
         Parameters
         ----------
@@ -139,6 +148,7 @@
         """
         self._restored_until = position
         self.catalogue.service_recovered()
+        self.evacuation.start_era()
 
     def searcher_changed(self, entry: SearcherEntry) -> None:
         """Add or update a searcher in the dispatcher."""
@@ -173,6 +183,10 @@
         self.log.write(EventCode.SEARCHER_GONE, searcher=identifier)
         self.dispatcher.remove_searcher(identifier)
 
+    def _known_domains(self) -> frozenset[str]:
+        domains = {entry.failure_domain for entry in self.catalogue.entries}
+        return frozenset(domains | {self.dispatcher.failure_domain})
+
     def _apply_entry(self, identifier: str, item: Item) -> None:
         decoded = decode_entry(identifier, item.value)
         if decoded.is_err():
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -46,6 +46,7 @@
     REQUEST_ID_HEADER,
     HostSettings,
     PlatformStore,
+    is_evacuation_key,
     is_used_key,
     parse_response_headers,
 )
@@ -162,7 +163,9 @@
             self._failures,
             lambda: self._fleet.change_source,
         )
-        self._replica = StoreReplica(self._apply_change, self._on_era)
+        self._replica = StoreReplica(
+            self._apply_change, self._on_era, is_evacuation_key
+        )
         self._store = PlatformStore(settings.service_address, self.clock, is_used_key)
         self._follower = StoreFollower(
             self._store,
@@ -228,6 +231,7 @@
                 "remove expired searchers": (
                     self.configuration_manager.catalogue.remove_expired
                 ),
+                "check evacuations": self.configuration_manager.evacuation.check,
                 "check idle links": self.dispatcher.links.check_idle,
                 "log readiness": self._readiness.log_change,
                 "flush log": self.log.flush,
--- a/foxtailseam/front/_metrics_page.py
+++ b/foxtailseam/front/_metrics_page.py
@@ -105,6 +105,9 @@
         metrics.set("searcher_contact_age_seconds", dispatcher.contacts.age)
         metrics.set("reaches_searchers", dispatcher.links.is_connected)
         metrics.set("searchers", len(dispatcher.searchers))
+        evacuation = self.configuration_manager.evacuation
+        metrics.set("evacuated_domains", len(evacuation.domains))
+        metrics.set("searchers_evacuated_now", dispatcher.evacuated_searchers)
         self.condition_log.set_gauges()
         ejected = sum(item.health.is_ejected for item in dispatcher.searchers)
         metrics.set("searchers_ejected_now", ejected)
--- a/foxtailseam/platform/__init__.py
+++ b/foxtailseam/platform/__init__.py
@@ -6,6 +6,8 @@
 from foxtailseam.platform._configuration import (
     CONFIGURATION_KEY,
     decode_configuration,
+    evacuated_domain_from_key,
+    is_evacuation_key,
     is_used_key,
 )
 from foxtailseam.platform._entries import decode_entry, searcher_id_from_key
@@ -48,6 +50,8 @@
     "decode_configuration",
     "decode_entry",
     "decode_settings",
+    "evacuated_domain_from_key",
+    "is_evacuation_key",
     "merged_response_headers",
     "parse_response_headers",
     "parse_request_headers",
--- a/foxtailseam/platform/_configuration.py
+++ b/foxtailseam/platform/_configuration.py
@@ -35,6 +35,9 @@
 )
 
 CONFIGURATION_KEY = "op/config"
+_EVACUATION_PREFIX = "op/evacuate/"
+# Longest name of a failure domain in a key.
+MAX_DOMAIN_LENGTH = 200
 _IDEMPOTENT = "idempotent"
 _DEFAULT_LIMITS = CallerLimits()
 _MILLISECOND = timedelta(milliseconds=1)
@@ -100,8 +103,28 @@
 
 
 def is_used_key(key: str) -> bool:
-    """Return whether a key holds the configuration or the entry of a searcher."""
-    return key == CONFIGURATION_KEY or searcher_id_from_key(key) is not None
+    """Return whether a key holds the configuration, an order or a searcher's entry."""
+    return (
+        key == CONFIGURATION_KEY
+        or searcher_id_from_key(key) is not None
+        or is_evacuation_key(key)
+    )
+
+
+def evacuated_domain_from_key(key: str) -> str | None:
+    """Return the failure domain whose evacuation `key` orders, else None.
+
+    The order is the key; its value does not matter.
+    """
+    if not key.startswith(_EVACUATION_PREFIX):
+        return None
+    domain = key[len(_EVACUATION_PREFIX) :]
+    return domain if 0 < len(domain) <= MAX_DOMAIN_LENGTH else None
+
+
+def is_evacuation_key(key: str) -> bool:
+    """Return whether a key orders the evacuation of a failure domain."""
+    return evacuated_domain_from_key(key) is not None
 
 
 def decode_configuration(value: bytes) -> Result[Configuration, ValidationProblem]:
--- a/foxtailseam_bench/platform_deployment.py
+++ b/foxtailseam_bench/platform_deployment.py
@@ -160,9 +160,11 @@
         """Start the configuration service."""
         self.store_address = await self._serve(self.store)
 
-    async def add_searcher(self, name: str, service: str, records: bytes = b"") -> None:
+    async def add_searcher(
+        self, name: str, service: str, records: bytes = b"", zone: str = "d1"
+    ) -> None:
         """Start a searcher and publish its entry."""
-        searcher = StandInSearcher(name, records)
+        searcher = StandInSearcher(name, records, zone=zone)
         searcher.address = await self._serve(searcher)
         self.searchers[name] = searcher
         self.store.put(f"servers/{name}", searcher.entry(service))
@@ -186,6 +188,7 @@
         interpreter_options: Iterable[str] = (),
         relays: TcpRelays | None = None,
         failing: tuple[str, int] | None = None,
+        zone: str = "d1",
     ) -> PlatformHost:
         """Start the process of a host; it need not be ready yet.
 
@@ -201,8 +204,10 @@
             Set if the host is to reach the searchers through relays, which are added.
         failing : tuple of (str, int) or None
             Method whose first calls fail, and their number; see `failing_host`.
+        zone : str
+            Failure domain of the host.
         """
-        settings = self.settings(number, seeds)
+        settings = self.settings(number, seeds) | {"zone": zone}
         listen = settings["listen_addrs"]
         path = self.directory / f"host-{number}.json"
         path.write_text(json.dumps(settings))
--- a/foxtailseam_bench/platform_stand_in.py
+++ b/foxtailseam_bench/platform_stand_in.py
@@ -216,6 +216,8 @@
         Number of requests whose caller closed the connection during the run.
     address : str
         Address to publish, ``IP:PORT``.
+    zone : str
+        Failure domain to publish.
     """
 
     identifier: str
@@ -232,6 +234,7 @@
     runs: list[tuple[str, str, bytes]] = field(default_factory=list)
     cancelled: int = 0
     address: str = ""
+    zone: str = "d1"
 
     async def handle_connection(self, reader, writer) -> None:
         """Serve one connection."""
@@ -286,7 +289,7 @@
         return {
             "service": service,
             "address": self.address,
-            "zone": "d1",
+            "zone": self.zone,
             "version": "v1",
             "max_concurrency": 2,
             "state": state,
--- a/foxtailseam_bench/simulation/_tier.py
+++ b/foxtailseam_bench/simulation/_tier.py
@@ -292,6 +292,7 @@
 
     def _expire_entries(self) -> None:
         self.configuration_manager.catalogue.remove_expired()
+        self.configuration_manager.evacuation.check()
         self.dispatcher.links.check_idle()
         self.time.call_later(EXPIRY_INTERVAL_SECONDS, self._expire_entries)
 
