Split the records of hosts and of members from the membership

Change: HostRecord and MemberNews are in _host_record.py, Member in _member.py. Measured: tests of fleet membership, messages, gossip and of the emulator pass.

--- a/foxtailseam/fleet/__init__.py
+++ b/foxtailseam/fleet/__init__.py
@@ -7,7 +7,8 @@
 from foxtailseam.fleet._controller import FleetController
 from foxtailseam.fleet._forward_sender import ChannelForwardSender
 from foxtailseam.fleet._gossip import Gossip
-from foxtailseam.fleet._membership import HostRecord, MemberNews, Membership
+from foxtailseam.fleet._host_record import HostRecord, MemberNews
+from foxtailseam.fleet._membership import Membership
 from foxtailseam.fleet._messages import (
     FollowRequest,
     FollowUpdate,
--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -11,7 +11,8 @@
 from foxtailseam.fleet._following import Following
 from foxtailseam.fleet._gossip import Gossip
 from foxtailseam.fleet._gossip_loop import GossipLoop
-from foxtailseam.fleet._membership import HostRecord, Membership
+from foxtailseam.fleet._host_record import HostRecord
+from foxtailseam.fleet._membership import Membership
 from foxtailseam.fleet._messages import FollowRequest, FollowUpdate, MemberExchange
 from foxtailseam.fleet._relay import Relay
 from foxtailseam.fleet._settings import FleetSettings
--- a/foxtailseam/fleet/_gossip.py
+++ b/foxtailseam/fleet/_gossip.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 
 from foxtailseam.conditions import ConditionRegistry
-from foxtailseam.fleet._membership import HostRecord, Membership
+from foxtailseam.fleet._host_record import HostRecord
+from foxtailseam.fleet._membership import Membership
 from foxtailseam.fleet._messages import (
     MemberExchange,
     compress_records,
--- a/foxtailseam/fleet/_membership.py
+++ b/foxtailseam/fleet/_membership.py
@@ -13,14 +13,13 @@
 import math
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
-from zlib import crc32
+from dataclasses import replace
 
 from foxtailseam.clocks import Clock
-from foxtailseam.utils import MAX_INTEGER, Address, Integer, SignedWholeMilliseconds
+from foxtailseam.fleet._host_record import HostRecord, MemberNews
+from foxtailseam.fleet._member import SUSPICION_SECONDS, Member
+from foxtailseam.utils import MAX_INTEGER
 
-# Time in which a suspected host can refute the suspicion before it counts as failed.
-SUSPICION_SECONDS = 4.0
 # Time for which a host that failed or left is remembered. Until then, outdated records
 # from other hosts cannot bring it back.
 RECORD_RETENTION_SECONDS = 30.0
@@ -40,122 +39,6 @@
 _DIGEST_MASK = (1 << 62) - 1
 
 
-@dataclass(frozen=True, slots=True)
-class HostRecord:
-    """What a host publishes about itself, relayed unchanged by other hosts.
-
-    Parameters
-    ----------
-    address : str
-        ``IP:PORT`` on which the host serves other hosts.
-    failure_domain : str
-        Failure domain of the host.
-    started_ms : int
-        Unix time at which the process started, in milliseconds. After a restart
-        this is greater, so that the new process supersedes the old one.
-    count : int
-        Heartbeat counter, for hosts of an earlier release that go by it.
-    is_leaving : bool
-        Whether the host is shutting down.
-    incarnation : int
-        Incremented to refute a suspicion and to announce the shutdown; 0 in records of
-        hosts of an earlier release.
-    shard_call_rate : int
-        Calls to shards that the host can send in a second; 0 if unknown, and in records
-        of hosts of an earlier release, which coordinate no queries.
-    """
-
-    address: Address
-    failure_domain: str
-    started_ms: Integer
-    count: Integer = 0
-    is_leaving: bool = False
-    incarnation: Integer = 0
-    shard_call_rate: Integer = 0
-
-    @property
-    def version_key(self) -> tuple[int, int, int]:
-        """Return the sort key of records of one host; the newest is the greatest."""
-        return self.started_ms, self.incarnation, self.count
-
-    @property
-    def run_key(self) -> tuple[int, int, int]:
-        """Return the part of `version_key` that proves that the host lives."""
-        count = 0 if self.incarnation else self.count
-        return self.started_ms, self.incarnation, count
-
-    @property
-    def digest(self) -> int:
-        """Return a number that identifies this run of the host."""
-        text = f"{self.address} {self.started_ms}".encode()
-        return crc32(text) << 31 ^ crc32(text, 0x5BD1E995)
-
-
-@dataclass(frozen=True, slots=True)
-class MemberNews:
-    """A change of the membership that is relayed while it is new.
-
-    Parameters
-    ----------
-    record : HostRecord
-        Newest record of the host that is known to the sender.
-    is_suspected : bool
-        Whether the host could not be reached.
-    suspected_ms : int
-        Milliseconds since the suspicion arose.
-    """
-
-    record: HostRecord
-    is_suspected: bool = False
-    suspected_ms: SignedWholeMilliseconds = 0
-
-
-@dataclass(slots=True)
-class _Member:
-    """What is known of another host.
-
-    Parameters
-    ----------
-    record : HostRecord
-        Newest record of the host.
-    digest : int
-        Digest of the record, kept because it is summed up for each message.
-    changed_at : float
-        Monotonic time at which this run of the host became known, or that it leaves.
-    suspected_at : float or None
-        Monotonic time of the suspicion that has not been refuted; None without one.
-    is_unreachable : bool
-        Whether this host itself could not reach it.
-    """
-
-    record: HostRecord
-    digest: int
-    changed_at: float
-    suspected_at: float | None = None
-    is_unreachable: bool = False
-
-    def is_failed(self, now: float) -> bool:
-        """Return whether it was suspected and did not refute that in time."""
-        return (
-            self.suspected_at is not None
-            and now - self.suspected_at >= SUSPICION_SECONDS
-        )
-
-    def is_alive(self, now: float) -> bool:
-        """Return whether this host counts it as a member."""
-        return not (
-            self.record.is_leaving or self.is_unreachable or self.is_failed(now)
-        )
-
-    def ended_at(self, now: float) -> float | None:
-        """Return when the host left or counted as failed; None if it did neither."""
-        if self.record.is_leaving:
-            return self.changed_at
-        if self.is_failed(now):
-            return self.suspected_at + SUSPICION_SECONDS
-        return None
-
-
 class Membership:
     """The hosts known to this host; keeps the newest record of each.
 
@@ -175,7 +58,7 @@
         self._own_record = replace(own_record, incarnation=1)
         self._own_digest = own_record.digest
         self._started_at = clock.monotonic()
-        self._others: dict[str, _Member] = {}
+        self._others: dict[str, Member] = {}
         # Number of times that the news of a host was sent, by its address.
         self._news: dict[str, int] = {}
         # Called when there is urgent news.
@@ -378,7 +261,7 @@
         now = self.clock.monotonic()
         member = self._others.get(record.address)
         if member is None:
-            self._others[record.address] = _Member(record, record.digest, now)
+            self._others[record.address] = Member(record, record.digest, now)
             return not record.is_leaving
         if record.version_key <= member.record.version_key:
             is_same_run = record.run_key == member.record.run_key
--- a/foxtailseam/fleet/_messages.py
+++ b/foxtailseam/fleet/_messages.py
@@ -13,7 +13,7 @@
     LimitNotice,
     PauseNotice,
 )
-from foxtailseam.fleet._membership import HostRecord, MemberNews
+from foxtailseam.fleet._host_record import HostRecord, MemberNews
 from foxtailseam.quarantine import SuspicionNotice
 from foxtailseam.store import Change, Item, Position, Removal
 from foxtailseam.utils import (
--- a/foxtailseam/fleet/_state_exchange.py
+++ b/foxtailseam/fleet/_state_exchange.py
@@ -2,7 +2,7 @@
 
 from typing import Any, Protocol
 
-from foxtailseam.fleet._membership import HostRecord
+from foxtailseam.fleet._host_record import HostRecord
 
 
 class StateSource(Protocol):
--- a/foxtailseam/fleet/tests/test_foreign_messages.py
+++ b/foxtailseam/fleet/tests/test_foreign_messages.py
@@ -17,7 +17,7 @@
 from foxtailseam.conditions import LeavingNotice, LimitNotice, PauseNotice
 from foxtailseam.delegation import DelegationMessage
 from foxtailseam.fleet import HostRecord, MemberExchange, _rpc
-from foxtailseam.fleet._membership import MemberNews
+from foxtailseam.fleet._host_record import MemberNews
 from foxtailseam.fleet._messages import (
     FollowRequest,
     FollowUpdate,
--- a/foxtailseam/fleet/tests/test_membership.py
+++ b/foxtailseam/fleet/tests/test_membership.py
@@ -13,7 +13,8 @@
 
 from foxtailseam.clocks import ManualClock
 from foxtailseam.fleet import HostRecord, MemberNews, Membership, compute_position
-from foxtailseam.fleet._membership import MAX_NEWS, NEWS_FACTOR, SUSPICION_SECONDS
+from foxtailseam.fleet._member import SUSPICION_SECONDS
+from foxtailseam.fleet._membership import MAX_NEWS, NEWS_FACTOR
 from foxtailseam.utils import MAX_INTEGER, Integer
 
 OWN = HostRecord("10.0.0.1:1", "d1", 100)
