Bound the requests of all hosts to a cold searcher

Cause: a searcher that has just started takes warmup_per_s requests a second and crashes well above that; nothing bounded what the hosts send together. An entry that repeats the same time left in a later sequence counts as news. Event 254, two gauges. Conclusion: without a rate no searcher has a gate, as before.

--- a/foxtailseam/catalogue/_catalogue.py
+++ b/foxtailseam/catalogue/_catalogue.py
@@ -110,7 +110,10 @@
         self._removed.pop(entry.identifier, None)
         if self._lapsed.pop(entry.identifier, None) is not None:
             self.listener.searcher_lapsed(entry.identifier, False)
-        is_unchanged = self._entries.get(entry.identifier) == entry
+        known = self._entries.get(entry.identifier)
+        # A searcher may become cold again, with the same time left as before.
+        is_cold_again = bool(entry.warmup and known and entry.is_newer_than(known))
+        is_unchanged = known == entry and not is_cold_again
         self._forget_ending(entry.identifier)
         # Only the sequence may differ.
         self._entries[entry.identifier] = entry
--- a/foxtailseam/catalogue/tests/test_catalogue.py
+++ b/foxtailseam/catalogue/tests/test_catalogue.py
@@ -38,6 +38,14 @@
         subject.upsert(ENTRY)
         assert calls == [("changed", ENTRY)]
 
+    def test_a_searcher_that_is_cold_again_for_the_same_time_is_reported(self):
+        subject, _, calls = catalogue()
+        cold = replace(ENTRY, warmup=timedelta(seconds=5), sequence=1)
+        again = replace(cold, sequence=2)
+        for entry in (cold, cold, again, again):
+            subject.upsert(entry)
+        assert calls == [("changed", cold), ("changed", again)]
+
     def test_a_missing_entry_lapses_at_once_and_is_removed_after_the_grace_period(self):
         subject, clock, calls = catalogue()
         subject.upsert(ENTRY)
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -19,6 +19,7 @@
 from foxtailseam.dispatch._wire_format import AnswerMetadata, AnswerReader
 from foxtailseam.http import HttpRequest
 from foxtailseam.metrics import Metrics
+from foxtailseam.rate_limits import RAMP_SECONDS
 from foxtailseam.reachability import ContactTracker, LinkMonitor, LinkState
 from foxtailseam.routing import Route, Service
 
@@ -118,10 +119,16 @@
         return tuple(self._searchers.values())
 
     def configure(self, services: Iterable[Service]) -> None:
-        """Apply the configured connection limits of the services."""
+        """Apply the configured limits of the services."""
+        services = tuple(services)
         self._max_connections = {item.name: item.max_connections for item in services}
         for searcher in self._searchers.values():
             searcher.pool.limit = self._connection_limit(searcher.entry.service)
+        rates = {item.name: item.warmup_rate for item in services if item.warmup_rate}
+        if rates != self.gates.warmup_rates:
+            self.gates.warmup_rates = rates
+            for searcher in self._searchers.values():
+                self._update_warmup(searcher)
 
     def update_searcher(self, entry: SearcherEntry) -> None:
         """Add a searcher or update a known one.
@@ -132,6 +139,7 @@
         existing = self._searchers.get(entry.identifier)
         if existing is not None and _is_same_run(existing.entry, entry):
             existing.update(entry)
+            self._update_warmup(existing)
             if entry.is_draining:
                 existing.pool.retire()
         else:
@@ -142,8 +150,23 @@
             searchers = self._by_service.setdefault(entry.service, {})
             searchers[entry.identifier] = searcher
             self.gates.update(searcher)
+            self._update_warmup(searcher)
         self.waiting.admit(entry.service)
 
+    def _update_warmup(self, searcher: Searcher) -> None:
+        """Bound the requests to a cold searcher of a service with such a bound."""
+        if searcher.cold_until == -math.inf:
+            return
+        self.gates.update(searcher)
+        if searcher.gate is not None and searcher.gate.warmup is not None:
+            seconds = searcher.cold_until + RAMP_SECONDS - self.clock.monotonic()
+            self.timers.call_later(max(0.0, seconds), self._end_warmup, searcher)
+
+    def _end_warmup(self, searcher: Searcher) -> None:
+        if self._searchers.get(searcher.identifier) is searcher:
+            self.gates.update(searcher)
+            self.waiting.admit(searcher.entry.service)
+
     def set_lapsed(self, identifier: str, is_lapsed: bool) -> None:
         """Mark a searcher whose published entry is missing, or clear the mark.
 
@@ -285,7 +308,7 @@
         gates = [item.gate for item in self.usable_searchers(service) if item.gate]
         if any(gate.is_paused(now) for gate in gates):
             return FailureReason.PAUSED
-        is_limited = any(gate.pacer and gate.pacer.wait(now) > 0.0 for gate in gates)
+        is_limited = any(gate.is_limited(now) for gate in gates)
         return FailureReason.RATE_LIMITED if is_limited else FailureReason.NO_SEARCHER
 
     def choose_searcher(
--- a/foxtailseam/dispatch/_gate.py
+++ b/foxtailseam/dispatch/_gate.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from foxtailseam.conditions import Condition, Pause, SearcherConditions
-from foxtailseam.rate_limits import HostGroup, RequestPacer
+from foxtailseam.rate_limits import HostGroup, RequestPacer, WarmupPacer
 
 # A leaving searcher gets no request later than its drain time less this after it first
 # said that it leaves, in seconds: the request has to reach it in time.
@@ -59,6 +59,8 @@
         self._conditions = conditions
         self._tokens = tokens
         self._pacer: RequestPacer | None = None
+        # Keeps this host within its part while the searcher is cold.
+        self.warmup: WarmupPacer | None = None
         self._update_pacer(now)
 
     @property
@@ -107,6 +109,8 @@
         """Count a request that is sent."""
         if self._pacer is not None:
             self._pacer.take(now)
+        if self.warmup is not None:
+            self.warmup.take(now)
 
     def wait(self, now: float) -> float:
         """Return the seconds until this host may send a request; 0 if it may now.
@@ -119,6 +123,8 @@
             Current monotonic time in seconds.
         """
         pacer_wait = self._pacer.wait(now) if self._pacer is not None else 0.0
+        if self.warmup is not None:
+            pacer_wait = max(pacer_wait, self.warmup.wait(now))
         return max(pacer_wait, self._pause_wait(now), self._leaving_wait(now))
 
     def shortest_wait(self, now: float) -> float:
@@ -133,8 +139,15 @@
         if self._pacer is not None:
             any_host = 1.0 / self.rate if self.rate else math.inf
             wait = max(wait, min(any_host, self._pacer.wait(now)))
+        if self.warmup is not None:
+            wait = max(wait, self.warmup.shortest_wait(now))
         return max(wait, self._leaving_wait(now))
 
+    def is_limited(self, now: float) -> bool:
+        """Return whether this host has to wait for its part of a rate."""
+        pacers = self._pacer, self.warmup
+        return any(item is not None and item.wait(now) > 0.0 for item in pacers)
+
     def is_avoided(self, now: float) -> bool:
         """Return whether other searchers are to be preferred to this one.
 
--- a/foxtailseam/dispatch/_gates.py
+++ b/foxtailseam/dispatch/_gates.py
@@ -15,10 +15,21 @@
 from foxtailseam.dispatch._gate import GateContext, SearcherGate, changed_conditions
 from foxtailseam.dispatch._searcher import Searcher
 from foxtailseam.dispatch._wire_format import AnswerMetadata
-from foxtailseam.rate_limits import HostGroup
+from foxtailseam.rate_limits import (
+    RAMP_SECONDS,
+    HostGroup,
+    WarmupLimit,
+    WarmupPacer,
+)
 
 # Drain time of searchers until the settings name one, in seconds.
 DEFAULT_DRAIN_SECONDS = 3.0
+# Time from the start of this host within which it learns of the others, in seconds.
+# Until then it sends nothing to cold searchers.
+GROUP_SETTLE_SECONDS = 3.0
+# How long a host that is no longer alive counts among those that may send to a cold
+# searcher, in seconds: it may be cut off from this one and not from the searcher.
+LOST_HOST_RETENTION = 600.0
 
 
 class SearcherGates:
@@ -49,12 +60,24 @@
         self.conditions.on_notice = self._on_notice
         # Called with a searcher and a condition of it that changed.
         self.on_change: Callable[[Searcher, Condition], None] = lambda *_: None
+        # Called with a cold searcher once its requests are bounded.
+        self.on_cold: Callable[[Searcher], None] = lambda searcher: None
         # Called with a searcher and the name of a condition that cannot be read.
         self.on_malformed: Callable[[Searcher, str], None] = lambda *_: None
         # Called with the service of a searcher whose gate changed by another host's
         # notice.
         self.on_gate_change: Callable[[str], None] = lambda service: None
         self._hosts = HostGroup()
+        # The hosts, and those that were alive recently.
+        self._all_hosts = HostGroup()
+        # When each of the latter was lost.
+        self._lost_hosts: dict[str, float] = {}
+        # Requests per second to a cold searcher, of the services that have a bound, and
+        # how far a window of one second may exceed it.
+        self.warmup_rates: dict[str, float] = {}
+        self.warmup_excess = 1.5
+        self.warmup_slack = 5.0
+        self._settles_at = clock.monotonic() + GROUP_SETTLE_SECONDS
         # Identifiers of the searchers of each service that have a gate.
         self.by_service: dict[str, set[str]] = {}
 
@@ -68,10 +91,25 @@
 
     def set_hosts(self, hosts: HostGroup) -> None:
         """Set the hosts that share the searchers."""
+        self._remember_lost_hosts(hosts)
         self._hosts = hosts
         for searcher in self.gated:
             self.update(searcher)
 
+    def _remember_lost_hosts(self, hosts: HostGroup) -> None:
+        now = self.clock.monotonic()
+        # The group of a host that was told of none yet has no addresses.
+        for address in self._hosts.addresses - hosts.addresses - {""}:
+            self._lost_hosts[address] = now
+        self._lost_hosts = {
+            address: lost_at
+            for address, lost_at in self._lost_hosts.items()
+            if address not in hosts.addresses and now - lost_at < LOST_HOST_RETENTION
+        }
+        self._all_hosts = HostGroup(
+            hosts.own_address, hosts.addresses.union(self._lost_hosts)
+        )
+
     def remove(self, searcher: Searcher) -> None:
         """Forget a searcher that is no longer registered."""
         gated = self.by_service.get(searcher.entry.service)
@@ -83,6 +121,13 @@
         entry = searcher.entry
         known = self.conditions.get(entry.identifier, entry.started_ms)
         gate = searcher.gate
+        now = self.clock.monotonic()
+        is_bounded = (
+            entry.service in self.warmup_rates
+            and now < searcher.cold_until + RAMP_SECONDS
+        )
+        if known is None and is_bounded:
+            known = SearcherConditions(entry.started_ms)
         if known is None:
             if gate is not None:
                 searcher.gate = None
@@ -91,16 +136,38 @@
         context = GateContext(
             entry.identifier, entry.slots, self._hosts, self.drain_seconds
         )
-        now = self.clock.monotonic()
         before = gate.conditions if gate is not None else None
         if gate is None:
             searcher.gate = SearcherGate(context, known, now, self.generator.random())
             self.by_service.setdefault(entry.service, set()).add(entry.identifier)
         else:
             gate.update(context, known, now)
+        self._update_warmup(searcher, is_bounded, now)
         for condition in changed_conditions(before, known):
             self.on_change(searcher, condition)
 
+    def _update_warmup(self, searcher: Searcher, is_bounded: bool, now: float) -> None:
+        gate, entry = searcher.gate, searcher.entry
+        if not is_bounded:
+            gate.warmup = None
+            return
+        limit = WarmupLimit(
+            self.warmup_rates[entry.service], self.warmup_excess, self.warmup_slack
+        )
+        if gate.warmup is not None:
+            gate.warmup.update(limit, self._all_hosts, searcher.cold_until, now)
+            return
+        gate.warmup = WarmupPacer(
+            entry.identifier,
+            limit,
+            self._all_hosts,
+            searcher.cold_until,
+            now,
+            self.generator.random(),
+            self._settles_at,
+        )
+        self.on_cold(searcher)
+
     def record(self, searcher: Searcher, metadata: AnswerMetadata) -> None:
         """Apply the conditions that a searcher's answer reports.
 
--- a/foxtailseam/dispatch/_searcher.py
+++ b/foxtailseam/dispatch/_searcher.py
@@ -1,5 +1,6 @@
 """State of one searcher on this host."""
 
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -101,6 +102,8 @@
         # None if the searcher has reported no conditions.
         self.gate: SearcherGate | None = None
         self._warmup_ends_at = clock.monotonic() + entry.warmup.total_seconds()
+        # End of the cold period; minus infinity if it was never cold.
+        self.cold_until = self._warmup_ends_at if entry.warmup else -math.inf
         # Requests in flight by number, oldest first: time of sending and median
         # response time of the route.
         self._in_flight: dict[int, tuple[float, float]] = {}
@@ -138,6 +141,10 @@
         """Replace the entry by a newer one of the same process run."""
         self.entry = entry
         self._warmup_ends_at = self.clock.monotonic() + entry.warmup.total_seconds()
+        if entry.warmup:
+            self.cold_until = self._warmup_ends_at
+        else:
+            self.cold_until = min(self.cold_until, self._warmup_ends_at)
 
     def begin_request(self, median_time: float, now: float) -> int:
         """Count a request as sent and return its number.
--- a/foxtailseam/front/_condition_log.py
+++ b/foxtailseam/front/_condition_log.py
@@ -63,14 +63,28 @@
         rate = searcher.gate.rate if searcher.gate is not None else None
         self._write(_MALFORMED_EVENTS[condition], searcher, limit=rate)
 
+    def record_cold(self, searcher: Searcher) -> None:
+        """Write the event of a cold searcher whose requests are bounded."""
+        warmup = searcher.gate.warmup
+        self._write(
+            EventCode.SEARCHER_COLD,
+            searcher,
+            limit=warmup.limit.rate,
+            warmup_ms=-self._milliseconds_since(searcher.cold_until),
+            is_sender=warmup.is_sender,
+        )
+
     def set_gauges(self) -> None:
-        """Set the numbers of searchers that are limited, leaving or pausing now."""
+        """Set the numbers of searchers that are limited, leaving, pausing or cold."""
         now = self.dispatcher.clock.monotonic()
         gates = [searcher.gate for searcher in self.dispatcher.gates.gated]
         limited = sum(gate.rate is not None for gate in gates)
         self.metrics.set("searchers_limited_now", limited)
         self.metrics.set("searchers_leaving_now", sum(g.is_leaving for g in gates))
         self.metrics.set("searchers_paused_now", sum(g.is_paused(now) for g in gates))
+        cold = [g.warmup for g in gates if g.warmup and g.warmup.is_cold(now)]
+        self.metrics.set("searchers_cold_now", len(cold))
+        self.metrics.set("cold_searchers_sent_to", sum(w.is_sender for w in cold))
 
     def _write(self, code: EventCode, searcher: Searcher, **fields: object) -> None:
         entry = searcher.entry
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -133,7 +133,10 @@
         self._condition_log = ConditionLog(self.dispatcher, self.log, self.metrics)
         gates = self.dispatcher.gates
         gates.drain_seconds = bounds.searcher_drain.total_seconds()
+        gates.warmup_excess = bounds.warmup_excess
+        gates.warmup_slack = bounds.warmup_slack
         gates.on_change = self._condition_log.record_change
+        gates.on_cold = self._condition_log.record_cold
         gates.on_malformed = self._condition_log.record_malformed
         self.configuration_manager = ConfigurationManager(
             self.dispatcher,
--- a/foxtailseam/logs/_catalogue.py
+++ b/foxtailseam/logs/_catalogue.py
@@ -52,6 +52,7 @@
     EVACUATION_ENDED = (251, Severity.INFO, "a failure domain is used again")
     EVACUATION_UNKNOWN = (252, Severity.WARNING, "an evacuated domain is unknown")
     EVACUATION_KEPT = (253, Severity.WARNING, "a missing evacuation order is kept")
+    SEARCHER_COLD = (254, Severity.INFO, "a searcher is cold and takes few requests")
     REQUEST_ARRIVED = (300, Severity.DEBUG, "a caller's request was received")
     REQUEST_ANSWERED = (301, Severity.DEBUG, "a caller's request was answered")
     TICKET_MINTED = (310, Severity.DEBUG, "a ticket was issued")
--- a/foxtailseam/platform/_configuration.py
+++ b/foxtailseam/platform/_configuration.py
@@ -75,10 +75,14 @@
     min_version: Fraction = 0
 
 
+_Rate = Annotated[float, Meta(ge=0, le=1e6)]
+
+
 @dataclass(frozen=True)
 class _ServiceDocument:
     name: str
     max_conns: Count = 0
+    warmup_per_s: _Rate = 0
 
 
 @dataclass(frozen=True)
@@ -176,7 +180,8 @@
         version=document.version,
         routes=tuple(_route(route) for route in document.routes),
         services=tuple(
-            Service(item.name, item.max_conns) for item in document.services
+            Service(item.name, item.max_conns, item.warmup_per_s)
+            for item in document.services
         ),
         limits=CallerLimits(
             limits.max_header_bytes,
--- a/foxtailseam/platform/_settings.py
+++ b/foxtailseam/platform/_settings.py
@@ -47,6 +47,11 @@
     retry_slack : float
         Number of extra requests in a window that are allowed in addition to the ratio;
         all hosts share it.
+    warmup_excess : float
+        Factor on the requests per second to a cold searcher that no window of one
+        second may exceed.
+    warmup_slack : float
+        Requests in such a window that are allowed in addition.
     """
 
     shutdown_grace: timedelta
@@ -55,6 +60,8 @@
     retry_ratio: float
     retry_window: timedelta
     retry_slack: float
+    warmup_excess: float = 1.5
+    warmup_slack: float = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,6 +158,8 @@
     retry_budget_ratio: Annotated[float, Meta(ge=0, le=1e6)] = 0.2
     retry_window_s: PositiveSeconds = 10
     retry_slack: Annotated[float, Meta(ge=0, le=1e9)] = 0
+    warmup_excess: Annotated[float, Meta(ge=1, le=1e3)] = 1.5
+    warmup_slack: Annotated[float, Meta(ge=0, le=1e6)] = 5
 
 
 @dataclass(frozen=True)
@@ -209,6 +218,8 @@
             retry_ratio=bounds.retry_budget_ratio,
             retry_window=timedelta(seconds=bounds.retry_window_s),
             retry_slack=bounds.retry_slack,
+            warmup_excess=bounds.warmup_excess,
+            warmup_slack=bounds.warmup_slack,
         ),
         is_joint_start=document.bootstrap,
         ignored_seeds=tuple(
--- a/foxtailseam/platform/tests/test_decoding.py
+++ b/foxtailseam/platform/tests/test_decoding.py
@@ -13,7 +13,10 @@
     decode_configuration,
     decode_entry,
     decode_settings,
+    evacuated_domain_from_key,
     forwarded_headers,
+    is_evacuation_key,
+    is_used_key,
     local_response_headers,
     merged_response_headers,
     parse_request_headers,
@@ -118,6 +121,40 @@
         assert searcher_id_from_key(key) == expected
 
 
+class TestEvacuationKeys:
+    @pytest.mark.parametrize(
+        ("key", "expected"),
+        [
+            ("op/evacuate/d1", "d1"),
+            ("op/evacuate/a/b", "a/b"),
+            ("op/evacuate/", None),
+            ("op/evacuate", None),
+            ("op/evacuate/" + "x" * 201, None),
+            ("op/config", None),
+            ("servers/i-1", None),
+        ],
+    )
+    def test_the_domain_is_taken_from_the_key(self, key, expected):
+        assert evacuated_domain_from_key(key) == expected
+        assert is_evacuation_key(key) == (expected is not None)
+        is_other_used_key = key in ("op/config", "servers/i-1")
+        assert is_used_key(key) == (expected is not None or is_other_used_key)
+
+
+class TestWarmup:
+    def test_the_rate_of_a_service_is_decoded(self):
+        services = [{"name": "a", "warmup_s": 8, "warmup_per_s": 2.5}, {"name": "b"}]
+        document = {"version": 1, "services": services}
+        configuration = decode_configuration(json.dumps(document).encode()).unwrap()
+        assert [item.warmup_rate for item in configuration.services] == [2.5, 0.0]
+
+    @pytest.mark.parametrize("rate", [-1, "2", 1e9])
+    def test_a_malformed_rate_is_refused(self, rate):
+        services = [{"name": "a", "warmup_per_s": rate}]
+        document = {"version": 1, "services": services}
+        assert decode_configuration(json.dumps(document).encode()).is_err()
+
+
 class TestConfiguration:
     @pytest.mark.parametrize(
         ("part", "expected"),
@@ -179,6 +216,14 @@
         assert settings.seeds == ("10.2.0.1:3",)
         assert settings.bounds.shutdown_grace == timedelta(seconds=6)
         assert settings.bounds.retry_slack == 54
+        assert settings.bounds.warmup_excess == 1.5
+        assert settings.bounds.warmup_slack == 5
+
+    def test_the_bound_of_cold_searchers_is_decoded(self):
+        bounds = {"warmup_excess": 2, "warmup_slack": 3}
+        settings = decode_settings(text(SETTINGS | {"bounds": bounds})).unwrap()
+        assert settings.bounds.warmup_excess == 2
+        assert settings.bounds.warmup_slack == 3
         assert settings.limits.max_file_descriptors == 4100
 
     def test_the_error_names_the_missing_field(self):
--- a/foxtailseam/routing/_model.py
+++ b/foxtailseam/routing/_model.py
@@ -107,10 +107,14 @@
     max_connections : int
         Connections that one searcher accepts from all hosts together; 0 if
         not configured.
+    warmup_rate : float
+        Requests per second that a cold searcher accepts from all hosts together; 0 for
+        no bound.
     """
 
     name: str
     max_connections: int
+    warmup_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
