Test cold searchers with host processes, and evacuation with forwarded requests

Cause: the bound on cold searchers was proved in virtual time alone, and no test sent forwarded requests while a domain is evacuated. Change: two host processes with two cold searchers; a simulated host cut from all searchers. Conclusion: no change of the product.

--- a/foxtailseam/front/tests/test_cold_searchers.py
+++ b/foxtailseam/front/tests/test_cold_searchers.py
@@ -1,10 +1,14 @@
 """Load tests of searchers that are cold after their start, in virtual time."""
 
+import asyncio
 import json
+import time
 from contextlib import contextmanager
 
 import pytest
 
+from foxtailseam.front.tests._deployment import SHARDS, single_route
+from foxtailseam.logs import EventCode
 from foxtailseam.rate_limits import RAMP_SECONDS, HostGroup
 from foxtailseam.store import Item, Position
 from foxtailseam_bench.simulation import simulated_service
@@ -175,3 +179,44 @@
             dispatcher = tiers[0].dispatcher
             assert [item.gate for item in dispatcher.searchers] == [None] * 4
             assert not any(dispatcher.gates.by_service.values())
+
+
+class TestHostProcesses:
+    """The bound holds over two host processes, each with many callers."""
+
+    def test_cold_searchers_get_few_requests_and_the_rest_is_refused(
+        self, run_scenario
+    ):
+        async def scenario(deployment):
+            routes = [single_route("read", "idempotent")]
+            deployment.publish((*SHARDS, "single"), routes, warmup_rate=4)
+            hosts = [await deployment.start_host(1)]
+            seeds = (hosts[0].listen["control_plane"],)
+            hosts.append(await deployment.start_host(2, seeds))
+            for host in hosts:
+                await host.wait_until_ready()
+            await asyncio.sleep(4)
+            single = [s for n, s in deployment.searchers.items() if "single" in n]
+            for searcher in single:
+                searcher.warmup_ms = 20_000
+                entry = searcher.entry("single") | {"sequence": 2}
+                deployment.store.put(f"servers/{searcher.identifier}", entry)
+            await asyncio.sleep(1.5)
+            runs, statuses, started_at = [], [], time.monotonic()
+            while time.monotonic() < started_at + 4:
+                for host in hosts:
+                    status, headers, _ = await host.get("/read/x")
+                    statuses.append(status)
+                    assert status == 200 or float(headers["retry-after"]) > 0
+                runs.append((time.monotonic(), [len(s.runs) for s in single]))
+            for index in range(2):
+                for at, counts in runs:
+                    since = [c[index] for t, c in runs if at - 1.0 <= t <= at]
+                    assert counts[index] - since[0] <= 4 * EXCESS + SLACK
+            assert set(statuses) == {200, 503}
+            metrics = [await host.metrics() for host in hosts]
+            assert [item["searchers_cold_now"] for item in metrics] == [2, 2]
+            events = [item["event"] for item in deployment.events(1)]
+            assert events.count(EventCode.SEARCHER_COLD.number) == 2
+
+        run_scenario(scenario)
--- a/foxtailseam/front/tests/test_evacuation.py
+++ b/foxtailseam/front/tests/test_evacuation.py
@@ -10,7 +10,11 @@
 from foxtailseam.logs import EventCode
 from foxtailseam.store import Item, Position, Removal
 from foxtailseam_bench.platform_deployment import PlatformDeployment, eventually
-from foxtailseam_bench.simulation import simulated_hosts, simulated_service
+from foxtailseam_bench.simulation import (
+    LinkFault,
+    simulated_hosts,
+    simulated_service,
+)
 
 # A request that has left a simulated host arrives after at most this many seconds.
 IN_TRANSIT_SECONDS = 0.01
@@ -184,6 +188,19 @@
         assert arrivals(second, IN_TRANSIT_SECONDS, 6) == []
         assert arrivals(second, 6.5, 12)
 
+    def test_hosts_that_serve_the_requests_of_others_honour_the_order(self):
+        with simulated_hosts(6, 0.011, 92) as tiers:
+            load_all(tiers, "/urgent/q", 24, 10)
+            tiers[0].time.run_until(4)
+            evacuate(tiers, "d1")
+            tiers[0].link.fault = LinkFault.SILENT
+            tiers[0].time.run_until(12)
+        for members in tiers[0].searchers.values():
+            assert arrivals(members[0], 4 + IN_TRANSIT_SECONDS, 12) == []
+        late = answered_calls(tiers[:1], 7)
+        assert late
+        assert all(call.response.status == 200 for call in late)
+
     def test_a_name_of_no_domain_is_reported_once(self):
         with simulated_service(1, 2, 0.1, 600) as tiers:
             (tier,) = tiers
--- a/foxtailseam_bench/platform_deployment.py
+++ b/foxtailseam_bench/platform_deployment.py
@@ -169,14 +169,34 @@
         self.searchers[name] = searcher
         self.store.put(f"servers/{name}", searcher.entry(service))
 
-    def publish(self, services: Iterable[str], routes: Iterable[dict]) -> None:
-        """Publish the next version of the configuration."""
+    def publish(
+        self,
+        services: Iterable[str],
+        routes: Iterable[dict],
+        warmup_rate: float = 0.0,
+    ) -> None:
+        """Publish the next version of the configuration.
+
+        Parameters
+        ----------
+        services : iterable of str
+            Names of the services.
+        routes : iterable of dict
+            Routes as in the platform's document.
+        warmup_rate : float
+            Requests per second that a cold searcher accepts; 0 for no bound.
+        """
         self.version += 3
         document = {
             "version": self.version,
             "routes": list(routes),
             "services": [
-                {"name": name, "max_conns": MAX_CONNECTIONS} for name in services
+                {
+                    "name": name,
+                    "max_conns": MAX_CONNECTIONS,
+                    "warmup_per_s": warmup_rate,
+                }
+                for name in services
             ],
         }
         self.store.put("op/config", document)
--- a/foxtailseam_bench/platform_stand_in.py
+++ b/foxtailseam_bench/platform_stand_in.py
@@ -218,6 +218,8 @@
         Address to publish, ``IP:PORT``.
     zone : str
         Failure domain to publish.
+    warmup_ms : int
+        Time left to publish for which the searcher is cold.
     """
 
     identifier: str
@@ -235,6 +237,7 @@
     cancelled: int = 0
     address: str = ""
     zone: str = "d1"
+    warmup_ms: int = 0
 
     async def handle_connection(self, reader, writer) -> None:
         """Serve one connection."""
@@ -293,7 +296,7 @@
             "version": "v1",
             "max_concurrency": 2,
             "state": state,
-            "warmup_left_ms": 0,
+            "warmup_left_ms": self.warmup_ms,
             "sequence": 1,
             "born": 1_700_000_000_000,
         }
