Test orders in a replica that hosts of two releases update

Cause: the rule that updates of the previous release say nothing of orders was tested by examples alone. Change: a property test: whatever the order of updates, the orders known are those of the position up to which they are known. Conclusion: no change of the product.

--- a/foxtailseam/store/tests/test_replica.py
+++ b/foxtailseam/store/tests/test_replica.py
@@ -267,3 +267,40 @@
         assert replica.needs_listing
         replica.apply_orders([], at(1))
         assert not replica.needs_listing
+
+    @given(
+        st.lists(st.tuples(st.sampled_from(["o1", "o2", "a"]), st.booleans())),
+        st.lists(st.tuples(st.sampled_from("ucl"), st.integers(0, 30))),
+    )
+    def test_orders_are_those_of_their_position_whoever_sends_what(self, writes, steps):
+        history = [
+            Item(key, b"v", at(number)) if is_item else Removal(key, at(number))
+            for number, (key, is_item) in enumerate(writes, 1)
+        ]
+
+        def items_at(revision):
+            newest = {change.key: change for change in history[:revision]}
+            return [item for item in newest.values() if isinstance(item, Item)]
+
+        def orders_at(revision):
+            return {item.key for item in items_at(revision) if item.key[0] == "o"}
+
+        replica, _ = replica_with_orders()
+        for kind, number in steps:
+            revision = min(number, len(history))
+            items = items_at(revision)
+            others = [item for item in items if item.key[0] != "o"]
+            if kind == "u":
+                # An update of a host of this release.
+                orders = [item for item in items if item.key[0] == "o"]
+                replica.apply_orders(orders, at(revision))
+                replica.apply(history[:revision], at(revision), has_orders=False)
+            elif kind == "c":
+                # Changes from a host of the previous release.
+                replica.apply(history[:revision], at(revision), has_orders=False)
+            else:
+                # A listing of such a host, which has read no orders.
+                listing = Listing(tuple(others), at(revision))
+                replica.apply_listing(listing, has_orders=False)
+            known = orders_at(replica.orders_position.revision)
+            assert {item.key for item in replica.orders} == known
