Take only keys of orders from the orders that another host sends

Cause: a replica applied whatever key stood among the orders of an update; a later release may send further kinds, and a damaged message any key. Change: other keys are ignored. Result: store tests and those of foreign messages pass.

--- a/foxtailseam/store/_replica.py
+++ b/foxtailseam/store/_replica.py
@@ -218,7 +218,8 @@
         is_older = position < self.orders_position
         if position.era != self._position.era or is_older:
             return 0
-        orders = tuple(orders)
+        # A later release may know further kinds of orders.
+        orders = [item for item in orders if self.is_order(item.key)]
         change_count = sum(self._apply_change(item) for item in orders)
         present = {item.key for item in orders}
         change_count += self._remove_missing(self._orders, present, position)
--- a/foxtailseam/store/tests/test_replica.py
+++ b/foxtailseam/store/tests/test_replica.py
@@ -235,6 +235,11 @@
         replica.apply_orders([Item("o1", b"", at(3))], at(4))
         assert replica.orders == (Item("o2", b"", at(4)),)
 
+    def test_keys_that_are_no_orders_are_not_taken_for_some(self):
+        replica, applied = replica_with_orders()
+        replica.apply_orders([Item("a", b"", at(3)), Item("o1", b"", at(3))], at(4))
+        assert applied == [Item("o1", b"", at(3))]
+
     def test_orders_stay_in_an_era_that_a_listing_without_them_starts(self):
         replica, applied = replica_with_orders()
         replica.apply([Item("o1", b"", at(3))], at(4))
