Measure what hosts would gain by knowing which searchers are slow

Cause: at 59 to 195 hosts each host finds out by itself that a searcher is slow. Change: an experiment in virtual time, 'foxtailseam-bench slowness', with three variants: as today, an oracle 0.3 s after the fact, a tenth of the hosts.

--- a/foxtailseam_bench/cli.py
+++ b/foxtailseam_bench/cli.py
@@ -20,6 +20,7 @@
     measure_idle,
     profile_gather,
 )
+from foxtailseam_bench.shared_slowness import SIZES, VARIANTS, compare
 
 
 class Bench:
@@ -74,6 +75,29 @@
         if profile:
             print(profile_gather(max(shard_counts), queries, seed))
 
+    def slowness(
+        self,
+        hosts: int | tuple[int, ...] = tuple(SIZES),
+        seeds: int | tuple[int, ...] = (1, 2, 3),
+        variants: str | tuple[str, ...] = VARIANTS,
+        processes: int = 2,
+    ) -> None:
+        """Simulate slow searchers at hosts that have few queries each.
+
+        Parameters
+        ----------
+        hosts : int or tuple of int
+            Numbers of hosts, 73 or 195.
+        seeds : int or tuple of int
+            Seeds, one for each play of a variant.
+        variants : str or tuple of str
+            ``today``, ``oracle`` and ``tenth``.
+        processes : int
+            Number of plays that run at the same time.
+        """
+        chosen = (variants,) if isinstance(variants, str) else tuple(variants)
+        print(compare(_as_tuple(hosts), _as_tuple(seeds), chosen, processes))
+
     def experiment(self, path: str, results: str = "results") -> None:
         """Run an experiment and write its results as a table and a plot.
 
