Let hosts tell one another which searchers are slow

Cause: at 73 hosts each finds out by itself, at a caller's cost, that a searcher has become slow. Change: a judge compares the parts of each query; its verdicts are reports of a further kind of condition, relayed by gossip within a rate; beliefs change which searcher is preferred; a few hosts probe, and load returns as a ramp. Events 430 to 434, gauges.

--- a/foxtailseam/conditions/__init__.py
+++ b/foxtailseam/conditions/__init__.py
@@ -1,8 +1,9 @@
-"""Conditions that searchers report about themselves in their responses.
+"""Conditions of searchers: what they report of themselves, and what hosts find out.
 
-A searcher may name a rate limit, say that it is leaving, or ask for a pause. The values
-of this package merge in any order and any number of times with the same result, so
-hosts can relay them by gossip.
+A searcher may name a rate limit, say that it is leaving, or ask for a pause. Hosts also
+tell one another which searchers they have found to be slow. The values of this package
+merge in any order and any number of times with the same result, so hosts can relay them
+by gossip.
 """
 
 from foxtailseam.conditions._model import (
@@ -19,11 +20,21 @@
     LeavingNotice,
     LimitNotice,
     PauseNotice,
+    SlownessNotice,
 )
 from foxtailseam.conditions._registry import ConditionRegistry
+from foxtailseam.conditions._slowness import (
+    MAX_SLOW_FACTOR,
+    MIN_SLOW_FACTOR,
+    Slowness,
+    SlownessBelief,
+    SlownessReport,
+)
 
 __all__ = [
     "MAX_PAUSE",
+    "MAX_SLOW_FACTOR",
+    "MIN_SLOW_FACTOR",
     "Condition",
     "ConditionNotices",
     "ConditionRegistry",
@@ -34,5 +45,9 @@
     "PauseNotice",
     "RateLimit",
     "SearcherConditions",
+    "Slowness",
+    "SlownessBelief",
+    "SlownessNotice",
+    "SlownessReport",
     "round_rate",
 ]
--- a/foxtailseam/conditions/_model.py
+++ b/foxtailseam/conditions/_model.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, fields, replace
 from datetime import timedelta
 
+from foxtailseam.conditions._slowness import Slowness
+
 
 @dataclass(frozen=True, slots=True)
 class RateLimit:
@@ -73,7 +75,7 @@
         return now >= self.ends_at
 
 
-Condition = RateLimit | Leaving | Pause
+Condition = RateLimit | Leaving | Pause | Slowness
 
 # Seconds for which an observed limit is kept. The end of a limit is kept as long as the
 # limit itself, so that no host hears of the limit again afterwards.
@@ -115,6 +117,8 @@
         Pause that it asked this host for.
     peer_pause : Pause or None
         Pause that it asked another host for.
+    slowness : Slowness or None
+        What hosts have measured of its slowness.
     """
 
     started_ms: int
@@ -122,6 +126,7 @@
     leaving: Leaving | None = None
     pause: Pause | None = None
     peer_pause: Pause | None = None
+    slowness: Slowness | None = None
 
     def join(self, other: "SearcherConditions") -> "SearcherConditions":
         """Return what is known from both; a later run replaces an earlier one.
--- a/foxtailseam/conditions/_registry.py
+++ b/foxtailseam/conditions/_registry.py
@@ -11,7 +11,16 @@
     LeavingNotice,
     LimitNotice,
     PauseNotice,
+    ReportNotice,
+    SlownessNotice,
 )
+from foxtailseam.conditions._slowness import (
+    REPORT_SECONDS,
+    Slowness,
+    SlownessBelief,
+    SlownessReport,
+)
+from foxtailseam.conditions._slowness_spread import RunKey, SlownessSpread
 
 # Maximum number of notices of each kind in one message.
 MAX_NOTICES = 64
@@ -20,6 +29,11 @@
 # Maximum number of runs of one searcher whose conditions are kept.
 MAX_RUNS = 4
 
+# Part of the searchers that a host may accuse before it is not believed, and the number
+# that it may accuse in any case. A host accuses fewer itself (see the dispatcher).
+MAX_BELIEVED_SHARE = 0.5
+MIN_BELIEVED = 3
+
 # Returns the notice of one kind on a searcher's conditions at a time, if there is one.
 NoticeBuilder = Callable[[str, SearcherConditions, float], ConditionNotice | None]
 
@@ -45,6 +59,18 @@
         # Called with the identifier of a searcher whose conditions another host's
         # notice has changed.
         self.on_notice: Callable[[str], None] = lambda searcher: None
+        # Called when it has changed whether a searcher is believed to be slow.
+        self.on_slowness_news: Callable[[], None] = lambda: None
+        # Called with a host that accuses too many searchers to be believed.
+        self.on_distrust: Callable[[str], None] = lambda host: None
+        # Returns the number of searchers; 0 if it is not known yet.
+        self.count_searchers: Callable[[], int] = lambda: 0
+        # Number of failure domains of the hosts.
+        self.failure_domains = 1
+        self._spread = SlownessSpread(clock, generator)
+        # Times of the accusations of each host by searcher and start time.
+        self._accusations: dict[str, dict[RunKey, float]] = {}
+        self._distrusted: set[str] = set()
         # By searcher and start time; the run that has changed last is the last one.
         self._known: dict[str, dict[int, SearcherConditions]] = {}
 
@@ -79,6 +105,10 @@
         merged = conditions if known is None else known.join(conditions)
         if merged == known or merged.is_empty:
             return False
+        if known is None or merged.slowness != known.slowness:
+            self._record_slowness(
+                (searcher, started_ms), known and known.slowness, merged.slowness
+            )
         runs = self._known.setdefault(searcher, {})
         runs.pop(started_ms, None)
         runs[started_ms] = merged
@@ -86,14 +116,31 @@
             del runs[next(iter(runs))]
         return True
 
-    def notices(self) -> ConditionNotices:
-        """Return up to `MAX_NOTICES` notices of each kind for another host."""
+    def belief(self, slowness: Slowness, now: float) -> SlownessBelief:
+        """Return what to believe of a searcher's slowness at a monotonic time."""
+        return slowness.belief(now, self._is_credible, self.failure_domains)
+
+    def notices(
+        self,
+        is_complete: bool = False,
+        known: tuple[SlownessNotice, ...] = (),
+    ) -> ConditionNotices:
+        """Return up to `MAX_NOTICES` notices of each kind for another host.
+
+        Parameters
+        ----------
+        is_complete : bool
+            Whether the other host has just started.
+        known : tuple of SlownessNotice
+            Notices of slow searchers that the other host has sent.
+        """
         now = self.clock.monotonic()
         self._remove_expired(now)
         return ConditionNotices(
             self._select(_limit_notice, now),
             self._select(_leaving_notice, now),
             self._select(_pause_notice, now),
+            self._select_slowness(now, is_complete, known),
         )
 
     def merge(self, notices: ConditionNotices) -> None:
@@ -121,12 +168,81 @@
             notices = self.generator.sample(notices, MAX_NOTICES)
         return tuple(notices)
 
+    def _select_slowness(
+        self, now: float, is_complete: bool, known: tuple[SlownessNotice, ...]
+    ) -> tuple[SlownessNotice, ...]:
+        held = {
+            (searcher, conditions.started_ms): conditions.slowness
+            for searcher, runs in self._known.items()
+            for conditions in runs.values()
+            if conditions.slowness is not None
+        }
+        self._spread.retain(held)
+        if not held:
+            return ()
+        received = {
+            (notice.searcher, notice.started_ms): len(notice.reports)
+            for notice in known
+        }
+        keys = self._spread.select(
+            held,
+            lambda key: received.get(key, 0) >= len(held[key].reports),
+            is_complete,
+        )
+        return tuple(_slowness_notice(key, held[key], now) for key in keys)
+
+    def _record_slowness(
+        self, key: RunKey, before: Slowness | None, after: Slowness | None
+    ) -> None:
+        if after is None:
+            return
+        now = self.clock.monotonic()
+        for report in after.reports:
+            if report.is_slow:
+                accused = self._accusations.setdefault(report.host, {})
+                accused[key] = max(report.observed_at, accused.get(key, 0.0))
+        is_slow = self.belief(after, now).factor > 1.0
+        was_slow = before is not None and self.belief(before, now).factor > 1.0
+        hosts = {(item.host, item.is_slow) for item in after.reports}
+        hosts_before = {(i.host, i.is_slow) for i in before.reports} if before else ()
+        self._spread.record_change(
+            key, after.reports[0].observed_at, hosts != hosts_before
+        )
+        if is_slow != was_slow:
+            self.on_slowness_news()
+
+    def _is_credible(self, host: str) -> bool:
+        """Return whether a host accuses no more searchers than may be slow."""
+        accused = self._accusations.get(host)
+        searchers = self.count_searchers()
+        if not accused or not searchers:
+            return True
+        max_accused = max(MIN_BELIEVED, MAX_BELIEVED_SHARE * searchers)
+        if len(accused) > max_accused:
+            expired_at = self.clock.monotonic() - REPORT_SECONDS
+            for key in [key for key, at in accused.items() if at < expired_at]:
+                del accused[key]
+        is_credible = len(accused) <= max_accused
+        if is_credible:
+            self._distrusted.discard(host)
+        elif host not in self._distrusted:
+            self._distrusted.add(host)
+            self.on_distrust(host)
+            for searcher, _ in accused:
+                self.on_notice(searcher)
+        return is_credible
+
     def _remove_expired(self, now: float) -> None:
         current = {
             searcher: _without_expired(runs, now)
             for searcher, runs in self._known.items()
         }
         self._known = {searcher: runs for searcher, runs in current.items() if runs}
+        expired_at = now - REPORT_SECONDS
+        for host, accused in list(self._accusations.items()):
+            if all(at < expired_at for at in accused.values()):
+                del self._accusations[host]
+                self._distrusted.discard(host)
 
 
 def _without_expired(
@@ -165,5 +281,24 @@
     return PauseNotice(searcher, known.started_ms, _milliseconds(ends_at - now))
 
 
+def _slowness_notice(key: RunKey, slowness: Slowness, now: float) -> SlownessNotice:
+    searcher, started_ms = key
+    reports = tuple(
+        _report_notice(item, now)
+        for item in slowness.reports
+        if not item.is_expired(now)
+    )
+    return SlownessNotice(searcher, started_ms, reports)
+
+
+def _report_notice(report: SlownessReport, now: float) -> ReportNotice:
+    return ReportNotice(
+        report.host,
+        report.failure_domain,
+        round(10 * report.factor),
+        _milliseconds(now - report.observed_at),
+    )
+
+
 def _milliseconds(seconds: float) -> int:
     return int(seconds * 1000)
--- /dev/null
+++ b/foxtailseam/conditions/_slowness_spread.py
@@ -0,0 +1,98 @@
+"""Which notices of slow searchers a message carries, within a bound on their rate."""
+
+import random
+from collections.abc import Callable, Collection, Iterable
+
+from foxtailseam.clocks import Clock
+
+# Notices that a host sends in a second on average, and at once. At 80 bytes each they
+# stay under 3 KB a second beside the exchanges that carry them.
+NOTICES_PER_SECOND = 20.0
+MAX_BURST = 64.0
+# Messages in which a host passes a changed notice on: about the logarithm of the number
+# of hosts, and some more.
+MAX_SENDS = 8
+# Seconds of progress of the latest measurement that make a notice worth passing on
+# again if nothing else has changed.
+RENEWAL_SECONDS = 2.5
+
+# Identifier and start time of a searcher.
+RunKey = tuple[str, int]
+
+
+class SlownessSpread:
+    """Chooses the notices of a message: those first that were sent least often.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    generator : random.Random
+        Decides between notices that were sent equally often.
+    """
+
+    def __init__(self, clock: Clock, generator: random.Random):
+        self.clock = clock
+        self.generator = generator
+        # Messages in which each notice was sent, and the time of the measurement that
+        # made it worth sending.
+        self._sends: dict[RunKey, int] = {}
+        self._spread_at: dict[RunKey, float] = {}
+        self._tokens = MAX_BURST
+        self._refilled_at = clock.monotonic()
+
+    def record_change(self, key: RunKey, observed_at: float, is_news: bool) -> None:
+        """Count a notice as changed.
+
+        Parameters
+        ----------
+        key : tuple of str, int
+            Identifier and start time of the searcher.
+        observed_at : float
+            Monotonic time of its latest measurement, in seconds.
+        is_news : bool
+            Whether more has changed than the time of a measurement.
+        """
+        if is_news or observed_at - self._spread_at[key] >= RENEWAL_SECONDS:
+            self._sends[key] = 0
+            self._spread_at[key] = observed_at
+
+    def retain(self, keys: Collection[RunKey]) -> None:
+        """Forget the notices of all other searchers."""
+        for key in [key for key in self._sends if key not in keys]:
+            del self._sends[key], self._spread_at[key]
+
+    def select(
+        self,
+        keys: Iterable[RunKey],
+        is_known: Callable[[RunKey], bool],
+        is_complete: bool,
+    ) -> list[RunKey]:
+        """Return the searchers whose notices go into a message.
+
+        Parameters
+        ----------
+        keys : iterable of tuple of str, int
+            Searchers of which there is a notice.
+        is_known : callable
+            Returns whether the receiver has the notice of a searcher already.
+        is_complete : bool
+            Whether the receiver has just started and gets what there is.
+        """
+        if is_complete:
+            return self._least_sent(keys)[: int(MAX_BURST)]
+        now = self.clock.monotonic()
+        gained = NOTICES_PER_SECOND * (now - self._refilled_at)
+        self._tokens = min(MAX_BURST, self._tokens + gained)
+        self._refilled_at = now
+        waiting = [
+            key for key in keys if self._sends[key] < MAX_SENDS and not is_known(key)
+        ]
+        chosen = self._least_sent(waiting)[: int(self._tokens)]
+        self._tokens -= len(chosen)
+        for key in chosen:
+            self._sends[key] += 1
+        return chosen
+
+    def _least_sent(self, keys: Iterable[RunKey]) -> list[RunKey]:
+        return sorted(keys, key=lambda key: (self._sends[key], self.generator.random()))
--- a/foxtailseam/dispatch/_attempts.py
+++ b/foxtailseam/dispatch/_attempts.py
@@ -70,6 +70,8 @@
         Whether no idle connection was available, so that one had to be opened.
     written_at : float or None
         Time of writing the request to its connection; None if it was not written.
+    ended_at : float or None
+        Time of its result; None while the attempt is in progress.
     outcome : str
         Response status or kind of failure; empty while the attempt is in progress.
     """
@@ -80,6 +82,7 @@
     exchange: PendingExchange | None = None
     opens_connection: bool = False
     written_at: float | None = None
+    ended_at: float | None = None
     outcome: str = ""
 
 
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -183,7 +183,8 @@
         )
         if searcher is None or searcher.health.is_ejected:
             return False
-        expected = searcher.health.slowness * self._response_times.median
+        slowness = searcher.slowness_at(self.dispatcher.clock.monotonic())
+        expected = slowness * self._response_times.median
         if expected > MAX_HEDGE_OVERRUN * (
             useful_until - self.dispatcher.clock.monotonic()
         ):
@@ -251,6 +252,7 @@
         del self._running[id(attempt)]
         now = self.dispatcher.clock.monotonic()
         seconds = attempt.searcher.end_request(attempt.number, now)
+        attempt.ended_at = now
         try:
             match result:
                 case Received(response=response):
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -84,7 +84,10 @@
         # Bytes exchanged with searchers.
         self.traffic = TrafficCounter(failure_domain)
         # When this host may send to the searchers that have reported conditions.
-        self.gates = SearcherGates(clock, generator, self._find_searcher)
+        self.gates = SearcherGates(
+            clock, generator, self._find_searcher, failure_domain
+        )
+        self.gates.conditions.count_searchers = lambda: len(self._searchers)
         # Requests that wait for a searcher.
         self.waiting = WaitingRequests(self, timers)
         self.gates.on_gate_change = self.waiting.admit
@@ -174,18 +177,28 @@
 
         A searcher whose slots are full counts. One that drains, has asked for a pause
         or for whose limit this host has to wait does not. One that is leaving, or has
-        asked another host for a pause, counts only if no other one can serve.
+        asked another host for a pause, counts only if no other one can serve; one that
+        hosts agree to be slow, only if no other one has room.
         """
         usable = self.usable_searchers(service)
         if not self.gates.by_service.get(service):
             return usable
         now = self.clock.monotonic()
-        preferred, avoided = [], []
+        preferred, avoided, slow = [], [], []
         for searcher in usable:
             gate = searcher.gate
             if gate is None or gate.wait(now) <= 0.0:
-                is_avoided = gate is not None and gate.is_avoided(now)
-                (avoided if is_avoided else preferred).append(searcher)
+                if gate is not None and gate.is_avoided(now):
+                    avoided.append(searcher)
+                elif gate is not None and gate.is_slow(now):
+                    slow.append(searcher)
+                else:
+                    preferred.append(searcher)
+        if slow and not any(
+            searcher.has_capacity and not searcher.health.is_ejected_at(now)
+            for searcher in preferred
+        ):
+            preferred += slow
         if any(not searcher.health.is_ejected_at(now) for searcher in preferred):
             return tuple(preferred)
         return (*preferred, *avoided)
--- a/foxtailseam/dispatch/_gate.py
+++ b/foxtailseam/dispatch/_gate.py
@@ -3,7 +3,13 @@
 import math
 from dataclasses import dataclass
 
-from foxtailseam.conditions import Condition, Pause, SearcherConditions
+from foxtailseam.conditions import (
+    Condition,
+    Pause,
+    SearcherConditions,
+    SlownessBelief,
+)
+from foxtailseam.dispatch._slowness import SharedSlowness
 from foxtailseam.rate_limits import HostGroup, RequestPacer
 
 # A leaving searcher gets no request later than its drain time less this after it first
@@ -59,6 +65,8 @@
         self._conditions = conditions
         self._tokens = tokens
         self._pacer: RequestPacer | None = None
+        # None if no host has reported the searcher as slow.
+        self.slowness: SharedSlowness | None = None
         self._update_pacer(now)
 
     @property
@@ -103,8 +111,28 @@
         if hosts_changed or rate != self.rate:
             self._update_pacer(now)
 
+    def set_belief(self, belief: SlownessBelief | None, now: float) -> None:
+        """Set what is believed of the searcher's slowness; None if nothing is known.
+
+        Parameters
+        ----------
+        belief : SlownessBelief or None
+            What is believed.
+        now : float
+            Current monotonic time in seconds.
+        """
+        if belief is None:
+            self.slowness = None
+        elif self.slowness is None:
+            context = self.context
+            self.slowness = SharedSlowness(context.searcher, context.hosts, belief, now)
+        else:
+            self.slowness.update(self.context.hosts, belief)
+
     def take(self, now: float) -> None:
         """Count a request that is sent."""
+        if self.slowness is not None:
+            self.slowness.take(now)
         if self._pacer is not None:
             self._pacer.take(now)
 
@@ -145,6 +173,16 @@
         """
         return self.is_leaving or self._time_left(self._conditions.peer_pause, now) > 0
 
+    def is_slow(self, now: float) -> bool:
+        """Return whether hosts agree that the searcher is slow, unless this one probes.
+
+        Parameters
+        ----------
+        now : float
+            Current monotonic time in seconds.
+        """
+        return self.slowness is not None and self.slowness.is_avoided(now)
+
     def is_paused(self, now: float) -> bool:
         """Return whether the searcher has asked this host for a pause."""
         return self._pause_wait(now) > 0
--- a/foxtailseam/dispatch/_gates.py
+++ b/foxtailseam/dispatch/_gates.py
@@ -1,7 +1,7 @@
 """The gates of all searchers of this host, kept up to date with their conditions."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from foxtailseam.clocks import Clock
 from foxtailseam.conditions import (
@@ -11,14 +11,28 @@
     Pause,
     RateLimit,
     SearcherConditions,
+    Slowness,
+    SlownessBelief,
+    SlownessReport,
 )
 from foxtailseam.dispatch._gate import GateContext, SearcherGate, changed_conditions
 from foxtailseam.dispatch._searcher import Searcher
+from foxtailseam.dispatch._slowness_judge import (
+    PartTime,
+    SlownessJudge,
+    SlownessVerdict,
+)
 from foxtailseam.dispatch._wire_format import AnswerMetadata
 from foxtailseam.rate_limits import HostGroup
 
 # Drain time of searchers until the settings name one, in seconds.
 DEFAULT_DRAIN_SECONDS = 3.0
+# A host repeats its report on a searcher no more often than this, in seconds.
+REPEAT_SECONDS = 1.0
+# Part of the searchers that this host accuses at most, and the number that it may
+# accuse in any case. Other hosts believe one that accuses some more.
+MAX_ACCUSED_SHARE = 0.4
+MIN_ACCUSED = 3
 
 
 class SearcherGates:
@@ -32,6 +46,8 @@
         Spreads the first requests to a limited searcher.
     find : callable
         Returns the registered searcher with an identifier, or None.
+    failure_domain : str
+        Failure domain of this host.
     """
 
     def __init__(
@@ -39,10 +55,12 @@
         clock: Clock,
         generator: random.Random,
         find: Callable[[str], Searcher | None],
+        failure_domain: str = "",
     ):
         self.clock = clock
         self.generator = generator
         self.find = find
+        self.failure_domain = failure_domain
         self.drain_seconds = DEFAULT_DRAIN_SECONDS
         # What the hosts know of the conditions of searchers.
         self.conditions = ConditionRegistry(clock, generator)
@@ -54,6 +72,17 @@
         # Called with the service of a searcher whose gate changed by another host's
         # notice.
         self.on_gate_change: Callable[[str], None] = lambda service: None
+        # Called with a searcher and the verdict of this host on its slowness.
+        self.on_verdict: Callable[[Searcher, SlownessVerdict], None] = lambda *_: None
+        # Called with a searcher that is no longer believed to be slow, and the belief.
+        self.on_slowness_end: Callable[[Searcher, SlownessBelief], None] = lambda *_: (
+            None
+        )
+        self._judge = SlownessJudge()
+        # Identifiers of the searchers that are believed to be slow.
+        self._slow: set[str] = set()
+        # The latest report of this host on each searcher.
+        self._own_reports: dict[str, SlownessReport] = {}
         self._hosts = HostGroup()
         # Identifiers of the searchers of each service that have a gate.
         self.by_service: dict[str, set[str]] = {}
@@ -77,6 +106,7 @@
         gated = self.by_service.get(searcher.entry.service)
         if gated:
             gated.discard(searcher.entry.identifier)
+        self._slow.discard(searcher.entry.identifier)
 
     def update(self, searcher: Searcher) -> None:
         """Make the gate of a searcher match its conditions; report what changed."""
@@ -98,6 +128,7 @@
             self.by_service.setdefault(entry.service, set()).add(entry.identifier)
         else:
             gate.update(context, known, now)
+        self._set_belief(searcher, known, now)
         for condition in changed_conditions(before, known):
             self.on_change(searcher, condition)
 
@@ -132,6 +163,90 @@
         if self.conditions.record(entry.identifier, conditions):
             self.update(searcher)
 
+    def record_parts(self, parts: Sequence[PartTime]) -> None:
+        """Judge the searchers by the parts of one query and note what is found.
+
+        A host that knows no other one has nobody to tell and goes by its own averages.
+
+        Parameters
+        ----------
+        parts : sequence of PartTime
+            Parts of one query of all shards.
+        """
+        if len(self._hosts.addresses) == 1:
+            return
+        now = self.clock.monotonic()
+        for verdict in self._judge.judge(parts, self._slow):
+            searcher = self.find(verdict.searcher)
+            if searcher is not None:
+                self._record_verdict(searcher, verdict, now)
+
+    def remove_expired(self) -> None:
+        """End what is believed of slow searchers if it has expired."""
+        now = self.clock.monotonic()
+        for searcher in self.gated:
+            shared = searcher.gate.slowness
+            if shared is None or shared.is_slow(now):
+                continue
+            identifier = searcher.entry.identifier
+            if identifier in self._slow:
+                self._slow.discard(identifier)
+                self.on_slowness_end(searcher, shared.belief)
+            known = self.conditions.get(identifier, searcher.entry.started_ms)
+            if known is None or known.slowness is None:
+                self.update(searcher)
+
+    def _record_verdict(
+        self, searcher: Searcher, verdict: SlownessVerdict, now: float
+    ) -> None:
+        entry = searcher.entry
+        own = self._own_reports.get(entry.identifier)
+        is_repeated = (
+            own is not None
+            and own.is_slow == verdict.is_slow
+            and now - own.observed_at < REPEAT_SECONDS
+        )
+        if is_repeated or (verdict.is_slow and not self._may_accuse(now)):
+            return
+        report = SlownessReport(
+            now, verdict.factor, self._hosts.own_address, self.failure_domain
+        )
+        self._own_reports[entry.identifier] = report
+        conditions = SearcherConditions(
+            entry.started_ms, slowness=Slowness.from_reports((report,))
+        )
+        if self.conditions.record(entry.identifier, conditions):
+            self.update(searcher)
+        self.on_verdict(searcher, verdict)
+
+    def _may_accuse(self, now: float) -> bool:
+        """Return whether this host accuses few enough searchers to be believed."""
+        self._own_reports = {
+            name: report
+            for name, report in self._own_reports.items()
+            if not report.is_expired(now)
+        }
+        accused = sum(report.is_slow for report in self._own_reports.values())
+        searchers = self.conditions.count_searchers()
+        return accused < max(MIN_ACCUSED, MAX_ACCUSED_SHARE * searchers)
+
+    def _set_belief(
+        self, searcher: Searcher, known: SearcherConditions, now: float
+    ) -> None:
+        identifier = searcher.entry.identifier
+        if known.slowness is None:
+            searcher.gate.set_belief(None, now)
+            return
+        belief = self.conditions.belief(known.slowness, now)
+        searcher.gate.set_belief(belief, now)
+        is_slow = now < belief.until
+        if is_slow and identifier not in self._slow:
+            self._slow.add(identifier)
+            self.on_change(searcher, known.slowness)
+        elif not is_slow and identifier in self._slow:
+            self._slow.discard(identifier)
+            self.on_slowness_end(searcher, belief)
+
     def _on_notice(self, identifier: str) -> None:
         searcher = self.find(identifier)
         if searcher is not None:
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -17,6 +17,7 @@
 )
 from foxtailseam.dispatch._searcher import Searcher
 from foxtailseam.dispatch._shard_selection import select_shards
+from foxtailseam.dispatch._slowness_judge import PartTime
 from foxtailseam.outcomes import TopRecords
 from foxtailseam.reachability import MIN_SILENCE_SECONDS
 from foxtailseam.routing import AllShards
@@ -24,6 +25,8 @@
 # Minimum interval between two checks for shards that need a hedge, in seconds.
 HEDGE_RECHECK_INTERVAL = 0.005
 _FIRST_FAILURE_STATUS = 300
+# Outcomes of attempts whose time tells how fast their searcher is.
+_TIMED_OUTCOMES = frozenset({"", "200"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -459,12 +462,28 @@
 
     def _finish(self, result: GatherResult) -> None:
         self._stop()
+        self.dispatcher.gates.record_parts(self._part_list())
         for call in (*self._waiting, *self._deferred):
             call.close()
         if any(call.is_running for call in self._calls):
             self.dispatcher.timers.call_later(GRACE_SECONDS, self._cancel_calls)
         self.on_result(result)
 
+    def _part_list(self) -> list[PartTime]:
+        """Return the time that each attempt has taken, as far as it was run."""
+        now = self._now()
+        return [
+            PartTime(
+                attempt.searcher.entry.identifier,
+                attempt.searcher.entry.failure_domain,
+                (attempt.ended_at or now) - attempt.written_at,
+                attempt.ended_at is not None,
+            )
+            for call in self._calls
+            for attempt in call.record.attempts
+            if attempt.written_at is not None and attempt.outcome in _TIMED_OUTCOMES
+        ]
+
     def _stop(self) -> None:
         self._is_over = True
         self._cancel_timers()
--- a/foxtailseam/dispatch/_health.py
+++ b/foxtailseam/dispatch/_health.py
@@ -90,6 +90,11 @@
         """
         return self.slowness_at(self.clock.monotonic())
 
+    @property
+    def last_response_at(self) -> float:
+        """Return the monotonic time of the latest response; -infinity without any."""
+        return self._last_response_at
+
     @property
     def failure_share(self) -> float:
         """Return the recent share of failures, 0 to 1; decays towards 0."""
--- a/foxtailseam/dispatch/_searcher.py
+++ b/foxtailseam/dispatch/_searcher.py
@@ -178,6 +178,19 @@
         sent_at, median_time = next(iter(self._in_flight.values()))
         return self.health.is_stalled(sent_at, median_time, now)
 
+    def slowness_at(self, now: float) -> float:
+        """Return the slowness by this host's measurements and those of others.
+
+        Parameters
+        ----------
+        now : float
+            Current monotonic time in seconds.
+        """
+        own = self.health.slowness_at(now)
+        if self.gate is None or self.gate.slowness is None:
+            return own
+        return self.gate.slowness.apply(own, self.health.last_response_at, now)
+
     def candidate(self, failure_domain: str, now: float) -> Candidate:
         """Return a snapshot of this searcher for the selection.
 
@@ -190,13 +203,17 @@
         """
         health = self.health
         entry = self.entry
+        gate = self.gate
+        shared = None if gate is None else gate.slowness
         return Candidate(
             entry.identifier,
-            health.slowness_at(now),
+            health.slowness_at(now) if shared is None else self.slowness_at(now),
             health.failure_share_at(now),
             len(self._in_flight),
             entry.slots,
-            entry.failure_domain == failure_domain,
+            # A request that probes the searcher goes there from any failure domain.
+            entry.failure_domain == failure_domain
+            or (shared is not None and shared.is_probing(now)),
             self.pool.has_idle,
             now < self._warmup_ends_at,
             self.is_stalled(now),
--- a/foxtailseam/fleet/_gossip.py
+++ b/foxtailseam/fleet/_gossip.py
@@ -5,7 +5,9 @@
 
 from collections.abc import Callable
 
-from foxtailseam.conditions import ConditionRegistry
+import msgspec
+
+from foxtailseam.conditions import ConditionRegistry, SlownessNotice
 from foxtailseam.fleet._membership import HostRecord, Membership
 from foxtailseam.fleet._messages import (
     MemberExchange,
@@ -86,6 +88,7 @@
             peer_digest=request.digest,
             is_complete=bool(view),
             known=request.notices,
+            known_slowness=request.slowness or (),
         )
 
     def finish(self, response: MemberExchange) -> None:
@@ -121,9 +124,10 @@
         peer_digest: int = 0,
         is_complete: bool = False,
         known: tuple[SuspicionNotice, ...] = (),
+        known_slowness: tuple[SlownessNotice, ...] = (),
     ) -> MemberExchange:
         quarantine = self.quarantine
-        conditions = self.conditions.notices()
+        conditions = self.conditions.notices(bool(view), known_slowness)
         return MemberExchange(
             records=records or (self.membership.own_record,),
             notices=(
@@ -136,6 +140,7 @@
             digest=self.membership.digest,
             wants_view=wants_view,
             view=view,
+            slowness=conditions.slowness or msgspec.UNSET,
             **self.state_exchange.notices(),
         )
 
--- a/foxtailseam/fleet/_messages.py
+++ b/foxtailseam/fleet/_messages.py
@@ -12,6 +12,7 @@
     LeavingNotice,
     LimitNotice,
     PauseNotice,
+    SlownessNotice,
 )
 from foxtailseam.fleet._membership import HostRecord, MemberNews
 from foxtailseam.quarantine import SuspicionNotice
@@ -53,6 +54,9 @@
         Whether the sender asks for the records of all hosts if the digests differ.
     view : bytes
         These records, compressed; empty if the sender did not ask for them.
+    slowness : tuple of SlownessNotice
+        Searchers that hosts have found to be slow, or not to be slow any more; unset
+        if there are none.
     """
 
     records: tuple[HostRecord, ...]
@@ -64,11 +68,15 @@
     digest: Integer = 0
     wants_view: bool = False
     view: bytes = b""
+    # Without notices the field takes no byte.
+    slowness: tuple[SlownessNotice, ...] | msgspec.UnsetType = msgspec.UNSET
 
     @property
     def conditions(self) -> ConditionNotices:
         """Return the notices of the conditions of searchers."""
-        return ConditionNotices(self.limits, self.leaving, self.pauses)
+        return ConditionNotices(
+            self.limits, self.leaving, self.pauses, self.slowness or ()
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailseam/front/_condition_log.py
+++ b/foxtailseam/front/_condition_log.py
@@ -1,7 +1,22 @@
-"""Log events and metrics on the conditions that searchers report."""
+"""Log events and metrics on the conditions of searchers."""
 
-from foxtailseam.conditions import Condition, Leaving, Pause, RateLimit
-from foxtailseam.dispatch import MALFORMED_LIMIT, MALFORMED_PAUSE, Dispatcher, Searcher
+import math
+
+from foxtailseam.conditions import (
+    Condition,
+    Leaving,
+    Pause,
+    RateLimit,
+    Slowness,
+    SlownessBelief,
+)
+from foxtailseam.dispatch import (
+    MALFORMED_LIMIT,
+    MALFORMED_PAUSE,
+    Dispatcher,
+    Searcher,
+    SlownessVerdict,
+)
 from foxtailseam.logs import EventCode, LogWriter
 from foxtailseam.metrics import Metrics
 
@@ -57,6 +72,36 @@
                     searcher,
                     pause_ms=-self._milliseconds_since(ends_at),
                 )
+            case Slowness():
+                self.metrics.add("searchers_believed_slow")
+                belief = searcher.gate.slowness.belief
+                self._write(
+                    EventCode.SEARCHER_SLOW,
+                    searcher,
+                    factor=round(belief.factor, 1),
+                    hosts=" ".join(belief.accusers),
+                    agreed=belief.is_confirmed,
+                )
+
+    def record_verdict(self, searcher: Searcher, verdict: SlownessVerdict) -> None:
+        """Write the event of what this host has measured of a searcher."""
+        if verdict.is_slow:
+            self.metrics.add("searchers_accused")
+            code = EventCode.SEARCHER_ACCUSED
+        else:
+            self.metrics.add("searchers_cleared")
+            code = EventCode.SEARCHER_CLEARED
+        self._write(code, searcher, factor=round(verdict.factor, 1))
+
+    def record_slowness_end(self, searcher: Searcher, belief: SlownessBelief) -> None:
+        """Write the event of a searcher that is no longer believed to be slow."""
+        reason = "expired" if math.isinf(belief.cleared_at) else "measured"
+        self._write(EventCode.SEARCHER_SLOW_ENDED, searcher, reason=reason)
+
+    def record_distrust(self, host: str) -> None:
+        """Write the event of a host that reports too many searchers as slow."""
+        self.metrics.add("accusers_distrusted")
+        self.log.write(EventCode.ACCUSER_DISTRUSTED, peer=host)
 
     def record_malformed(self, searcher: Searcher, condition: str) -> None:
         """Write the event of a condition that cannot be read."""
@@ -71,6 +116,11 @@
         self.metrics.set("searchers_limited_now", limited)
         self.metrics.set("searchers_leaving_now", sum(g.is_leaving for g in gates))
         self.metrics.set("searchers_paused_now", sum(g.is_paused(now) for g in gates))
+        shared = [gate.slowness for gate in gates if gate.slowness is not None]
+        slow = sum(item.is_slow(now) for item in shared)
+        self.metrics.set("searchers_slow_now", slow)
+        avoided = sum(item.is_avoided(now) for item in shared)
+        self.metrics.set("searchers_slow_agreed_now", avoided)
 
     def _write(self, code: EventCode, searcher: Searcher, **fields: object) -> None:
         entry = searcher.entry
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -134,6 +134,9 @@
         gates.drain_seconds = bounds.searcher_drain.total_seconds()
         gates.on_change = self._condition_log.record_change
         gates.on_malformed = self._condition_log.record_malformed
+        gates.on_verdict = self._condition_log.record_verdict
+        gates.on_slowness_end = self._condition_log.record_slowness_end
+        gates.conditions.on_distrust = self._condition_log.record_distrust
         self.configuration_manager = ConfigurationManager(
             self.dispatcher,
             self.clock,
@@ -194,6 +197,7 @@
             self._supervisor,
         )
         self._quarantine_guard.on_update = self._fleet.gossip_now
+        gates.conditions.on_slowness_news = self._fleet.gossip_now
         self._forward_sender = ChannelForwardSender(self.clock, self._supervisor)
         self._connect_peers()
         self._caller_listener = Listener(
@@ -229,6 +233,7 @@
                     self.configuration_manager.catalogue.remove_expired
                 ),
                 "check idle links": self.dispatcher.links.check_idle,
+                "remove expired slowness": self.dispatcher.gates.remove_expired,
                 "log readiness": self._readiness.log_change,
                 "flush log": self.log.flush,
             },
@@ -385,6 +390,9 @@
     def _on_members(self, addresses: frozenset[str]) -> None:
         # A host that has just started may not know all the others yet.
         self.dispatcher.hosts = max(len(addresses), MIN_HOSTS)
+        domains = {peer.failure_domain for peer in self._fleet.peer_hosts}
+        domains.add(self.settings.failure_domain)
+        self.dispatcher.gates.conditions.failure_domains = len(domains)
         self.dispatcher.gates.set_hosts(HostGroup(self.settings.peers, addresses))
         self.metrics.set("hosts", len(addresses))
 
--- a/foxtailseam/logs/_catalogue.py
+++ b/foxtailseam/logs/_catalogue.py
@@ -80,6 +80,19 @@
     SEARCHER_LEAVING_SOON = (413, Severity.INFO, "a searcher's answer said it leaves")
     SEARCHER_PAUSED = (414, Severity.INFO, "a searcher asked this host for a pause")
     SEARCHER_PAUSE_INVALID = (415, Severity.WARNING, "a searcher's pause is invalid")
+    SEARCHER_SLOW = (
+        430,
+        Severity.INFO,
+        "hosts report a searcher as slow; it is avoided",
+    )
+    SEARCHER_SLOW_ENDED = (431, Severity.INFO, "a searcher is no longer taken as slow")
+    SEARCHER_ACCUSED = (432, Severity.DEBUG, "this host found a searcher to be slow")
+    SEARCHER_CLEARED = (
+        433,
+        Severity.DEBUG,
+        "this host found a slow searcher fast again",
+    )
+    ACCUSER_DISTRUSTED = (434, Severity.WARNING, "a host reports too many as slow")
     LINKS_CHANGED = (416, Severity.WARNING, "the host lost or regained the searchers")
     ENTRY_REFUSED = (408, Severity.WARNING, "a searcher's entry is invalid")
     PEER_STATE = (500, Severity.INFO, "a peer's state changed")
--- a/foxtailseam_bench/shared_slowness.py
+++ b/foxtailseam_bench/shared_slowness.py
@@ -13,6 +13,7 @@
 
 from foxtailseam_bench.simulation import (
     SimulatedCall,
+    SimulatedFleet,
     SimulatedSearcher,
     SimulatedTier,
     simulated_hosts,
@@ -36,7 +37,7 @@
 FAILURE_DOMAINS = ("d1", "d2", "d3")
 # Numbers of hosts, and of shards for each.
 SIZES = {73: 87, 195: 129}
-VARIANTS = ("today", "oracle", "tenth")
+VARIANTS = ("today", "oracle", "tenth", "notices")
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,8 +49,9 @@
     hosts : int
         Number of hosts of the deployment.
     variant : str
-        ``today``; ``oracle``: every host knows the truth `ORACLE_DELAY` after the fact;
-        ``tenth``: a tenth of the hosts have the same traffic.
+        ``today``: each host goes by its own measurements; ``oracle``: every host knows
+        the truth `ORACLE_DELAY` after the fact; ``tenth``: a tenth of the hosts have
+        the same traffic; ``notices``: hosts tell one another by gossip.
     seed : int
         Seed of all random choices.
     """
@@ -79,6 +81,9 @@
         Hedges and retries sent for each first attempt, over the whole play.
     to_slow : float
         Share of the requests in the degradation that reached slow searchers.
+    sent : float
+        Bytes of gossip that a host sends in a second of the degradation; 0 where the
+        play has no gossip.
     """
 
     play: Play
@@ -89,6 +94,7 @@
     missing: float
     extras: float
     to_slow: float
+    sent: float
 
 
 def run_play(play: Play) -> PlayResult:
@@ -96,10 +102,14 @@
     shards = SIZES[play.hosts]
     hosts = max(1, play.hosts // 10) if play.variant == "tenth" else play.hosts
     generator = random.Random(play.seed)
-    with simulated_hosts(hosts, SERVICE_SECONDS, GOAL_MS, shards, play.seed) as tiers:
+    with simulated_hosts(
+        hosts, SERVICE_SECONDS, GOAL_MS, shards, play.seed, FAILURE_DOMAINS
+    ) as tiers:
         time = tiers[0].time
-        for number, tier in enumerate(tiers):
-            tier.dispatcher.failure_domain = FAILURE_DOMAINS[number % 3]
+        fleet = join_by_gossip(tiers, play.seed) if play.variant == "notices" else None
+        if fleet is None:
+            for tier in tiers:
+                tier.dispatcher.gates.record_parts = _ignore_parts
         at = 0.0
         while at < END:
             at += generator.expovariate(HOST_RATE * play.hosts)
@@ -111,8 +121,26 @@
         if play.variant == "oracle":
             time.call_later(SLOW_FROM + ORACLE_DELAY, _tell_all, tiers, slow, True)
             time.call_later(SLOW_UNTIL + ORACLE_DELAY, _tell_all, tiers, slow, False)
+        time.run_until(SLOW_FROM)
+        bytes_before = _sent_bytes(fleet)
+        time.run_until(SLOW_UNTIL)
+        sent = (_sent_bytes(fleet) - bytes_before) / (SLOW_UNTIL - SLOW_FROM) / hosts
         time.run_until(END + 2.0)
-    return _result(play, tiers, searchers, slow)
+    return _result(play, tiers, searchers, slow, sent)
+
+
+def join_by_gossip(tiers: Sequence[SimulatedTier], seed: int) -> SimulatedFleet:
+    """Let hosts exchange what they know of searchers as the product does."""
+    gates = [tier.dispatcher.gates for tier in tiers]
+    for item in gates:
+        item.conditions.failure_domains = len(FAILURE_DOMAINS)
+    return SimulatedFleet(
+        len(tiers),
+        len(FAILURE_DOMAINS),
+        seed,
+        tiers[0].time,
+        tuple(item.conditions for item in gates),
+    )
 
 
 def compare(
@@ -144,6 +172,14 @@
     return mean([_value(call, shards) for call in calls]) if calls else 1.0
 
 
+def _ignore_parts(_parts: Sequence[object]) -> None:
+    pass
+
+
+def _sent_bytes(fleet: SimulatedFleet | None) -> int:
+    return sum(host.sent_bytes for host in fleet.hosts.values()) if fleet else 0
+
+
 def _set_slowness(searchers: Iterable[SimulatedSearcher], factor: float) -> None:
     for searcher in searchers:
         searcher.slowness = factor
@@ -175,6 +211,7 @@
     tiers: Sequence[SimulatedTier],
     searchers: Sequence[SimulatedSearcher],
     slow: Sequence[SimulatedSearcher],
+    sent: float,
 ) -> PlayResult:
     shards = SIZES[play.hosts]
     calls = [call for tier in tiers for call in tier.calls]
@@ -200,6 +237,7 @@
         mean([call.missing_shards / shards for call in in_time] or [1.0]),
         extras / (len(calls) * shards),
         _arrivals(slow) / _arrivals(searchers),
+        sent,
     )
 
 
@@ -212,14 +250,15 @@
 def _table(results: Sequence[PlayResult]) -> str:
     lines = [
         "| hosts | variant | seed | before | slow, by window | slow, all | after |"
-        " in time | shards missing | extras | to slow |",
-        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |",
+        " in time | shards missing | extras | to slow | bytes |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |",
     ]
     lines += [
         f"| {item.play.hosts} | {item.play.variant} | {item.play.seed} |"
         f" {item.before:.3f} | {' '.join(f'{value:.3f}' for value in item.during)} |"
         f" {mean(item.during):.3f} | {item.after:.3f} | {item.in_goal:.3f} |"
         f" {item.missing:.3f} | {item.extras:.3f} | {item.to_slow:.3f} |"
+        f" {item.sent:.0f} |"
         for item in results
     ]
     return "\n".join(lines)
--- a/foxtailseam_bench/simulation/_fleet.py
+++ b/foxtailseam_bench/simulation/_fleet.py
@@ -77,12 +77,17 @@
         Number of failure domains, over which the hosts are spread evenly.
     seed : int
         Seed of all random choices.
+    time : VirtualTime
+        Clock and timers.
+    registries : tuple of ConditionRegistry
+        Conditions that the first process of each host knows; empty for new ones.
     """
 
     size: int
     domains: int = 6
     seed: int = 1
     time: VirtualTime = field(default_factory=VirtualTime)
+    registries: tuple[ConditionRegistry, ...] = ()
 
     def __post_init__(self):
         self.generator = random.Random(self.seed)
@@ -94,7 +99,8 @@
         for number in range(self.size):
             address = f"10.{number // 250}.{number % 250}.1:80"
             domain = f"d{number % self.domains}"
-            gossip = self._new_gossip(address, domain, 1)
+            registry = self.registries[number] if self.registries else None
+            gossip = self._new_gossip(address, domain, 1, registry)
             self.hosts[address] = SimulatedHost(
                 address, domain, gossip, BurstPacer(self.time)
             )
@@ -155,16 +161,25 @@
             for address in chosen:
                 self._call(host, self.hosts[address])
 
-    def _new_gossip(self, address: str, domain: str, started_ms: int) -> Gossip:
+    def _new_gossip(
+        self,
+        address: str,
+        domain: str,
+        started_ms: int,
+        registry: ConditionRegistry | None = None,
+    ) -> Gossip:
         time = self.time
         generator = random.Random(f"{address} {started_ms} {self.seed}")
         record = HostRecord(address, domain, started_ms)
         membership = Membership(record, time, generator)
         membership.on_urgent_news = lambda: self._schedule(self.hosts[address])
+        if registry is None:
+            registry = ConditionRegistry(time, generator)
+        registry.on_slowness_news = lambda: self.exchange_soon(self.hosts[address])
         return Gossip(
             membership,
             QuarantineController(time, HybridClock(time)),
-            ConditionRegistry(time, generator),
+            registry,
             lambda: None,
             lambda: self.exchange_soon(self.hosts[address]),
         )
--- a/foxtailseam_bench/simulation/_tier.py
+++ b/foxtailseam_bench/simulation/_tier.py
@@ -132,6 +132,8 @@
         Index of the tier, which makes its request identifiers unique.
     host : int or None
         Index of the host among those that share limits; None if it is `number`.
+    failure_domain : str
+        Failure domain of the host.
     """
 
     def __init__(
@@ -145,6 +147,7 @@
         number: int = 0,
         timer_lag: float = 0.0,
         host: int | None = None,
+        failure_domain: str = "d1",
     ):
         self.time = time
         self._options = {"routes": routes, "searchers": searchers, "hosts": hosts}
@@ -168,7 +171,7 @@
             ),
             read_simulated_answer,
             BudgetSettings(0.2, 50.0, timedelta(seconds=10)),
-            "d1",
+            failure_domain,
             self.metrics,
             generator,
         )
@@ -293,6 +296,7 @@
     def _expire_entries(self) -> None:
         self.configuration_manager.catalogue.remove_expired()
         self.dispatcher.links.check_idle()
+        self.dispatcher.gates.remove_expired()
         self.time.call_later(EXPIRY_INTERVAL_SECONDS, self._expire_entries)
 
 
@@ -360,6 +364,7 @@
     goal_ms: int,
     shards: int = 20,
     seed: int = 1,
+    failure_domains: tuple[str, ...] = ("d1",),
 ):
     """Yield several tiers that share searchers and forward requests to one another.
 
@@ -377,6 +382,8 @@
         Number of shards, each with two searchers.
     seed : int
         Seed of the searchers and the first tier.
+    failure_domains : tuple of str
+        Failure domains over which the hosts are spread in turn.
 
     Yields
     ------
@@ -387,7 +394,15 @@
     routes = _routes(searchers, goal_ms)
     yield _joined(
         [
-            SimulatedTier(routes, searchers, time, seed + number, hosts, number=number)
+            SimulatedTier(
+                routes,
+                searchers,
+                time,
+                seed + number,
+                hosts,
+                number=number,
+                failure_domain=failure_domains[number % len(failure_domains)],
+            )
             for number in range(hosts)
         ],
         seed,
