--- a/foxtailseam/conditions/_registry.py
+++ b/foxtailseam/conditions/_registry.py
@@ -153,6 +153,8 @@
             conditions = notice.to_conditions(now).without_expired(now)
             if self.record(notice.searcher, conditions):
                 self.on_notice(notice.searcher)
+            elif conditions.slowness is not None:
+                self._spread.record_duplicate((notice.searcher, notice.started_ms))
 
     def _select(
         self, build_notice: NoticeBuilder, now: float
@@ -186,7 +188,7 @@
         }
         keys = self._spread.select(
             held,
-            lambda key: received.get(key, 0) >= len(held[key].reports),
+            lambda key: received.get(key, 0) >= min(2, len(held[key].reports)),
             is_complete,
         )
         return tuple(_slowness_notice(key, held[key], now) for key in keys)
@@ -201,14 +203,14 @@
             if report.is_slow:
                 accused = self._accusations.setdefault(report.host, {})
                 accused[key] = max(report.observed_at, accused.get(key, 0.0))
-        is_slow = self.belief(after, now).factor > 1.0
-        was_slow = before is not None and self.belief(before, now).factor > 1.0
-        hosts = {(item.host, item.is_slow) for item in after.reports}
-        hosts_before = {(i.host, i.is_slow) for i in before.reports} if before else ()
+        belief = self.belief(after, now)
+        believed = self.belief(before or Slowness(()), now)
+        is_reversed = bool(belief.accusers) != bool(believed.accusers)
+        is_news = is_reversed or belief.is_confirmed != believed.is_confirmed
         self._spread.record_change(
-            key, after.reports[0].observed_at, hosts != hosts_before
+            key, after.reports[0].observed_at, is_news or before is None
         )
-        if is_slow != was_slow:
+        if is_reversed and self._spread.has_room:
             self.on_slowness_news()
 
     def _is_credible(self, host: str) -> bool:
@@ -283,12 +285,16 @@
 
 def _slowness_notice(key: RunKey, slowness: Slowness, now: float) -> SlownessNotice:
     searcher, started_ms = key
-    reports = tuple(
-        _report_notice(item, now)
-        for item in slowness.reports
-        if not item.is_expired(now)
+    current = [item for item in slowness.reports if not item.is_expired(now)]
+    # The latest report, and the latest one of another failure domain if there is one.
+    first = current[:1]
+    others = [
+        item for item in current[1:] if item.failure_domain != first[0].failure_domain
+    ]
+    reports = (*first, *(others or current[1:])[:1])
+    return SlownessNotice(
+        searcher, started_ms, tuple(_report_notice(item, now) for item in reports)
     )
-    return SlownessNotice(searcher, started_ms, reports)
 
 
 def _report_notice(report: SlownessReport, now: float) -> ReportNotice:
--- a/foxtailseam/conditions/_slowness.py
+++ b/foxtailseam/conditions/_slowness.py
@@ -9,7 +9,7 @@
 MIN_SLOW_FACTOR = 3.0
 MAX_SLOW_FACTOR = 20.0
 # Seconds for which a report counts after its measurement.
-REPORT_SECONDS = 6.0
+REPORT_SECONDS = 8.0
 # Reports that are kept of the hosts of one failure domain, and in all.
 MAX_DOMAIN_REPORTS = 2
 MAX_REPORTS = 4
--- a/foxtailseam/conditions/_slowness_spread.py
+++ b/foxtailseam/conditions/_slowness_spread.py
@@ -5,16 +5,18 @@
 
 from foxtailseam.clocks import Clock
 
-# Notices that a host sends in a second on average, and at once. At 80 bytes each they
-# stay under 3 KB a second beside the exchanges that carry them.
-NOTICES_PER_SECOND = 20.0
+# Notices that a host sends in a second on average, and at once. At 100 bytes each they
+# stay under 3 KB a second.
+NOTICES_PER_SECOND = 24.0
 MAX_BURST = 64.0
-# Messages in which a host passes a changed notice on: about the logarithm of the number
-# of hosts, and some more.
-MAX_SENDS = 8
+# Notices that a host may send before it starts an exchange for news.
+MIN_ROOM = 40.0
+# Messages in which a host passes a changed notice on: twice the logarithm of the number
+# of hosts. One of another host with the same notice counts as one of them.
+MAX_SENDS = 16
 # Seconds of progress of the latest measurement that make a notice worth passing on
 # again if nothing else has changed.
-RENEWAL_SECONDS = 2.5
+RENEWAL_SECONDS = 2.0
 
 # Identifier and start time of a searcher.
 RunKey = tuple[str, int]
@@ -41,6 +43,12 @@
         self._tokens = MAX_BURST
         self._refilled_at = clock.monotonic()
 
+    @property
+    def has_room(self) -> bool:
+        """Return whether the next messages can carry news."""
+        self._refill()
+        return self._tokens >= MIN_ROOM
+
     def record_change(self, key: RunKey, observed_at: float, is_news: bool) -> None:
         """Count a notice as changed.
 
@@ -57,6 +65,11 @@
             self._sends[key] = 0
             self._spread_at[key] = observed_at
 
+    def record_duplicate(self, key: RunKey) -> None:
+        """Count a notice that another host has sent, too, as known to more hosts."""
+        if key in self._sends:
+            self._sends[key] += 1
+
     def retain(self, keys: Collection[RunKey]) -> None:
         """Forget the notices of all other searchers."""
         for key in [key for key in self._sends if key not in keys]:
@@ -81,10 +94,7 @@
         """
         if is_complete:
             return self._least_sent(keys)[: int(MAX_BURST)]
-        now = self.clock.monotonic()
-        gained = NOTICES_PER_SECOND * (now - self._refilled_at)
-        self._tokens = min(MAX_BURST, self._tokens + gained)
-        self._refilled_at = now
+        self._refill()
         waiting = [
             key for key in keys if self._sends[key] < MAX_SENDS and not is_known(key)
         ]
@@ -94,5 +104,11 @@
             self._sends[key] += 1
         return chosen
 
+    def _refill(self) -> None:
+        now = self.clock.monotonic()
+        gained = NOTICES_PER_SECOND * (now - self._refilled_at)
+        self._tokens = min(MAX_BURST, self._tokens + gained)
+        self._refilled_at = now
+
     def _least_sent(self, keys: Iterable[RunKey]) -> list[RunKey]:
         return sorted(keys, key=lambda key: (self._sends[key], self.generator.random()))
--- /dev/null
+++ b/foxtailseam/conditions/tests/test_slowness.py
@@ -0,0 +1,224 @@
+"""Tests of what hosts tell one another about slow searchers, and what they believe."""
+
+import random
+from datetime import timedelta
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from foxtailseam.clocks import ManualClock
+from foxtailseam.conditions import (
+    ConditionNotices,
+    ConditionRegistry,
+    SearcherConditions,
+    Slowness,
+    SlownessReport,
+)
+from foxtailseam.conditions._registry import MAX_NOTICES
+from foxtailseam.conditions._slowness import MAX_REPORTS, REPORT_SECONDS
+from foxtailseam.conditions._slowness_spread import MAX_SENDS, NOTICES_PER_SECOND
+
+
+@pytest.fixture
+def clock():
+    clock = ManualClock()
+    clock.advance(timedelta(seconds=100))
+    return clock
+
+
+def registry(clock):
+    return ConditionRegistry(clock, random.Random(1))
+
+
+def accuse(registry, host, searcher="i-1", domain="d1", factor=8.0, started_ms=7):
+    report = SlownessReport(registry.clock.monotonic(), factor, host, domain)
+    slowness = Slowness.from_reports((report,))
+    registry.record(searcher, SearcherConditions(started_ms, slowness=slowness))
+
+
+def belief(registry, searcher="i-1", started_ms=7):
+    known = registry.get(searcher, started_ms)
+    if known is None:
+        return None
+    return registry.belief(known.slowness, registry.clock.monotonic())
+
+
+class TestBelief:
+    def test_hosts_of_two_domains_have_to_agree(self, clock):
+        host = registry(clock)
+        host.failure_domains = 3
+        accuse(host, "a")
+        assert belief(host).factor == 8.0
+        assert not belief(host).is_confirmed
+        accuse(host, "b")
+        assert not belief(host).is_confirmed
+        accuse(host, "c", domain="d2")
+        assert belief(host).is_confirmed
+
+    def test_in_one_domain_two_hosts_are_enough(self, clock):
+        host = registry(clock)
+        accuse(host, "a")
+        assert not belief(host).is_confirmed
+        accuse(host, "b")
+        assert belief(host).is_confirmed
+
+    def test_a_report_that_it_is_fast_cancels_older_accusations_only(self, clock):
+        host = registry(clock)
+        accuse(host, "a")
+        clock.advance(timedelta(seconds=1))
+        accuse(host, "b", factor=1.0)
+        assert belief(host).factor == 1.0
+        clock.advance(timedelta(seconds=1))
+        accuse(host, "c", factor=5.0)
+        assert belief(host).accusers == ("c",)
+
+    def test_a_report_expires(self, clock):
+        host = registry(clock)
+        accuse(host, "a")
+        clock.advance(timedelta(seconds=REPORT_SECONDS + 0.1))
+        assert belief(host) is None
+
+    # Guards against: a searcher replaced at an address is avoided for its predecessor.
+    def test_another_run_is_not_accused(self, clock):
+        host = registry(clock)
+        accuse(host, "a")
+        assert belief(host, started_ms=8) is None
+
+    # Guards against: one host with a fault of its own empties the searchers.
+    def test_a_host_that_accuses_all_is_not_believed(self, clock):
+        host = registry(clock)
+        host.count_searchers = lambda: 20
+        distrusted = []
+        host.on_distrust = distrusted.append
+        for number in range(20):
+            accuse(host, "liar", f"i-{number}")
+        accuse(host, "other", "i-3")
+        assert distrusted == ["liar"]
+        assert belief(host, "i-0").factor == 1.0
+        assert belief(host, "i-3").accusers == ("other",)
+        clock.advance(timedelta(seconds=REPORT_SECONDS + 1))
+        host.notices()
+        accuse(host, "liar")
+        assert belief(host).accusers == ("liar",)
+
+
+class TestNotices:
+    def test_a_host_that_found_no_slow_searcher_sends_nothing(self, clock):
+        assert registry(clock).notices() == ConditionNotices()
+
+    def test_other_hosts_learn_and_news_is_reported_once(self, clock):
+        first, second = registry(clock), registry(clock)
+        news = []
+        second.on_slowness_news = lambda: news.append(1)
+        accuse(first, "a")
+        for _ in range(3):
+            second.merge(first.notices())
+        assert belief(second).factor == 8.0
+        assert news == [1]
+
+    # Guards against: two hosts keep an accusation alive by repeating it.
+    def test_a_report_does_not_get_younger_by_going_round(self, clock):
+        first, second = registry(clock), registry(clock)
+        accuse(first, "a")
+        for _ in range(int(REPORT_SECONDS / 0.2) + 1):
+            for sender, receiver in ((first, second), (second, first)):
+                notices = sender.notices(is_complete=True)
+                clock.advance(timedelta(milliseconds=90))
+                receiver.merge(notices)
+        clock.advance(timedelta(milliseconds=700))
+        assert belief(first) is None
+        assert belief(second) is None
+
+    def test_a_notice_is_passed_on_a_few_times_and_again_after_a_change(self, clock):
+        host = registry(clock)
+        accuse(host, "a")
+        sent = sum(len(host.notices().slowness) for _ in range(3 * MAX_SENDS))
+        assert sent == MAX_SENDS
+        accuse(host, "b")
+        assert len(host.notices().slowness) == 1
+
+    def test_the_receiver_is_not_told_what_it_has_just_said(self, clock):
+        first, second = registry(clock), registry(clock)
+        accuse(first, "a")
+        request = first.notices()
+        second.merge(request)
+        assert second.notices(known=request.slowness).slowness == ()
+
+    def test_messages_are_bounded_and_so_is_their_rate(self, clock):
+        host = registry(clock)
+        for number in range(1000):
+            accuse(host, "a", f"i-{number}")
+        first = host.notices().slowness
+        assert len(first) == MAX_NOTICES
+        sent = 0
+        for _ in range(40):
+            clock.advance(timedelta(milliseconds=100))
+            sent += len(host.notices().slowness)
+        assert sent <= 4 * NOTICES_PER_SECOND
+        assert len(host.notices(is_complete=True).slowness) == MAX_NOTICES
+
+    # Guards against: a third of all searchers that are slow use up what control may
+    # send: 3 KB a second at 195 hosts.
+    def test_the_bytes_of_the_longest_notices_stay_within_the_bound(self, clock):
+        host = registry(clock)
+        for number in range(86):
+            for other in range(MAX_REPORTS):
+                accuse(
+                    host,
+                    f"10.100.200.{other}:18080",
+                    f"searcher-{number:05}",
+                    f"zone-{other}",
+                    started_ms=1_765_000_000_000,
+                )
+        host.notices()
+        sent = 0
+        for _ in range(100):
+            clock.advance(timedelta(milliseconds=50))
+            notices = host.notices().slowness
+            sent += len(msgspec.msgpack.encode(notices))
+        assert sent / 5 <= 3000
+
+    def test_clock_steps_do_not_matter_since_ages_are_sent(self, clock):
+        first = registry(clock)
+        other_clock = ManualClock()
+        second = registry(other_clock)
+        accuse(first, "a")
+        second.merge(first.notices())
+        other_clock.advance(timedelta(seconds=REPORT_SECONDS - 0.5))
+        assert belief(second).factor == 8.0
+
+
+reports = st.builds(
+    SlownessReport,
+    st.integers(0, 9).map(float),
+    st.sampled_from([1.0, 3.0, 8.0]),
+    st.sampled_from("abcdef"),
+    st.sampled_from(["d1", "d2", "d3"]),
+)
+slowness = st.lists(reports, min_size=1, max_size=9).map(
+    lambda items: Slowness.from_reports(tuple(items))
+)
+
+
+class TestJoin:
+    @settings(max_examples=500, deadline=None)
+    @given(slowness, slowness, slowness)
+    def test_order_and_repetition_do_not_matter(self, first, second, third):
+        assert first.join(second) == second.join(first)
+        assert first.join(second).join(third) == first.join(second.join(third))
+        assert first.join(first) == first
+        assert first.join(second).join(second) == first.join(second)
+        assert len(first.join(second).reports) <= MAX_REPORTS
+
+    @settings(max_examples=200, deadline=None)
+    @given(st.lists(reports, min_size=1, max_size=12), st.randoms())
+    def test_reports_in_any_order_give_the_same_result(self, items, generator):
+        results = set()
+        for _ in range(2):
+            known = Slowness.from_reports(())
+            for item in generator.sample(items, len(items)) + items[:2]:
+                known = known.join(Slowness.from_reports((item,)))
+            results.add(known)
+        assert len(results) == 1
