--- a/foxtailseam/front/tests/test_shared_slowness.py
+++ b/foxtailseam/front/tests/test_shared_slowness.py
@@ -52,6 +52,8 @@
             searcher.slowness = factor
 
     def score(self, start, end):
+        """Return the score of the calls sent in a time, once all are answered."""
+        self.time.run_until(max(self.time.monotonic(), end + 1.5))
         calls = [call for tier in self.tiers for call in tier.calls]
         return score([c for c in calls if start <= c.sent_at < end], SHARDS)
 
