Renew beliefs everywhere: answer with newer reports, keep few notices in each message

Cause: with one searcher that is accused every second, up to a quarter of 24 hosts forgot it for a moment. A response left out notices that the request had, even where its own report was newer; notices stopped after 16 sends; and older copies counted as sends. Change: only a notice that is as new counts as known or as a send; up to 8 notices go into each message.

--- a/foxtailseam/conditions/_registry.py
+++ b/foxtailseam/conditions/_registry.py
@@ -34,6 +34,10 @@
 MAX_BELIEVED_SHARE = 0.5
 MIN_BELIEVED = 3
 
+# A host that knows only of a measurement older by this is told the latest one, in
+# seconds.
+MIN_PROGRESS_SECONDS = 1.0
+
 # Returns the notice of one kind on a searcher's conditions at a time, if there is one.
 NoticeBuilder = Callable[[str, SearcherConditions, float], ConditionNotice | None]
 
@@ -153,8 +157,8 @@
             conditions = notice.to_conditions(now).without_expired(now)
             if self.record(notice.searcher, conditions):
                 self.on_notice(notice.searcher)
-            elif conditions.slowness is not None:
-                self._spread.record_duplicate((notice.searcher, notice.started_ms))
+            elif isinstance(notice, SlownessNotice):
+                self._record_duplicate(notice, now)
 
     def _select(
         self, build_notice: NoticeBuilder, now: float
@@ -182,17 +186,24 @@
         self._spread.retain(held)
         if not held:
             return ()
-        received = {
-            (notice.searcher, notice.started_ms): len(notice.reports)
-            for notice in known
-        }
-        keys = self._spread.select(
-            held,
-            lambda key: received.get(key, 0) >= min(2, len(held[key].reports)),
-            is_complete,
-        )
+        received = {(notice.searcher, notice.started_ms): notice for notice in known}
+
+        def is_known(key: RunKey) -> bool:
+            notice = received.get(key)
+            return notice is not None and _is_as_new(notice, held[key], now)
+
+        keys = self._spread.select(held, is_known, is_complete)
         return tuple(_slowness_notice(key, held[key], now) for key in keys)
 
+    def _record_duplicate(self, notice: SlownessNotice, now: float) -> None:
+        known = self._known.get(notice.searcher, {}).get(notice.started_ms)
+        if (
+            known is not None
+            and known.slowness is not None
+            and _is_as_new(notice, known.slowness, now)
+        ):
+            self._spread.record_duplicate((notice.searcher, notice.started_ms))
+
     def _record_slowness(
         self, key: RunKey, before: Slowness | None, after: Slowness | None
     ) -> None:
@@ -297,6 +308,14 @@
     )
 
 
+def _is_as_new(notice: SlownessNotice, held: Slowness, now: float) -> bool:
+    """Return whether a notice says nearly as much as the reports that are held."""
+    if len(notice.reports) < min(2, len(held.reports)):
+        return False
+    age = min(report.age_ms for report in notice.reports) / 1000
+    return now - age >= held.reports[0].observed_at - MIN_PROGRESS_SECONDS
+
+
 def _report_notice(report: SlownessReport, now: float) -> ReportNotice:
     return ReportNotice(
         report.host,
--- a/foxtailseam/conditions/_slowness_spread.py
+++ b/foxtailseam/conditions/_slowness_spread.py
@@ -14,6 +14,9 @@
 # Messages in which a host passes a changed notice on: twice the logarithm of the number
 # of hosts. One of another host with the same notice counts as one of them.
 MAX_SENDS = 16
+# So many notices go into each message: there is room, and a host that misses several
+# renewals in a row would use the searcher again.
+FEW_NOTICES = 8
 # Seconds of progress of the latest measurement that make a notice worth passing on
 # again if nothing else has changed.
 RENEWAL_SECONDS = 2.0
@@ -95,8 +98,11 @@
         if is_complete:
             return self._least_sent(keys)[: int(MAX_BURST)]
         self._refill()
+        unknown = [key for key in keys if not is_known(key)]
         waiting = [
-            key for key in keys if self._sends[key] < MAX_SENDS and not is_known(key)
+            key
+            for key in unknown
+            if len(unknown) <= FEW_NOTICES or self._sends[key] < MAX_SENDS
         ]
         chosen = self._least_sent(waiting)[: int(self._tokens)]
         self._tokens -= len(chosen)
