--- a/foxtailseam/conditions/_registry.py
+++ b/foxtailseam/conditions/_registry.py
@@ -241,7 +241,7 @@
         elif host not in self._distrusted:
             self._distrusted.add(host)
             self.on_distrust(host)
-            for searcher, _ in accused:
+            for searcher, _ in list(accused):
                 self.on_notice(searcher)
         return is_credible
 
--- a/foxtailseam/front/tests/test_shared_slowness.py
+++ b/foxtailseam/front/tests/test_shared_slowness.py
@@ -131,6 +131,19 @@
             scores.append(load.score(SLOW_FROM, SLOW_FROM + 6.0))
         assert scores[1] >= scores[0] + 0.1
 
+    # Guards against: searchers that answer nothing are called by each host in turn.
+    def test_searchers_that_stop_answering(self):
+        scores = []
+        for shares in (False, True):
+            with hosts(24) as tiers:
+                load = Load(tiers, shares=shares)
+                load.run_until(SLOW_FROM)
+                for searcher in load.searchers[::7]:
+                    searcher.is_unresponsive = True
+                load.run_until(SLOW_FROM + 8.0)
+            scores.append(load.score(SLOW_FROM, SLOW_FROM + 8.0))
+        assert scores[1] >= scores[0]
+
     def test_both_searchers_of_a_shard_are_slow(self):
         with hosts(24) as tiers:
             load = Load(tiers)
