Let all hosts agree on the admitted share, and stop hedges while they do

Cause: hosts with few queries each cannot tell a burst from chance, and hedges take a sixth of the capacity when there is none to spare. Change: FleetAdmission, exchanged by gossip in the field admission of MemberExchange; division among failure domains and priorities; simulated hosts exchange it at each gossip interval.

--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -178,6 +178,8 @@
         """
         if self._is_over or not self._running or not self._may_send_again():
             return False
+        if not self.dispatcher.allows_hedges(self.plan.route):
+            return False
         searcher = self.dispatcher.choose_searcher(
             self.plan.service, self._response_times.median, self._tried
         )
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -76,6 +76,8 @@
         self.on_ejected: Callable[[Searcher], None] = lambda searcher: None
         # Called with a searcher that crashed and the request it was running.
         self.on_crash: Callable[[Searcher, HttpRequest], None] = lambda *_: None
+        # Returns whether requests of a route may be hedged now.
+        self.allows_hedges: Callable[[Route], bool] = lambda route: True
         # When this host last heard from any searcher, and whether it reaches them.
         self.contacts = ContactTracker(clock)
         self.links = LinkMonitor(
--- a/foxtailseam/fleet/_messages.py
+++ b/foxtailseam/fleet/_messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from foxtailseam.admission import AdmissionNotice
 from foxtailseam.conditions import (
     ConditionNotices,
     LeavingNotice,
@@ -53,6 +54,8 @@
         Whether the sender asks for the records of all hosts if the digests differ.
     view : bytes
         These records, compressed; empty if the sender did not ask for them.
+    admission : tuple of AdmissionNotice
+        Admitted shares of requests that exceed the capacity of their searchers.
     """
 
     records: tuple[HostRecord, ...]
@@ -64,6 +67,7 @@
     digest: Integer = 0
     wants_view: bool = False
     view: bytes = b""
+    admission: tuple[AdmissionNotice, ...] = ()
 
     @property
     def conditions(self) -> ConditionNotices:
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import sys
+from collections import Counter
 from datetime import timedelta
 from functools import partial
 
@@ -194,6 +195,7 @@
             self._supervisor,
         )
         self._quarantine_guard.on_update = self._fleet.gossip_now
+        self._connect_admission()
         self._forward_sender = ChannelForwardSender(self.clock, self._supervisor)
         self._connect_peers()
         self._caller_listener = Listener(
@@ -239,6 +241,19 @@
             loop,
         )
 
+    def _connect_admission(self) -> None:
+        """Let the hosts agree on the admitted shares."""
+        fleet_admission = self._overload_guard.fleet
+        fleet_admission.failure_domain = self.settings.failure_domain
+        fleet_admission.domain_sizes = self._domain_sizes
+        self._fleet.state_exchange.register("admission", fleet_admission)
+        self.dispatcher.allows_hedges = self._overload_guard.allows_hedges
+
+    def _domain_sizes(self) -> Counter[str]:
+        sizes = Counter(peer.failure_domain for peer in self._fleet.peer_hosts)
+        sizes[self.settings.failure_domain] += 1
+        return sizes
+
     def _connect_peers(self) -> None:
         """Let this host and the others forward requests to one another."""
         settings = self.settings
--- a/foxtailseam/front/_overload_guard.py
+++ b/foxtailseam/front/_overload_guard.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from foxtailseam.admission import AdaptiveThrottle, AdmissionController
+from foxtailseam.admission import AdaptiveThrottle, AdmissionController, FleetAdmission
 from foxtailseam.clocks import Clock
 from foxtailseam.dispatch import LatencyBaseline
 from foxtailseam.routing import AllShards, Configuration, Route
@@ -35,6 +35,10 @@
 # Range of the random factor by which the duration of the route's last query is
 # multiplied to get the Retry-After of a refused query.
 RETRY_JITTER = (0.5, 2.0)
+# Time for which refused callers are spread at least, in seconds, if the fleet could
+# serve half of the requests; and the longest such time.
+DRAIN_SECONDS = 1.0
+MAX_DRAIN_SECONDS = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +75,11 @@
         Source of monotonic time.
     generator : random.Random
         Source of the jitter of retry delays.
+
+    Attributes
+    ----------
+    fleet : FleetAdmission
+        Joint shares of all hosts, which go before those of this host.
     """
 
     def __init__(self, clock: Clock, generator: random.Random):
@@ -79,6 +88,7 @@
         self._admission = AdmissionController(
             clock, QUEUE_SHARE, MIN_IN_FLIGHT, MAX_SHED_SHARE
         )
+        self.fleet = FleetAdmission(clock)
         self._throttles: dict[str, AdaptiveThrottle] = {}
         self._baselines: dict[str, LatencyBaseline] = {}
         # Estimates of the time to half of the shards.
@@ -120,21 +130,47 @@
         rank = self._priority_ranks.get(route.name, 0)
         limit_share = max(MIN_LIMIT_SHARE, 1.0 - PRIORITY_STEP * rank)
         shard_group = _shard_group(route)
-        # A lower priority class is throttled sooner.
-        admitted_share = self._throttle(shard_group).admitted_share ** (1 + rank)
+        self.fleet.count_arrival(shard_group, rank)
+        admitted_share = self.fleet.admitted_share(shard_group, rank)
+        if admitted_share is None:
+            # A lower priority class is throttled sooner.
+            admitted_share = self._throttle(shard_group).admitted_share ** (1 + rank)
         if self.generator.random() < admitted_share and self._admission.admit(
             shard_group, MAX_IN_FLIGHT, limit_share
         ):
             return None
+        return timedelta(seconds=self._retry_delay(route, shard_group))
+
+    def allows_hedges(self, route: Route) -> bool:
+        """Return whether requests may be hedged: not while the fleet is overloaded.
+
+        Parameters
+        ----------
+        route : Route
+            Route of the request.
+        """
+        return self.fleet.share(_shard_group(route)) is None
+
+    def _retry_delay(self, route: Route, shard_group: str) -> float:
         goal = route.latency_goal.total_seconds()
-        duration = self._last_durations.get(route.name, goal / 2)
-        return timedelta(seconds=duration * self.generator.uniform(*RETRY_JITTER))
+        delay = self._last_durations.get(route.name, goal / 2)
+        share = self.fleet.share(shard_group)
+        if share is not None:
+            # The fleet serves `share` of the requests that arrive, so it needs this
+            # long to serve those that it refuses in `DRAIN_SECONDS`.
+            drain = DRAIN_SECONDS * (1.0 - share) / share
+            delay = max(delay, min(MAX_DRAIN_SECONDS, drain))
+        return delay * self.generator.uniform(*RETRY_JITTER)
 
     def describe(self, route: Route) -> dict[str, object]:
         """Return what the admission of a route's queries depends on, for the log."""
         shard_group = _shard_group(route)
+        joint_share = self.fleet.share(shard_group)
+        own_share = self._throttle(shard_group).admitted_share
         return {
-            "admitted_share": round(self._throttle(shard_group).admitted_share, 2),
+            "admitted_share": round(
+                own_share if joint_share is None else joint_share, 2
+            ),
             "running": self._admission.in_flight(shard_group),
             "limit": round(min(MAX_IN_FLIGHT, self._admission.limit(shard_group)), 1),
         }
@@ -169,13 +205,16 @@
         throttle = self._throttle(_shard_group(route))
         if shed:
             throttle.record(math.inf)
+            self.fleet.record(_shard_group(route), math.inf)
         elif duration.to_half is not None:
             baseline = self._half_baselines.setdefault(
                 route.name, LatencyBaseline(self.clock)
             )
             baseline.record(duration.to_half)
             tolerated = THROTTLE_SHARE * spare.total_seconds()
-            throttle.record(baseline.excess(duration.to_half) / tolerated)
+            delay = baseline.excess(duration.to_half) / tolerated
+            throttle.record(delay)
+            self.fleet.record(_shard_group(route), delay)
 
     def _throttle(self, shard_group: str) -> AdaptiveThrottle:
         throttle = self._throttles.get(shard_group)
--- a/foxtailseam_bench/simulation/__init__.py
+++ b/foxtailseam_bench/simulation/__init__.py
@@ -1,5 +1,6 @@
 """Simulation of a host in virtual time: the real front end with simulated searchers."""
 
+from foxtailseam_bench.simulation._admission_gossip import SimulatedGossip
 from foxtailseam_bench.simulation._event_loop import (
     VirtualEventLoop,
     run_in_virtual_time,
@@ -21,6 +22,7 @@
     "LinkFault",
     "SimulatedCall",
     "SimulatedFleet",
+    "SimulatedGossip",
     "SimulatedHost",
     "SimulatedLink",
     "SimulatedSearcher",
--- a/foxtailseam_bench/simulation/_tier.py
+++ b/foxtailseam_bench/simulation/_tier.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 from itertools import count
 
+from foxtailseam.admission import FleetAdmission
 from foxtailseam.clocks import HybridClock
 from foxtailseam.dispatch import AnswerMetadata, BudgetSettings, Dispatcher
 from foxtailseam.front import (
@@ -24,6 +25,7 @@
 from foxtailseam.rate_limits import HostGroup
 from foxtailseam.routing import Configuration
 from foxtailseam.store import Item, Position, Removal
+from foxtailseam_bench.simulation._admission_gossip import SimulatedGossip
 from foxtailseam_bench.simulation._link import LinkedPool, SimulatedLink
 from foxtailseam_bench.simulation._peers import SimulatedPeers
 from foxtailseam_bench.simulation._searcher import (
@@ -156,6 +158,8 @@
         self.link = SimulatedLink()
         # Set if the host can forward requests to others.
         self.peers: SimulatedPeers | None = None
+        # Set if the host exchanges admitted shares with others.
+        self.gossip: SimulatedGossip | None = None
         self.calls: list[SimulatedCall] = []
         self._request_numbers = count(number * IDENTIFIERS_PER_TIER)
         generator = random.Random(seed)
@@ -176,6 +180,7 @@
         addresses = frozenset(f"host-{index}" for index in range(hosts))
         self.dispatcher.gates.set_hosts(HostGroup(f"host-{self._host}", addresses))
         self._overload_guard = OverloadGuard(time, generator)
+        self.dispatcher.allows_hedges = self._overload_guard.allows_hedges
         log = self.log
         quarantine = QuarantineController(time, HybridClock(time))
         quarantine_guard = QuarantineGuard(quarantine, log)
@@ -200,6 +205,11 @@
             time.call_later(configured_at, self.publish_all, routes)
         self._expire_entries()
 
+    @property
+    def fleet_admission(self) -> FleetAdmission:
+        """Return the shares that this host agrees on with others."""
+        return self._overload_guard.fleet
+
     def restarted(self, number: int) -> "SimulatedTier":
         """Return the tier of this host after a restart, which knows nothing of before.
 
@@ -363,7 +373,7 @@
 ):
     """Yield several tiers that share searchers and forward requests to one another.
 
-    They exchange no other state.
+    They gossip about the admitted shares and exchange no other state.
 
     Parameters
     ----------
@@ -457,4 +467,8 @@
     peers.join([tier.front for tier in tiers], seed)
     for tier in tiers:
         tier.peers = peers
+    gossip = SimulatedGossip(tiers[0].time, random.Random(seed))
+    gossip.join([tier.fleet_admission for tier in tiers])
+    for tier in tiers:
+        tier.gossip = gossip
     return tiers
