--- a/foxtailseam/fleet/_messages.py
+++ b/foxtailseam/fleet/_messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from foxtailseam.admission import AdmissionNotice
 from foxtailseam.conditions import (
     ConditionNotices,
     LeavingNotice,
@@ -57,6 +58,8 @@
     slowness : tuple of SlownessNotice
         Searchers that hosts have found to be slow, or not to be slow any more; unset
         if there are none.
+    admission : tuple of AdmissionNotice
+        Admitted shares of requests that exceed the capacity of their searchers.
     """
 
     records: tuple[HostRecord, ...]
@@ -70,6 +73,7 @@
     view: bytes = b""
     # Without notices the field takes no byte.
     slowness: tuple[SlownessNotice, ...] | msgspec.UnsetType = msgspec.UNSET
+    admission: tuple[AdmissionNotice, ...] = ()
 
     @property
     def conditions(self) -> ConditionNotices:
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import sys
+from collections import Counter
 from datetime import timedelta
 from functools import partial
 
@@ -18,7 +19,8 @@
     FleetSettings,
     HostRecord,
 )
-from foxtailseam.forwarding import Forwarder, PeerSelector
+from foxtailseam.forwarding import Forwarder, PeerHost, PeerSelector
+from foxtailseam.front._admission_log import AdmissionLog
 from foxtailseam.front._changes import ChangeApplier
 from foxtailseam.front._condition_log import ConditionLog
 from foxtailseam.front._configuration import ConfigurationManager
@@ -150,6 +152,11 @@
         )
         self._readiness = Readiness(self.configuration_manager, self.log)
         self._overload_guard = OverloadGuard(self.clock, self._generator)
+        self._counted_peers: tuple[PeerHost, ...] | None = None
+        self._domain_sizes: Counter[str] = Counter()
+        self._admission_log = AdmissionLog(
+            self._overload_guard.fleet, self.log, self.metrics
+        )
         quarantine = QuarantineController(self.clock, HybridClock(self.clock))
         self._quarantine_guard = QuarantineGuard(quarantine, self.log)
         self.dispatcher.on_crash = self._quarantine_guard.record_crash
@@ -204,6 +211,7 @@
         )
         self._quarantine_guard.on_update = self._fleet.gossip_now
         gates.conditions.on_slowness_news = self._fleet.gossip_now
+        self._connect_admission()
         self._forward_sender = ChannelForwardSender(self.clock, self._supervisor)
         self._connect_peers()
         self._caller_listener = Listener(
@@ -242,6 +250,7 @@
                 "check idle links": self.dispatcher.links.check_idle,
                 "remove expired slowness": self.dispatcher.gates.remove_expired,
                 "log readiness": self._readiness.log_change,
+                "log admission": self._admission_log.update,
                 "flush log": self.log.flush,
             },
             MAINTENANCE_INTERVAL,
@@ -251,6 +260,25 @@
             loop,
         )
 
+    def _connect_admission(self) -> None:
+        """Let the hosts agree on the admitted shares."""
+        fleet_admission = self._overload_guard.fleet
+        fleet_admission.failure_domain = self.settings.failure_domain
+        fleet_admission.domain_sizes = self._count_domains
+        self._fleet.state_exchange.register("admission", fleet_admission)
+        self.dispatcher.allows_hedges = self._overload_guard.allows_hedges
+
+    def _count_domains(self) -> Counter[str]:
+        """Return the number of alive hosts of each failure domain."""
+        peers = self._fleet.peer_hosts
+        # It is asked for by each request of an overload; counting 6,700 hosts takes
+        # longer than the rest of the decision.
+        if peers is not self._counted_peers:
+            self._counted_peers = peers
+            self._domain_sizes = Counter(peer.failure_domain for peer in peers)
+            self._domain_sizes[self.settings.failure_domain] += 1
+        return self._domain_sizes
+
     def _connect_peers(self) -> None:
         """Let this host and the others forward requests to one another."""
         settings = self.settings
