--- a/foxtailseam/admission/_fleet.py
+++ b/foxtailseam/admission/_fleet.py
@@ -34,9 +34,10 @@
 # A share is told to others, and believed from them, below this bound: one late request
 # causes no message.
 REPORTED_SHARE = 0.85
-# Number of other hosts that have to report an overload, and time for which a report
+# Number of other hosts that have to report an overload: with two, 75 hosts refused calls
+# of a load that they serve in time. Time for which a report
 # counts, in seconds.
-MIN_REPORTERS = 2
+MIN_REPORTERS = 3
 REPORT_SECONDS = 4.0
 # Half-life of the evidence behind a share, and of the counts of requests, in seconds.
 HALF_LIFE_SECONDS = 2.0
