--- a/foxtailseam/admission/_fleet.py
+++ b/foxtailseam/admission/_fleet.py
@@ -28,14 +28,14 @@
 # Longest time for which one request stands, in seconds.
 MAX_SAMPLE_SECONDS = 1.0
 # Lower bounds of the share after one and two requests in a row that were delayed too
-# long, while too few other hosts report an overload. More may lower it freely. With one
-# bound more, the goodput of 40 hosts in an overload fell from 90 to 85 queries a second.
+# long, while too few other hosts report an overload. More may lower it freely. With a
+# third bound, the goodput of 40 hosts in an overload fell from 90 to 85 a second.
 UNCONFIRMED_SHARES = (0.9, 0.6)
 # A share is told to others, and believed from them, below this bound: one late request
 # causes no message.
 REPORTED_SHARE = 0.85
 # Number of other hosts that have to report an overload, and time for which a report
-# counts, in seconds. With two, 75 hosts refused calls of a load that they serve in time.
+# counts, in seconds. With two, 75 hosts refused calls of a load that they can serve.
 MIN_REPORTERS = 3
 REPORT_SECONDS = 4.0
 # Half-life of the evidence behind a share, and of the counts of requests, in seconds.
