--- a/foxtailseam_bench/platform_deployment.py
+++ b/foxtailseam_bench/platform_deployment.py
@@ -143,6 +143,11 @@
         Directory for the settings and logs of the hosts.
     grace_seconds : float
         Time that a host has from SIGTERM until it must have ended.
+
+    Attributes
+    ----------
+    limits : dict
+        Limits in the settings of the hosts that differ from the defaults.
     """
 
     def __init__(self, directory: Path, grace_seconds: float = 6.0):
@@ -153,6 +158,7 @@
         self.searchers: dict[str, StandInSearcher] = {}
         self.processes: list[asyncio.subprocess.Process] = []
         self.version = 0
+        self.limits: dict = {}
         self._servers: list[asyncio.Server] = []
         self._numbers = iter(range(START_ID, 2**63))
 
@@ -248,6 +254,7 @@
             },
             "seeds": list(seeds),
             "platform": {"address": self.store_address},
+            "limits": self.limits,
             "bounds": {"grace_s": self.grace_seconds, "retry_slack": RETRY_SLACK},
         }
 
