Bound the work and the data of callers' connections

Cause: a read took up to 256 KB of a connection, and all of it was parsed and served in one iteration of the event loop. 250 connections with one-byte chunks or pipelined requests made an iteration longer than the watchdog's 10 s.

Change: a read takes 16 KB at most, and the data waits for the connection's turn; from 16 KB on reading pauses. Connections take turns of 0.5 ms each and 5 ms together in an iteration. At most 8 pipelined requests wait on a connection and 1,000 on all; what is not parsed stays unread, so that nothing is refused for it. A request's arrival is that of its bytes, not of its turn. Above the limit of connections, one whose request has arrived in part or whose caller does not read is closed if none is idle; one that runs a request never is.

A request behind another one on a connection is now served in a later turn. Two tests that relied on the same step wait for it: the stub of the connection tests runs the turns, and one test of pipelining sleeps between two responses; what they assert is unchanged.

--- a/foxtailseam/http/__init__.py
+++ b/foxtailseam/http/__init__.py
@@ -20,6 +20,7 @@
 )
 from foxtailseam.http._pool import ConnectionPool
 from foxtailseam.http._pool_settings import PoolSettings
+from foxtailseam.http._received_data import BoundedReader, ReceivedData
 from foxtailseam.http._results import (
     ExchangeFailure,
     ExchangeResult,
@@ -27,8 +28,10 @@
     Received,
 )
 from foxtailseam.http._upstream_connection import UpstreamConnection
+from foxtailseam.http._work_schedule import WorkSchedule
 
 __all__ = [
+    "BoundedReader",
     "BufferSpace",
     "Call",
     "ConnectionPool",
@@ -43,7 +46,9 @@
     "ListenerLimits",
     "PoolSettings",
     "Received",
+    "ReceivedData",
     "UpstreamConnection",
+    "WorkSchedule",
     "find_header",
     "render_request_head",
     "render_response",
--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -1,37 +1,36 @@
 """HTTP/1.1 server connection of a caller, with size limits and timeouts."""
 
 import asyncio
-import contextlib
-import socket
-from collections import deque
 from datetime import timedelta
 
 from foxtailseam.http._call import Call
+from foxtailseam.http._caller_socket import prepare_socket
 from foxtailseam.http._connection_owner import ConnectionOwner
+from foxtailseam.http._connection_use import (
+    MIN_STALLED_SECONDS,
+    ConnectionUse,
+    UseKind,
+)
 from foxtailseam.http._error_responses import (
     HANDLER_FAILED,
     REQUEST_TIMEOUT,
     STOPPING,
 )
-from foxtailseam.http._messages import HttpResponse, render_response
+from foxtailseam.http._messages import CONTINUE_RESPONSE, HttpResponse
+from foxtailseam.http._received_data import BoundedReader, ReceivedData
+from foxtailseam.http._rejection import Rejection
 from foxtailseam.http._request_parser import ParserPhase, RequestParser
+from foxtailseam.http._request_queue import RequestQueue
 from foxtailseam.http._request_receiver import ReceivedRequest
 from foxtailseam.http._request_space import RequestSpace
-from foxtailseam.http._round_trip import kernel_rtt
 from foxtailseam.http._unsent_responses import UnsentResponses
 
-CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
-# Time that sent response data may stay unacknowledged by the caller before the
-# connection is closed.
-UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=6)
-# Time in seconds in which the rest of a rejected request is read and dropped. Closing a
-# connection with unread bytes resets it, and the caller may lose the response.
-LINGER_SECONDS = 0.5
-# Pipelined requests that are queued on one connection before reading pauses.
-MAX_QUEUED_REQUESTS = 8
+# Bytes that are parsed at a time. They hold no more than 19 requests or 85 chunks, so
+# that little time passes and few requests are added before the limits are checked.
+PIECE_BYTES = 512
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(BoundedReader):
     """HTTP/1.1 connection of a caller that serves its requests in order.
 
     Parameters
@@ -46,31 +45,30 @@
         self._unsent: UnsentResponses | None = None
         self._space = RequestSpace(listener)
         self._parser = RequestParser(self, listener, self._space)
-        self._queue: deque[ReceivedRequest] = deque()
+        self._received = ReceivedData()
+        self._queue = RequestQueue(listener.queued_requests)
         # The request that is being served.
         self._current: tuple[ReceivedRequest, Call] | None = None
-        # Response to a rejected request, sent after all other responses.
-        self._error_response: HttpResponse | None = None
-        # When the error response was written; what follows is read and dropped.
-        self._lingering_since: float | None = None
+        # Arrival of the first of the bytes that are not parsed yet.
+        self.received_at = 0.0
+        self._rejection = Rejection(listener)
         self._idle_since = listener.clock.monotonic()
         self._is_write_paused = False
-        self._is_serving = False
 
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being read, queued or served."""
         return (
             self._parser.phase is ParserPhase.IDLE
-            and self._current is None
-            and not self._queue
+            and self.in_flight == 0
+            and not self._received
         )
 
     @property
     def is_finished(self) -> bool:
         """Return whether no request is due a response and all responses are sent."""
-        is_due = self._parser.is_incomplete or self.in_flight > 0
-        is_lingering = self._lingering_since is not None
+        is_due = self._is_reading_request or self.in_flight > 0
+        is_lingering = self._rejection.is_lingering
         is_unsent = self._transport.get_write_buffer_size() > 0
         return not (is_due or is_lingering or is_unsent)
 
@@ -79,16 +77,28 @@
         """Return whether a complete request was received."""
         return self._parser.was_used
 
-    @property
-    def idle_since(self) -> float:
-        """Return when an idle connection became idle, in seconds of the clock."""
-        return self._idle_since
-
     @property
     def in_flight(self) -> int:
         """Return the number of requests that were read but not answered yet."""
         return len(self._queue) + (self._current is not None)
 
+    def current_use(self, now: float) -> ConnectionUse:
+        """Return what the connection is used for.
+
+        Parameters
+        ----------
+        now : float
+            Current monotonic time of the listener's clock, in seconds.
+        """
+        stalled_time = self.stalled_time(now)
+        if stalled_time >= MIN_STALLED_SECONDS:
+            return ConnectionUse(UseKind.STALLED, now - stalled_time)
+        if self.in_flight or self._unsent.size:
+            return ConnectionUse(UseKind.SERVING, now)
+        if self.is_idle:
+            return ConnectionUse(UseKind.IDLE, self._idle_since)
+        return ConnectionUse(UseKind.READING, self._reading_since)
+
     def respond(self, response: HttpResponse) -> None:
         """Write the response to the current request, then serve the next one.
 
@@ -104,13 +114,21 @@
         self._unsent.write(response, close, request.method == b"HEAD")
         if close:
             # Nothing that follows is served.
-            self._parser.end()
             self._queue.clear()
-            self._error_response = None
+            self._end()
+            self._rejection.drop()
             self._transport.close()
             return
         self._idle_since = self.listener.clock.monotonic()
-        self._serve_next()
+        self._advance()
+
+    def work(self, end: float) -> bool:
+        """Parse received data and serve the next request; see `Worker`."""
+        self._parse_until(end)
+        if self._queue and self._may_serve:
+            self._serve(self._queue.take())
+        self._send_error_if_due()
+        return self._has_work
 
     def close(self) -> None:
         """Close the connection once all written data is sent."""
@@ -127,7 +145,7 @@
 
     def reject_incomplete(self) -> None:
         """Answer a request that has not arrived whole, as the host stops."""
-        if self._parser.is_incomplete:
+        if self._is_reading_request:
             self.reject(STOPPING)
 
     def enforce_timeouts(self, now: float) -> None:
@@ -140,8 +158,8 @@
         """
         if self._unsent.size and self._unsent.is_overdue(now):
             self._transport.abort()
-        elif self._lingering_since is not None:
-            if now - self._lingering_since > LINGER_SECONDS:
+        elif self._rejection.is_lingering:
+            if self._rejection.is_over(now):
                 self.close()
         elif self.is_idle:
             elapsed = timedelta(seconds=now - self._idle_since)
@@ -155,22 +173,18 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options, measure the round-trip time and register."""
         self._transport = transport
+        self._received.attach(transport)
         self._unsent = UnsentResponses(self.listener, transport)
-        sock = transport.get_extra_info("socket")
-        unacknowledged_ms = int(UNACKNOWLEDGED_TIMEOUT.total_seconds() * 1000)
-        with contextlib.suppress(OSError):
-            # Fails if the connection was already reset; connection_lost follows.
-            sock.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms
-            )
-            self._parser.rtt = kernel_rtt(sock)
+        self._parser.rtt = prepare_socket(transport.get_extra_info("socket"))
         self.listener.opened(self)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; stop reading while many requests are queued."""
-        self._parser.feed(data)
-        if len(self._queue) >= MAX_QUEUED_REQUESTS:
-            self._transport.pause_reading()
+        """Keep received bytes until it is this connection's turn to parse them."""
+        if self._parser.phase is not ParserPhase.ENDED:
+            if not self._received:
+                self.received_at = self.listener.clock.monotonic()
+            self._received.append(data)
+            self._advance()
 
     def pause_writing(self) -> None:
         """Serve no further request until the caller reads."""
@@ -181,19 +195,22 @@
         self._is_write_paused = False
         self._unsent.count()
         if not self._transport.is_closing():
-            self._serve_next()
+            self._advance()
 
     def eof_received(self) -> bool:
         """Close the connection: a half-close counts as a disconnect."""
+        self.listener.schedule.discard(self)
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Release the buffers, drop queued requests and cancel the current one."""
         self.listener.closed(self)
+        self.listener.schedule.discard(self)
         self._space.release_all()
         if self._unsent.size:
             self._unsent.release()
         self._queue.clear()
+        self._received.clear()
         self._parser.close()
         current, self._current = self._current, None
         if current is not None:
@@ -205,60 +222,76 @@
     def enqueue(self, received: ReceivedRequest) -> None:
         """Queue a complete request to be served."""
         self._queue.append(received)
-        self._serve_next()
 
     def reject(self, response: HttpResponse) -> None:
         """Send an error after all outstanding responses, and close."""
         if self._parser.phase is ParserPhase.ENDED:
             return
-        self._parser.end()
-        self._error_response = response
-        self._serve_next()
+        self._end()
+        self._rejection.prepare(response)
+        self._send_error_if_due()
 
     def send_continue(self) -> None:
         """Send ``100 Continue``, unless it would come before another response."""
         if self._current is None:
             self._transport.write(CONTINUE_RESPONSE)
 
+    @property
+    def _is_reading_request(self) -> bool:
+        return self._parser.is_incomplete or len(self._received) > 0
+
+    @property
+    def _reading_since(self) -> float:
+        is_parsed = self._parser.phase is not ParserPhase.IDLE
+        return self._parser.phase_since if is_parsed else self.received_at
+
     @property
     def _has_next(self) -> bool:
         return bool(
-            self._queue
-            or self._parser.is_incomplete
-            or self._error_response is not None
+            self._queue or self._is_reading_request or self._rejection.is_pending
         )
 
     @property
     def _may_serve(self) -> bool:
         return self._current is None and not self._is_write_paused
 
-    def _serve_next(self) -> None:
-        if self._is_serving:
-            # A response to the request that is being passed on: the loop goes on.
-            return
-        self._is_serving = True
-        try:
-            while self._queue and self._may_serve:
-                self._serve(self._queue.popleft())
-        finally:
-            self._is_serving = False
-        if self._error_response is not None and self._may_serve:
-            response, self._error_response = self._error_response, None
-            self._send_error(response)
+    @property
+    def _may_parse(self) -> bool:
+        """Return whether there is room for another request, or none in progress."""
+        return self.in_flight == 0 or self._queue.has_room
+
+    @property
+    def _has_work(self) -> bool:
+        has_data = len(self._received) > 0 and self._may_parse
+        return has_data or (bool(self._queue) and self._may_serve)
+
+    def _advance(self) -> None:
+        """Go on in this connection's turn, with what is possible now."""
+        self._send_error_if_due()
+        if self._has_work:
+            self.listener.schedule.add(self)
+
+    def _parse_until(self, end: float) -> None:
+        clock = self.listener.clock
+        while self._received and self._may_parse:
+            self._parser.feed(self._received.take(PIECE_BYTES))
+            if clock.monotonic() >= end:
+                return
+
+    def _end(self) -> None:
+        """Read and drop what follows."""
+        self._parser.end()
+        self._received.clear()
+
+    def _send_error_if_due(self) -> None:
+        if self._rejection.is_pending and not self._queue and self._may_serve:
+            self._rejection.send(self._transport)
 
     def _serve(self, received: ReceivedRequest) -> None:
         call = Call(received.request, self)
         self._current = received, call
-        if not self._transport.is_reading():
-            self._transport.resume_reading()
         try:
             self.listener.handler(call)
         except Exception as error:
             self.listener.on_error(error)
             call.respond(HANDLER_FAILED)
-
-    def _send_error(self, response: HttpResponse) -> None:
-        self.listener.on_rejected(response.status)
-        self._transport.write(render_response(response, close=True, is_head=False))
-        self._transport.write_eof()
-        self._lingering_since = self.listener.clock.monotonic()
--- a/foxtailseam/http/_connection_owner.py
+++ b/foxtailseam/http/_connection_owner.py
@@ -8,6 +8,7 @@
 from foxtailseam.http._buffer_space import BufferSpace
 from foxtailseam.http._call import Call
 from foxtailseam.http._listener_limits import ListenerLimits
+from foxtailseam.http._work_schedule import WorkSchedule
 
 
 class ConnectionOwner(Protocol):
@@ -22,6 +23,10 @@
     # Space for the headers of requests and for responses that callers do not read.
     header_space: BufferSpace
     unsent_space: BufferSpace
+    # Number of requests that wait on their connections for earlier ones.
+    queued_requests: BufferSpace
+    # Turns of the connections that have received data.
+    schedule: WorkSchedule
 
     def reserve(self, size: int) -> bool:
         """Reserve `size` bytes of buffer space; return whether there were enough."""
--- a/foxtailseam/http/_listener.py
+++ b/foxtailseam/http/_listener.py
@@ -9,15 +9,17 @@
 from foxtailseam.http._buffer_space import BufferSpace
 from foxtailseam.http._call import Call
 from foxtailseam.http._caller_connection import CallerConnection
+from foxtailseam.http._connection_use import (
+    MIN_STALLED_SECONDS,
+    choose_connection_to_close,
+)
 from foxtailseam.http._error_responses import RESPONSE_DROPPED
 from foxtailseam.http._listener_limits import ListenerLimits
+from foxtailseam.http._work_schedule import WorkSchedule
 from foxtailseam.launch import BACKLOG, open_listener
 
 # Interval at which the timeouts of all connections are checked.
 TIMEOUT_CHECK_SECONDS = 0.2
-# A caller that has read nothing for this long loses its responses to those that read,
-# once the space for unsent responses is used up.
-STALLED_SECONDS = 0.25
 
 
 def _report_to_loop(error: Exception) -> None:
@@ -56,6 +58,9 @@
         self.on_error = on_error
         self.header_space = BufferSpace()
         self.unsent_space = BufferSpace()
+        self.queued_requests = BufferSpace()
+        self.schedule = WorkSchedule(clock, lambda error: self.on_error(error))
+        self.closed_at_limit = 0
         self.limits = ListenerLimits()
         self._connections: set[CallerConnection] = set()
         self._socket: socket.socket | None = None
@@ -74,6 +79,7 @@
         self._limits = limits
         self.header_space.limit = limits.buffered_header_bytes
         self.unsent_space.limit = limits.unsent_bytes
+        self.queued_requests.limit = limits.queued_requests
 
     @property
     def is_draining(self) -> bool:
@@ -85,6 +91,11 @@
         """Return the total size of buffered request bodies, in bytes."""
         return self._buffered_bytes
 
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
     @property
     def in_flight(self) -> int:
         """Return the number of requests that were read but not answered yet."""
@@ -190,7 +201,7 @@
         times = {item: item.stalled_time(now) for item in self._connections}
         for connection in sorted(times, key=times.get, reverse=True):
             has_space = size <= self.unsent_space.available
-            if has_space or times[connection] < STALLED_SECONDS:
+            if has_space or times[connection] < MIN_STALLED_SECONDS:
                 return has_space
             connection.abort()
             self.on_rejected(RESPONSE_DROPPED.status)
@@ -199,16 +210,17 @@
     def opened(self, connection: CallerConnection) -> None:
         """Register a new connection.
 
-        Above the limit of connections, close the one that has been idle longest.
+        Above the limit of connections, close one; see `choose_connection_to_close`.
         """
         self._connections.add(connection)
         if len(self._connections) > self.limits.connections:
-            idle = [item for item in self._connections if item.is_idle]
-            oldest = min(idle, key=lambda item: item.idle_since, default=None)
-            if oldest is not None:
-                oldest.close()
-                # It is lost in a later turn of the event loop only.
-                self._connections.discard(oldest)
+            now = self.clock.monotonic()
+            uses = {item: item.current_use(now) for item in self._connections}
+            closed = choose_connection_to_close(uses, connection)
+            # It is lost in a later iteration of the event loop only.
+            self._connections.discard(closed)
+            self.closed_at_limit += 1
+            closed.abort()
 
     def closed(self, connection: CallerConnection) -> None:
         """Remove a closed connection."""
--- a/foxtailseam/http/_listener_limits.py
+++ b/foxtailseam/http/_listener_limits.py
@@ -32,6 +32,9 @@
     unsent_bytes : int
         Maximum total size of the responses that callers have not read yet, in bytes;
         a response that exceeds it is replaced by a 502.
+    queued_requests : int
+        Number of requests of all connections that wait for earlier ones on the same
+        connection, above which only connections without any are read from.
     response_timeout : timedelta
         Maximum time from a response to its last byte being sent.
     long_header_status : int
@@ -47,5 +50,6 @@
     buffered_bytes: int = 64 * 1024 * 1024
     buffered_header_bytes: int = 32 * 1024 * 1024
     unsent_bytes: int = 32 * 1024 * 1024
+    queued_requests: int = 1_000
     response_timeout: timedelta = timedelta(seconds=30)
     long_header_status: int = HEADER_TOO_LARGE_STATUS
--- a/foxtailseam/http/_messages.py
+++ b/foxtailseam/http/_messages.py
@@ -27,6 +27,7 @@
         b"expect",
     }
 )
+CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _BODY_METHODS = frozenset({b"POST", b"PUT", b"PATCH"})
 _NO_BODY_STATUS = frozenset({204, 304})
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
--- a/foxtailseam/http/_request_parser.py
+++ b/foxtailseam/http/_request_parser.py
@@ -47,6 +47,8 @@
     ----------
     phase : ParserPhase
         Part of a request that is expected next.
+    phase_since : float
+        Monotonic time at which the header or body being read began, in seconds.
     rtt : float or None
         Round-trip time of the connection, in seconds; None if unknown.
     """
@@ -55,12 +57,12 @@
         self, receiver: RequestReceiver, listener: ConnectionOwner, space: RequestSpace
     ):
         self.phase = ParserPhase.IDLE
+        self.phase_since = 0.0
         self.rtt: float | None = None
         self._receiver = receiver
         self._listener = listener
         self._space = space
         self._parser = httptools.HttpRequestParser(self)
-        self._phase_since = 0.0
         self._request_count = 0
         # Memory that is reserved for the header being read, in bytes.
         self._header_size = 0
@@ -100,7 +102,7 @@
             Current monotonic time of the listener's clock, in seconds.
         """
         limits = self._listener.limits
-        elapsed = timedelta(seconds=now - self._phase_since)
+        elapsed = timedelta(seconds=now - self.phase_since)
         if self.phase is ParserPhase.HEADER:
             return elapsed > limits.header_timeout
         return self.phase is ParserPhase.BODY and elapsed > limits.body_timeout
@@ -152,7 +154,7 @@
             return
         if self.phase is not ParserPhase.HEADER:
             self._enter_phase(ParserPhase.HEADER)
-        self._arrived_at = self._phase_since
+            self._arrived_at = self._receiver.received_at
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -245,7 +247,7 @@
 
     def _enter_phase(self, phase: ParserPhase) -> None:
         self.phase = phase
-        self._phase_since = self._listener.clock.monotonic()
+        self.phase_since = self._listener.clock.monotonic()
 
     def _check_limits(self) -> None:
         limits = self._listener.limits
--- a/foxtailseam/http/_request_receiver.py
+++ b/foxtailseam/http/_request_receiver.py
@@ -28,6 +28,9 @@
 class RequestReceiver(Protocol):
     """Interface of the connection that a parser depends on."""
 
+    # Arrival of the bytes being parsed, in seconds of the listener's clock.
+    received_at: float
+
     def enqueue(self, received: ReceivedRequest) -> None:
         """Queue a complete request to be served."""
 
--- a/foxtailseam/http/tests/test_caller_connection.py
+++ b/foxtailseam/http/tests/test_caller_connection.py
@@ -13,6 +13,7 @@
 from foxtailseam.clocks import ManualClock
 from foxtailseam.http import BufferSpace, HttpResponse, ListenerLimits
 from foxtailseam.http._caller_connection import CallerConnection
+from foxtailseam.http._work_schedule import WorkSchedule
 
 LIMITS = ListenerLimits(header_bytes=2_000, body_bytes=1_000, buffered_bytes=3_000)
 LONGEST_TIMEOUT = timedelta(seconds=16)
@@ -48,6 +49,9 @@
     def close(self):
         self.is_closed = True
 
+    def is_closing(self):
+        return self.is_closed
+
     def is_reading(self):
         return not self.is_paused
 
@@ -79,6 +83,7 @@
         self.calls = []
         self.answers = iter(answers)
         self.rejected = []
+        self.turns = []
         self.header_space = BufferSpace()
         owner = SimpleNamespace(
             clock=self.clock,
@@ -88,6 +93,8 @@
             is_draining=False,
             header_space=self.header_space,
             unsent_space=BufferSpace(),
+            queued_requests=BufferSpace(),
+            schedule=WorkSchedule(self.clock, self.fail, self.turns.append),
             make_unsent_space=lambda size: True,
             reserve=lambda size: True,
             release=lambda size: None,
@@ -103,15 +110,24 @@
         if next(self.answers, True):
             call.respond(HttpResponse(200))
 
+    def fail(self, error):
+        raise error
+
     def receive(self, data):
         if not self.transport.is_closed:
             self.connection.data_received(data)
+        self.take_turns()
+
+    def take_turns(self):
+        while self.turns:
+            self.turns.pop()()
 
     def end(self):
         """Answer what is open and let all timeouts pass."""
         # Answered calls can be followed by others, so the list may grow.
         for call in self.calls:
             call.respond(HttpResponse(200))
+            self.take_turns()
         # A request that times out is rejected, and then its connection lingers.
         for _ in range(2):
             self.clock.advance(LONGEST_TIMEOUT)
--- a/foxtailseam/http/tests/test_listener.py
+++ b/foxtailseam/http/tests/test_listener.py
@@ -389,6 +389,8 @@
             listener.drain()
             for number in range(2):
                 handler.calls[number].respond(HttpResponse(200))
+                # The next request is served in a later turn of the connection.
+                await asyncio.sleep(0.05)
             writer.write(b"Content-Length: 1\r\n\r\nx")
             await asyncio.sleep(0.05)
             handler.calls[2].respond(HttpResponse(200))
