Bound the work, the calls and the connections of the hosts' port

Cause: grpclib handles all frames of a read of up to 256 KB at once, answers pings whether or not the other side reads, and has no limit of connections or of calls on all of them.

Change: grpclib gets 2 KB at a time, in turns, and nothing while the other side does not read. Above a quarter of the descriptors a connection without calls is closed, above 2,000 calls the connection with most of them, and a call whose first message has not arrived after 10 s ends. The connections in virtual time can pause reading now, as those of the tests exceed 16 KB. One test constructed grpclib's server by the name that _rpc no longer imports; it imports it itself.

--- a/foxtailseam/fleet/__init__.py
+++ b/foxtailseam/fleet/__init__.py
@@ -14,7 +14,7 @@
     MemberExchange,
     WireChange,
 )
-from foxtailseam.fleet._settings import FleetSettings
+from foxtailseam.fleet._settings import FleetSettings, PeerLimits
 from foxtailseam.fleet._state_exchange import StateExchange, StateSource
 from foxtailseam.fleet._tree import TreePosition, compute_position
 
@@ -29,6 +29,7 @@
     "MemberExchange",
     "MemberNews",
     "Membership",
+    "PeerLimits",
     "StateExchange",
     "StateSource",
     "TreePosition",
--- a/foxtailseam/fleet/_controller.py
+++ b/foxtailseam/fleet/_controller.py
@@ -191,7 +191,14 @@
         address = self.membership.own_record.address
 
         async def serve_hosts() -> None:
-            self._stop_server = await _rpc.serve(address, self, self._count_sent)
+            self._stop_server = await _rpc.serve(
+                address,
+                self,
+                self._count_sent,
+                self.settings.peer_limits,
+                self.clock,
+                self._count_closed,
+            )
 
         work = {
             # While the address is taken, the host serves callers without the others.
@@ -289,6 +296,9 @@
         place = "near" if is_near else "far"
         self.metrics.add(f"bytes_{kind}_{place}", size)
 
+    def _count_closed(self) -> None:
+        self.metrics.add("peer_connections_closed")
+
     # Following.
 
     def _update_position(self) -> None:
--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -16,8 +16,9 @@
 )
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
-from grpclib.server import Server, Stream
+from grpclib.server import Stream
 
+from foxtailseam.clocks import Clock, SystemClock
 from foxtailseam.codecs import (
     MAX_MESSAGE_BYTES,
     MessagePackCodec,
@@ -34,6 +35,8 @@
     decompress_changes,
     decompress_records,
 )
+from foxtailseam.fleet._peer_server import PeerServer
+from foxtailseam.fleet._settings import PeerLimits
 from foxtailseam.forwarding import ForwardedRequest, ForwardedResponse
 from foxtailseam.http import BufferSpace
 from foxtailseam.launch import BACKLOG, open_listener
@@ -42,6 +45,9 @@
 RECEIVED_BYTES = MAX_MESSAGE_BYTES
 # Space for responses to forwarded requests until the other hosts have taken them.
 UNSENT_BYTES = MAX_MESSAGE_BYTES
+# Time in seconds from the start of a call to the end of its first message, which the
+# other host sends at once.
+FIRST_MESSAGE_SECONDS = 10.0
 
 _ENCODER = msgspec.msgpack.Encoder()
 EXCHANGE_PATH = "/foxtailseam.Fleet/Exchange"
@@ -189,7 +195,8 @@
     async def _receive(self, stream: Stream) -> Any:
         limit_messages(stream, self._received)
         with self._refusing():
-            return await stream.recv_message()
+            async with asyncio.timeout(FIRST_MESSAGE_SECONDS):
+                return await stream.recv_message()
 
     async def _exchange(self, stream: Stream) -> None:
         message = await self._receive(stream)
@@ -266,7 +273,12 @@
 
 
 async def serve(
-    address: str, servicer: FleetServicer, on_sent: SentCallback
+    address: str,
+    servicer: FleetServicer,
+    on_sent: SentCallback,
+    limits: PeerLimits | None = None,
+    clock: Clock | None = None,
+    on_closed: Callable[[], None] = lambda: None,
 ) -> Callable[[], Awaitable[None]]:
     """Start a server for other hosts.
 
@@ -279,6 +291,12 @@
     on_sent : callable
         Called with the kind, the receiver's failure domain and the bytes of each
         message that is sent.
+    limits : PeerLimits or None
+        Limits of the connections; None for the defaults.
+    clock : Clock or None
+        Clock that provides monotonic time in seconds; None for that of the system.
+    on_closed : callable
+        Called when a connection is closed because of a limit.
 
     Returns
     -------
@@ -290,7 +308,13 @@
     ListenError
         If the address cannot be listened on.
     """
-    server = Server([_Handlers(servicer, on_sent)], codec=MessagePackCodec())
+    server = PeerServer(
+        [_Handlers(servicer, on_sent)],
+        codec=MessagePackCodec(),
+        limits=limits or PeerLimits(),
+        clock=clock or SystemClock(),
+        on_closed=on_closed,
+    )
     await server.start(sock=open_listener(address), backlog=BACKLOG)
 
     async def stop() -> None:
--- a/foxtailseam/fleet/_settings.py
+++ b/foxtailseam/fleet/_settings.py
@@ -5,6 +5,24 @@
 from datetime import timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class PeerLimits:
+    """Limits of the connections of other hosts.
+
+    Parameters
+    ----------
+    connections : int
+        Number of open connections above which a new one closes the connection without
+        calls that has been silent longest.
+    calls : int
+        Number of calls in progress on all connections above which the connection with
+        most of them is closed.
+    """
+
+    connections: int = 200
+    calls: int = 2_000
+
+
 @dataclass(frozen=True, slots=True)
 class FleetSettings:
     """Intervals and timeouts of gossip and of the replication between hosts.
@@ -35,6 +53,8 @@
     start_patience : timedelta
         How long a host that is no seed waits after its start for a copy from others
         before it reads the service itself.
+    peer_limits : PeerLimits
+        Limits of the connections that other hosts open.
     """
 
     exchange_interval: timedelta = timedelta(milliseconds=1500)
@@ -46,6 +66,7 @@
     read_hold_time: timedelta = timedelta(seconds=2)
     settle_time: timedelta = timedelta(seconds=6)
     start_patience: timedelta = timedelta()
+    peer_limits: PeerLimits = PeerLimits()
 
 
 def jittered(interval: timedelta, generator: random.Random) -> float:
--- a/foxtailseam/fleet/tests/test_foreign_messages.py
+++ b/foxtailseam/fleet/tests/test_foreign_messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 import pytest
+from grpclib.server import Server
 from hypothesis import example, given
 
 from foxtailseam.catalogue import Catalogue
@@ -256,7 +257,7 @@
 
         async def main():
             (address,) = free_addresses(1)
-            server = _rpc.Server(
+            server = Server(
                 [SilentHandlers(None, lambda *_: None)], codec=MessagePackCodec()
             )
             host, _, port = address.rpartition(":")
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -17,6 +17,7 @@
     FleetController,
     FleetSettings,
     HostRecord,
+    PeerLimits,
 )
 from foxtailseam.forwarding import Forwarder, PeerSelector
 from foxtailseam.front._changes import ChangeApplier
@@ -33,6 +34,7 @@
     forwarded_body_bytes,
     host_shard_call_rate,
     listener_limits,
+    peer_connections,
     searcher_buffer_bytes,
 )
 from foxtailseam.front._settings_file import read_settings
@@ -183,7 +185,8 @@
             FleetSettings(
                 start_patience=JOINT_START_PATIENCE
                 if settings.is_joint_start
-                else timedelta()
+                else timedelta(),
+                peer_limits=PeerLimits(peer_connections(settings.limits)),
             ),
             self.log,
             self._generator,
--- a/foxtailseam/front/_resource_shares.py
+++ b/foxtailseam/front/_resource_shares.py
@@ -8,6 +8,8 @@
 # Fraction of the file descriptors, less RESERVED_DESCRIPTORS, for callers'
 # connections; files, listeners and connections to searchers need the rest.
 CALLER_DESCRIPTOR_SHARE = 0.5
+# The same for connections of other hosts.
+PEER_DESCRIPTOR_SHARE = 0.25
 RESERVED_DESCRIPTORS = 200
 # Fractions of the memory limit that buffers may take: bodies and headers of callers'
 # requests, bodies of requests that other hosts have forwarded, requests and responses
@@ -49,13 +51,12 @@
     limits : CallerLimits
         Limits on callers' requests.
     """
-    descriptors = resources.max_file_descriptors - RESERVED_DESCRIPTORS
     return ListenerLimits(
         header_bytes=limits.header_bytes,
         body_bytes=limits.body_bytes,
         header_timeout=limits.header_timeout,
         idle_timeout=limits.idle_timeout,
-        connections=max(1, int(descriptors * CALLER_DESCRIPTOR_SHARE)),
+        connections=_descriptor_share(resources, CALLER_DESCRIPTOR_SHARE),
         buffered_bytes=_memory_share(resources, BODY_MEMORY_SHARE),
         buffered_header_bytes=_memory_share(resources, HEADER_MEMORY_SHARE),
         unsent_bytes=_memory_share(resources, UNSENT_MEMORY_SHARE),
@@ -67,5 +68,15 @@
     return shard_call_rate(resources.link_mbps, resources.cores)
 
 
+def peer_connections(resources: HostLimits) -> int:
+    """Return the number of connections that other hosts may open."""
+    return _descriptor_share(resources, PEER_DESCRIPTOR_SHARE)
+
+
+def _descriptor_share(resources: HostLimits, share: float) -> int:
+    descriptors = resources.max_file_descriptors - RESERVED_DESCRIPTORS
+    return max(1, int(descriptors * share))
+
+
 def _memory_share(resources: HostLimits, share: float) -> int:
     return int(resources.memory_mb * MEGABYTE * share)
--- a/foxtailseam_bench/simulation/_event_loop.py
+++ b/foxtailseam_bench/simulation/_event_loop.py
@@ -36,6 +36,9 @@
         self._protocol = protocol
         self._peer: _MemoryTransport | None = None
         self._is_closing = False
+        self._is_paused = False
+        # Received and not delivered yet, as reading is paused.
+        self._held: list[bytes] = []
 
     @classmethod
     def connect(
@@ -67,11 +70,19 @@
     abort = close
 
     def pause_reading(self) -> None:
-        raise NotImplementedError("flow control is not simulated")
+        self._is_paused = True
+
+    def resume_reading(self) -> None:
+        self._is_paused = False
+        self._loop.call_soon(self._deliver)
 
     def _receive(self, data: bytes) -> None:
-        if not self._is_closing:
-            self._protocol.data_received(data)
+        self._held.append(data)
+        self._deliver()
+
+    def _deliver(self) -> None:
+        while self._held and not (self._is_paused or self._is_closing):
+            self._protocol.data_received(self._held.pop(0))
 
     def _receive_end(self) -> None:
         if not self._is_closing:
