Accept at most 32 connections in one iteration of the event loop

Cause: asyncio accepts as many connections at once as it lets the kernel queue, 512. Each has its descriptor until a later iteration closes it for the limit, so that bursts went over the descriptors by far.

Change: 32 are accepted in an iteration; the kernel's queue keeps its 512.

--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -39,7 +39,7 @@
 from foxtailseam.fleet._settings import PeerLimits
 from foxtailseam.forwarding import ForwardedRequest, ForwardedResponse
 from foxtailseam.http import BufferSpace
-from foxtailseam.launch import BACKLOG, open_listener
+from foxtailseam.launch import BACKLOG, MAX_ACCEPTED, open_listener
 
 # Space for long messages of other hosts while they arrive: one of the longest.
 RECEIVED_BYTES = MAX_MESSAGE_BYTES
@@ -315,7 +315,12 @@
         clock=clock or SystemClock(),
         on_closed=on_closed,
     )
-    await server.start(sock=open_listener(address), backlog=BACKLOG)
+    sock = open_listener(address)
+    await server.start(sock=sock, backlog=MAX_ACCEPTED)
+    # asyncio accepts as many connections in an iteration as it lets the kernel queue.
+    if sock.fileno() >= 0:
+        # An event loop in virtual time has closed it and uses only its address.
+        sock.listen(BACKLOG)
 
     async def stop() -> None:
         server.close()
--- a/foxtailseam/http/_listener.py
+++ b/foxtailseam/http/_listener.py
@@ -16,7 +16,7 @@
 from foxtailseam.http._error_responses import RESPONSE_DROPPED
 from foxtailseam.http._listener_limits import ListenerLimits
 from foxtailseam.http._work_schedule import WorkSchedule
-from foxtailseam.launch import BACKLOG, open_listener
+from foxtailseam.launch import BACKLOG, MAX_ACCEPTED, open_listener
 
 # Interval at which the timeouts of all connections are checked.
 TIMEOUT_CHECK_SECONDS = 0.2
@@ -121,9 +121,16 @@
         loop = asyncio.get_running_loop()
         self._socket = listening_socket or open_listener(address)
         self._socket.setblocking(False)
+        # asyncio accepts as many connections in an iteration as it lets the kernel
+        # queue, which is too few; so the queue gets its length again right after.
         self._server = await loop.create_server(
-            lambda: CallerConnection(self), sock=self._socket, backlog=BACKLOG
+            lambda: CallerConnection(self),
+            sock=self._socket,
+            backlog=MAX_ACCEPTED,
+            start_serving=False,
         )
+        loop.call_soon(self._socket.listen, BACKLOG)
+        await self._server.start_serving()
         self._enforce_timeouts()
 
     def drain(self) -> None:
--- a/foxtailseam/launch/__init__.py
+++ b/foxtailseam/launch/__init__.py
@@ -6,6 +6,7 @@
 
 from foxtailseam.launch._sockets import (
     BACKLOG,
+    MAX_ACCEPTED,
     ListenError,
     open_listener,
     wait_for_listener,
@@ -13,6 +14,7 @@
 
 __all__ = [
     "BACKLOG",
+    "MAX_ACCEPTED",
     "EarlySignals",
     "ExitCode",
     "ListenError",
--- a/foxtailseam/launch/_sockets.py
+++ b/foxtailseam/launch/_sockets.py
@@ -7,6 +7,9 @@
 
 # Maximum number of connections that the kernel queues until they are accepted.
 BACKLOG = 512
+# Connections that are accepted in one iteration of the event loop. Each has a file
+# descriptor before its listener can close it, or another one, for its limit.
+MAX_ACCEPTED = 32
 RETRY_SECONDS = 0.05
 
 
