--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -23,6 +23,7 @@
 from foxtailseam.front._changes import ChangeApplier
 from foxtailseam.front._condition_log import ConditionLog
 from foxtailseam.front._configuration import ConfigurationManager
+from foxtailseam.front._connection_log import ConnectionLog
 from foxtailseam.front._front import FrontEnd
 from foxtailseam.front._host_log import HostLog
 from foxtailseam.front._metrics_page import METRICS_PORT, MetricsPage
@@ -224,6 +225,13 @@
         )
         for listener in self._listeners[1:]:
             listener.limits = SMALL_LIMITS
+        names = ("caller", "readiness", "metrics")
+        self._connection_log = ConnectionLog(
+            dict(zip(names, self._listeners, strict=True)),
+            self.log,
+            self.metrics,
+            self.clock,
+        )
         self._has_started = False
         self._maintenance = PeriodicWork(
             {
@@ -232,6 +240,7 @@
                     self.configuration_manager.catalogue.remove_expired
                 ),
                 "check idle links": self.dispatcher.links.check_idle,
+                "log closed connections": self._connection_log.check,
                 "log readiness": self._readiness.log_change,
                 "flush log": self.log.flush,
             },
--- a/foxtailseam/logs/_catalogue.py
+++ b/foxtailseam/logs/_catalogue.py
@@ -65,6 +65,13 @@
     FORWARD_DECLINED = (336, Severity.INFO, "a forwarded request was given back")
     DELEGATION_RETURNED = (337, Severity.INFO, "a delegated query was not answered")
     REQUEST_BROKEN = (339, Severity.ERROR, "the handling of a request failed")
+    CONNECTIONS_CLOSED = (340, Severity.WARNING, "connections were closed at the limit")
+    PEER_CONNECTIONS_CLOSED = (
+        341,
+        Severity.WARNING,
+        "connections of other hosts were closed at a limit",
+    )
+    REQUESTS_HELD = (342, Severity.WARNING, "pipelined requests are left unread")
     SEARCHER_STATE = (400, Severity.INFO, "a searcher's state changed")
     SEARCHER_LOST = (401, Severity.WARNING, "a searcher was lost with work in flight")
     ANSWER_MISMATCHED = (402, Severity.ERROR, "a response was to another request")
