Merge bounds on callers and hosts that do not respect the limits

Cause: the work of one turn of the event loop was not bounded; a crowd ended the process. Change: bounded turns, queues, connections and data, on the callers' and the hosts' port. Conclusion: see docs/design/callers.md.

--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -18,12 +18,14 @@
     FleetController,
     FleetSettings,
     HostRecord,
+    PeerLimits,
 )
 from foxtailseam.forwarding import Forwarder, PeerHost, PeerSelector
 from foxtailseam.front._admission_log import AdmissionLog
 from foxtailseam.front._changes import ChangeApplier
 from foxtailseam.front._condition_log import ConditionLog
 from foxtailseam.front._configuration import ConfigurationManager
+from foxtailseam.front._connection_log import ConnectionLog
 from foxtailseam.front._front import FrontEnd
 from foxtailseam.front._host_log import HostLog
 from foxtailseam.front._metrics_page import METRICS_PORT, MetricsPage
@@ -35,6 +37,7 @@
     forwarded_body_bytes,
     host_shard_call_rate,
     listener_limits,
+    peer_connections,
     searcher_buffer_bytes,
 )
 from foxtailseam.front._settings_file import read_settings
@@ -199,7 +202,8 @@
             FleetSettings(
                 start_patience=JOINT_START_PATIENCE
                 if settings.is_joint_start
-                else timedelta()
+                else timedelta(),
+                peer_limits=PeerLimits(peer_connections(settings.limits)),
             ),
             self.log,
             self._generator,
@@ -239,6 +243,13 @@
         )
         for listener in self._listeners[1:]:
             listener.limits = SMALL_LIMITS
+        names = ("caller", "readiness", "metrics")
+        self._connection_log = ConnectionLog(
+            dict(zip(names, self._listeners, strict=True)),
+            self.log,
+            self.metrics,
+            self.clock,
+        )
         self._has_started = False
         self._maintenance = PeriodicWork(
             {
@@ -249,6 +260,7 @@
                 "check evacuations": self.configuration_manager.evacuation.check,
                 "check idle links": self.dispatcher.links.check_idle,
                 "remove expired slowness": self.dispatcher.gates.remove_expired,
+                "log closed connections": self._connection_log.check,
                 "log readiness": self._readiness.log_change,
                 "log admission": self._admission_log.update,
                 "flush log": self.log.flush,
