Decide which requests of a contended service leave the failure domain

Pure rules: a share of the requests may leave while requests wait on both sides; it moves by at most 0.1 a window, with a dead band, and hosts of a domain average it by the answers behind it.

--- /dev/null
+++ b/foxtailseam/locality/__init__.py
@@ -0,0 +1,28 @@
+"""When a request leaves the failure domain of its host, and how many do.
+
+Nothing here performs I/O; the clock and the random generator are passed in.
+"""
+
+from foxtailseam.locality._control import SpilloverControl
+from foxtailseam.locality._crossing import DistanceCosts
+from foxtailseam.locality._decision import LocalityDecision
+from foxtailseam.locality._notices import SpilloverNotice
+from foxtailseam.locality._share import (
+    CROSSING_PRICE,
+    MIN_SHARE,
+    Observation,
+    has_ended,
+    next_share,
+)
+
+__all__ = [
+    "CROSSING_PRICE",
+    "MIN_SHARE",
+    "DistanceCosts",
+    "LocalityDecision",
+    "Observation",
+    "SpilloverControl",
+    "SpilloverNotice",
+    "has_ended",
+    "next_share",
+]
