Keep a spillover share where requests wait at home and away

Cause: with the constant of 12 ms all hosts of a domain leave, and come back, together. The emulator knows delays between failure domains and replays one service.

Calm: the same searchers are asked.

The bounds of test_replay.py fail with the constant price.

--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -183,6 +183,8 @@
         )
         if searcher is None or searcher.health.is_ejected:
             return False
+        if not self._may_hedge_at(searcher):
+            return False
         expected = searcher.health.slowness * self._response_times.median
         if expected > MAX_HEDGE_OVERRUN * (
             useful_until - self.dispatcher.clock.monotonic()
@@ -194,6 +196,14 @@
         self._send(searcher)
         return True
 
+    def _may_hedge_at(self, searcher: Searcher) -> bool:
+        now = self.dispatcher.clock.monotonic()
+        return self.dispatcher.locality.may_hedge(
+            self.plan.service,
+            searcher.entry.failure_domain,
+            any(item.searcher.is_stalled(now) for item in self._running.values()),
+        )
+
     def cancel(self) -> None:
         """Cancel the call and close the connections of its attempts in progress."""
         self._end()
@@ -342,6 +352,10 @@
         )
         attempt.searcher.health.record_response(seconds, median_time, now)
         self._response_times.record(seconds)
+        entry = attempt.searcher.entry
+        self.dispatcher.locality.answers.append(
+            (entry.service, entry.failure_domain, seconds)
+        )
         if not self._is_over:
             self._end()
             answer = ServiceAnswer(
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -18,6 +18,7 @@
 from foxtailseam.dispatch._waiting_requests import WaitingRequests
 from foxtailseam.dispatch._wire_format import AnswerMetadata, AnswerReader
 from foxtailseam.http import HttpRequest
+from foxtailseam.locality import LocalityDecision
 from foxtailseam.metrics import Metrics
 from foxtailseam.reachability import ContactTracker, LinkMonitor, LinkState
 from foxtailseam.routing import Route, Service
@@ -83,6 +84,8 @@
         )
         # Bytes exchanged with searchers.
         self.traffic = TrafficCounter(failure_domain)
+        # Which requests leave the failure domain of this host.
+        self.locality = LocalityDecision(clock, failure_domain, generator)
         # When this host may send to the searchers that have reported conditions.
         self.gates = SearcherGates(clock, generator, self._find_searcher)
         # Requests that wait for a searcher.
@@ -118,6 +121,7 @@
     def configure(self, services: Iterable[Service]) -> None:
         """Apply the configured connection limits of the services."""
         self._max_connections = {item.name: item.max_connections for item in services}
+        self.locality.retain(self._max_connections)
         for searcher in self._searchers.values():
             searcher.pool.limit = self._connection_limit(searcher.entry.service)
 
@@ -260,8 +264,13 @@
         self, service: str, median_time: float, now: float, excluded: Iterable[str]
     ) -> Candidate | None:
         can_connect = self.links.is_connected
+        locality = self.locality
+        # Asked only where a share is kept: a selection is made for each shard call.
+        distance_costs = locality.calm_costs
+        if service in locality.kept:
+            distance_costs = locality.distance_costs(service)
         candidates = [
-            searcher.candidate(self.failure_domain, now)
+            searcher.candidate(distance_costs, now)
             for searcher in self.open_searchers(service)
             if searcher.entry.identifier not in excluded
             and searcher.has_capacity
--- a/foxtailseam/dispatch/_searcher.py
+++ b/foxtailseam/dispatch/_searcher.py
@@ -9,6 +9,7 @@
 from foxtailseam.dispatch._health import SearcherHealth
 from foxtailseam.dispatch._searcher_selection import Candidate
 from foxtailseam.http import ExchangeResult
+from foxtailseam.locality import DistanceCosts
 
 # Number of requests beyond its slots that one host sends to a searcher, so that the
 # slots stay busy while requests and answers are in transit.
@@ -178,13 +179,13 @@
         sent_at, median_time = next(iter(self._in_flight.values()))
         return self.health.is_stalled(sent_at, median_time, now)
 
-    def candidate(self, failure_domain: str, now: float) -> Candidate:
+    def candidate(self, distance_costs: DistanceCosts, now: float) -> Candidate:
         """Return a snapshot of this searcher for the selection.
 
         Parameters
         ----------
-        failure_domain : str
-            Failure domain of this host.
+        distance_costs : DistanceCosts
+            Cost of the request in each failure domain.
         now : float
             Current monotonic time in seconds.
         """
@@ -196,7 +197,7 @@
             health.failure_share_at(now),
             len(self._in_flight),
             entry.slots,
-            entry.failure_domain == failure_domain,
+            distance_costs[entry.failure_domain],
             self.pool.has_idle,
             now < self._warmup_ends_at,
             self.is_stalled(now),
--- a/foxtailseam/dispatch/_searcher_selection.py
+++ b/foxtailseam/dispatch/_searcher_selection.py
@@ -3,8 +3,6 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-# Cost of traffic to another failure domain, in seconds of response time.
-CROSS_DOMAIN_PENALTY = 0.012
 # Cost of opening a connection, in seconds.
 NEW_CONNECTION_PENALTY = 0.006
 # Cost of a failure, in median response times.
@@ -34,8 +32,9 @@
         Number of requests of this host in flight at the searcher.
     slots : int
         Number of requests that the searcher runs concurrently.
-    is_same_domain : bool
-        Whether the searcher is in the failure domain of this host.
+    distance_cost : float
+        Cost of a request to the failure domain of the searcher, in seconds of response
+        time; see `LocalityDecision`.
     has_connection : bool
         Whether an idle connection is available.
     is_warming : bool
@@ -53,7 +52,7 @@
     failure_share: float = 0.0
     in_flight: int = 0
     slots: int = 1
-    is_same_domain: bool = True
+    distance_cost: float = 0.0
     has_connection: bool = True
     is_warming: bool = False
     is_stalled: bool = False
@@ -83,8 +82,7 @@
         load = 1.0 + self.in_flight / self.slots
         slowdown = self.slowness * (WARMUP_FACTOR if self.is_warming else 1.0)
         cost = median_time * (slowdown * load + FAILURE_PENALTY * self.failure_share)
-        if not self.is_same_domain:
-            cost += CROSS_DOMAIN_PENALTY
+        cost += self.distance_cost
         if not self.has_connection:
             cost += NEW_CONNECTION_PENALTY
         if self.is_lapsed:
--- a/foxtailseam/dispatch/tests/test_decisions.py
+++ b/foxtailseam/dispatch/tests/test_decisions.py
@@ -30,6 +30,7 @@
     min_hedge_delay,
     select_shards,
 )
+from foxtailseam.locality import CROSSING_PRICE
 
 MEDIAN_TIME = 0.012
 
@@ -41,7 +42,7 @@
             ({"slowness": 2.0}, "slow"),
             ({"in_flight": 2}, "busy"),
             ({"failure_share": 0.5}, "fails"),
-            ({"is_same_domain": False}, "far"),
+            ({"distance_cost": CROSSING_PRICE}, "far"),
             ({"has_connection": False}, "needs a connection"),
             ({"is_warming": True}, "just started"),
             ({"is_stalled": True}, "stalls"),
--- a/foxtailseam_bench/simulation/__init__.py
+++ b/foxtailseam_bench/simulation/__init__.py
@@ -7,6 +7,11 @@
 from foxtailseam_bench.simulation._fleet import SimulatedFleet, SimulatedHost
 from foxtailseam_bench.simulation._link import LinkFault, SimulatedLink
 from foxtailseam_bench.simulation._searcher import SimulatedSearcher
+from foxtailseam_bench.simulation._spillover import (
+    SpilloverLoad,
+    SpilloverReplay,
+    SpilloverResult,
+)
 from foxtailseam_bench.simulation._tier import (
     SimulatedCall,
     SimulatedTier,
@@ -25,6 +30,9 @@
     "SimulatedLink",
     "SimulatedSearcher",
     "SimulatedTier",
+    "SpilloverLoad",
+    "SpilloverReplay",
+    "SpilloverResult",
     "VirtualEventLoop",
     "VirtualTime",
     "run_in_virtual_time",
--- a/foxtailseam_bench/simulation/_link.py
+++ b/foxtailseam_bench/simulation/_link.py
@@ -49,11 +49,15 @@
         What happens to the connections.
     call_seconds : float
         Virtual seconds for which a request occupies the link of the host.
+    delays : dict of SimulatedSearcher to float
+        One-way delays to searchers beyond that of the network of a failure domain, in
+        virtual seconds.
     """
 
     def __init__(self):
         self.fault = LinkFault.NONE
         self.call_seconds = 0.0
+        self.delays: dict[SimulatedSearcher, float] = {}
         self._free_at = 0.0
 
     def take_turn(self, now: float) -> float:
@@ -175,7 +179,15 @@
             self._schedule_failure(exchange)
             return exchange
 
+        delay = self.link.delays.get(self.searcher, 0.0)
+
         def on_result(result: object) -> None:
+            if delay:
+                self.time.call_later(delay, on_received, result)
+            else:
+                on_received(result)
+
+        def on_received(result: object) -> None:
             if self.link.fault in _BROKEN:
                 self._schedule_failure(exchange)
                 return
@@ -190,7 +202,10 @@
                 exchange.is_sent = exchange.inner.is_sent
 
         if self.link.call_seconds:
-            self.time.call_later(self.link.take_turn(self.time.monotonic()), send)
+            delay_to = delay + self.link.take_turn(self.time.monotonic())
+            self.time.call_later(delay_to, send)
+        elif delay:
+            self.time.call_later(delay, send)
         else:
             send()
         return exchange
--- a/foxtailseam_bench/simulation/_tier.py
+++ b/foxtailseam_bench/simulation/_tier.py
@@ -132,6 +132,13 @@
         Index of the tier, which makes its request identifiers unique.
     host : int or None
         Index of the host among those that share limits; None if it is `number`.
+    failure_domain : str
+        Failure domain of the host.
+    domains : int or None
+        Number of failure domains over which the searchers of each service are spread,
+        beginning with d1; None for one of its own for each searcher.
+    crossing_seconds : float
+        One-way delay to the searchers of another failure domain, in virtual seconds.
     """
 
     def __init__(
@@ -145,15 +152,32 @@
         number: int = 0,
         timer_lag: float = 0.0,
         host: int | None = None,
+        failure_domain: str = "d1",
+        domains: int | None = None,
+        crossing_seconds: float = 0.0,
     ):
         self.time = time
-        self._options = {"routes": routes, "searchers": searchers, "hosts": hosts}
+        self._options = {
+            "routes": routes,
+            "searchers": searchers,
+            "hosts": hosts,
+            "failure_domain": failure_domain,
+            "domains": domains,
+            "crossing_seconds": crossing_seconds,
+        }
+        self.failure_domain = failure_domain
+        self._domains = domains
         self._host = number if host is None else host
         self.searchers = searchers
         self.metrics = Metrics()
         self.log = RecordingLog()
         # Links to the searchers.
         self.link = SimulatedLink()
+        if crossing_seconds:
+            for members in searchers.values():
+                for index, searcher in enumerate(members):
+                    if self._domain_of(index) != failure_domain:
+                        self.link.delays[searcher] = crossing_seconds
         # Set if the host can forward requests to others.
         self.peers: SimulatedPeers | None = None
         self.calls: list[SimulatedCall] = []
@@ -168,7 +192,7 @@
             ),
             read_simulated_answer,
             BudgetSettings(0.2, 50.0, timedelta(seconds=10)),
-            "d1",
+            failure_domain,
             self.metrics,
             generator,
         )
@@ -250,7 +274,7 @@
         entry = {
             "service": service,
             "address": self._address_of(searcher),
-            "zone": f"d{number + 1}",
+            "zone": self._domain_of(number),
             "max_concurrency": searcher.slots,
             "state": state,
             "born": started_ms,
@@ -270,6 +294,10 @@
         self._overload_guard.configure(configuration)
         self.front.serve_waiting()
 
+    def _domain_of(self, number: int) -> str:
+        """Return the failure domain of searcher `number` of any service."""
+        return f"d{(number if self._domains is None else number % self._domains) + 1}"
+
     def _address_of(self, searcher: SimulatedSearcher) -> str:
         for address, candidate in self._searchers_by_address.items():
             if candidate is searcher:
@@ -293,6 +321,7 @@
     def _expire_entries(self) -> None:
         self.configuration_manager.catalogue.remove_expired()
         self.dispatcher.links.check_idle()
+        self.dispatcher.locality.update()
         self.time.call_later(EXPIRY_INTERVAL_SECONDS, self._expire_entries)
 
 
@@ -402,6 +431,10 @@
     goal_ms: int,
     seed: int = 1,
     kind: str = "idempotent",
+    *,
+    slots: int = 2,
+    domains: int = 1,
+    crossing_seconds: float = 0.0,
 ):
     """Yield several tiers with a route to one service whose searchers they share.
 
@@ -419,6 +452,13 @@
         Seed of the searchers and the first tier.
     kind : str
         Type of the route in the platform's configuration document.
+    slots : int
+        Number of requests that each searcher runs concurrently.
+    domains : int
+        Number of failure domains over which hosts and, if more than one, searchers
+        are spread evenly.
+    crossing_seconds : float
+        One-way delay between failure domains, in virtual seconds.
 
     Yields
     ------
@@ -427,7 +467,8 @@
     time = VirtualTime()
     generator = random.Random(seed)
     members = [
-        SimulatedSearcher(time, 2, service_seconds, generator) for _ in range(searchers)
+        SimulatedSearcher(time, slots, service_seconds, generator)
+        for _ in range(searchers)
     ]
     route = {
         "name": "read",
@@ -443,7 +484,15 @@
     yield _joined(
         [
             SimulatedTier(
-                [route], {"records": members}, time, seed + number, hosts, number=number
+                [route],
+                {"records": members},
+                time,
+                seed + number,
+                hosts,
+                number=number,
+                failure_domain=f"d{number % domains + 1}",
+                domains=domains if domains > 1 else None,
+                crossing_seconds=crossing_seconds,
             )
             for number in range(hosts)
         ],
