Let the hosts of a domain agree on spillover shares by gossip

Field spillover of MemberExchange, left out while it is empty: an empty one took 11 bytes of each message, and the bytes of many crashes at once then passed their bound (19,557,608 of 19,500,000).

--- a/foxtailseam/fleet/_messages.py
+++ b/foxtailseam/fleet/_messages.py
@@ -14,6 +14,7 @@
     PauseNotice,
 )
 from foxtailseam.fleet._membership import HostRecord, MemberNews
+from foxtailseam.locality import SpilloverNotice
 from foxtailseam.quarantine import SuspicionNotice
 from foxtailseam.store import Change, Item, Position, Removal
 from foxtailseam.utils import (
@@ -53,6 +54,8 @@
         Whether the sender asks for the records of all hosts if the digests differ.
     view : bytes
         These records, compressed; empty if the sender did not ask for them.
+    spillover : tuple of SpilloverNotice
+        Spillover shares that the sender keeps; not sent while its services are calm.
     """
 
     records: tuple[HostRecord, ...]
@@ -64,6 +67,8 @@
     digest: Integer = 0
     wants_view: bool = False
     view: bytes = b""
+    # Unset instead of empty, so that it takes no bytes of a message.
+    spillover: tuple[SpilloverNotice, ...] | msgspec.UnsetType = msgspec.UNSET
 
     @property
     def conditions(self) -> ConditionNotices:
--- a/foxtailseam/fleet/_state_exchange.py
+++ b/foxtailseam/fleet/_state_exchange.py
@@ -46,8 +46,9 @@
         self._sources[field] = source
 
     def notices(self) -> dict[str, tuple[Any, ...]]:
-        """Return the notices of all sources by the name of their field."""
-        return {field: source.notices() for field, source in self._sources.items()}
+        """Return the notices by the name of their field, without empty fields."""
+        notices = {field: source.notices() for field, source in self._sources.items()}
+        return {field: items for field, items in notices.items() if items}
 
     def merge(self, sender: HostRecord, message: object) -> None:
         """Pass the notices of a message on to their sources.
--- a/foxtailseam/fleet/tests/test_foreign_messages.py
+++ b/foxtailseam/fleet/tests/test_foreign_messages.py
@@ -30,6 +30,7 @@
 from foxtailseam.fleet.tests.test_gossip import gossip
 from foxtailseam.forwarding import ForwardedRequest, ForwardedResponse
 from foxtailseam.front._peer_requests import to_call
+from foxtailseam.locality import SpilloverNotice
 from foxtailseam.platform.tests.test_foreign_input import IgnoredEvents
 from foxtailseam.quarantine import SuspicionNotice, SuspicionState
 from foxtailseam.store import Item, Listing, StoreReplica
@@ -55,6 +56,7 @@
     limits=(LimitNotice("i-1", 100, 2.5, 300),),
     leaving=(LeavingNotice("i-1", 100, 300),),
     pauses=(PauseNotice("i-1", 100, 2_000),),
+    spillover=(SpilloverNotice("s", 0.3, 50.0, 100),),
     news=(
         MemberNews(RECORD, True, 100),
         MemberNews(HostRecord(OWN_ADDRESS, "d1", 1, incarnation=1), True, 100),
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -37,6 +37,7 @@
 )
 from foxtailseam.front._settings_file import read_settings
 from foxtailseam.front._shutdown import Shutdown, plan_shutdown
+from foxtailseam.front._spillover_log import SpilloverLog
 from foxtailseam.front._timing import TimingSettings
 from foxtailseam.http import BufferSpace, ConnectionPool, Listener, PoolSettings
 from foxtailseam.launch import EarlySignals, ExitCode
@@ -130,6 +131,7 @@
         self._host_log = HostLog(self.log, self.metrics)
         self.dispatcher.on_ejected = self._host_log.record_ejected
         self._condition_log = ConditionLog(self.dispatcher, self.log, self.metrics)
+        self._spillover_log = SpilloverLog(self.dispatcher.locality, self.log)
         gates = self.dispatcher.gates
         gates.drain_seconds = bounds.searcher_drain.total_seconds()
         gates.on_change = self._condition_log.record_change
@@ -194,6 +196,7 @@
             self._supervisor,
         )
         self._quarantine_guard.on_update = self._fleet.gossip_now
+        self._fleet.state_exchange.register("spillover", self.dispatcher.locality)
         self._forward_sender = ChannelForwardSender(self.clock, self._supervisor)
         self._connect_peers()
         self._caller_listener = Listener(
@@ -229,6 +232,7 @@
                     self.configuration_manager.catalogue.remove_expired
                 ),
                 "check idle links": self.dispatcher.links.check_idle,
+                "update spillover shares": self.dispatcher.locality.update,
                 "log readiness": self._readiness.log_change,
                 "flush log": self.log.flush,
             },
--- a/foxtailseam/locality/_control.py
+++ b/foxtailseam/locality/_control.py
@@ -122,8 +122,6 @@
         now : float
             Current monotonic time in seconds.
         """
-        if weight <= 0.0:
-            return
         if self.share is None:
             self.share = share
             self._weight = 0.0
--- a/foxtailseam/locality/_decision.py
+++ b/foxtailseam/locality/_decision.py
@@ -180,7 +180,10 @@
         now = self.clock.monotonic()
         for notice in notices[:MAX_NOTICES]:
             control = self._controls.get(notice.service)
-            if control is None or notice.age_ms > 1000 * EXPIRY_SECONDS:
+            # A number may be no number, which the bounds of the type let pass.
+            is_valid = 0.0 <= notice.share <= 1.0 and notice.weight > 0.0
+            is_recent = notice.age_ms <= 1000 * EXPIRY_SECONDS
+            if control is None or not is_valid or not is_recent:
                 continue
             control.adopt(notice.share, notice.weight, now)
             self._follow(notice.service, control)
--- a/foxtailseam/locality/tests/test_decision.py
+++ b/foxtailseam/locality/tests/test_decision.py
@@ -163,6 +163,7 @@
             (HOME, "unknown", 0, 50.0),
             (HOME, "s", 9_000, 50.0),
             (HOME, "s", 0, 0.0),
+            (HOME, "s", 0, float("nan")),
         ],
     )
     def test_what_does_not_apply_is_ignored(self, domain, service, age_ms, weight):
--- a/foxtailseam/logs/_catalogue.py
+++ b/foxtailseam/logs/_catalogue.py
@@ -81,6 +81,8 @@
     SEARCHER_PAUSED = (414, Severity.INFO, "a searcher asked this host for a pause")
     SEARCHER_PAUSE_INVALID = (415, Severity.WARNING, "a searcher's pause is invalid")
     LINKS_CHANGED = (416, Severity.WARNING, "the host lost or regained the searchers")
+    SPILLOVER_STARTED = (420, Severity.INFO, "a service's spillover share is kept")
+    SPILLOVER_ENDED = (421, Severity.INFO, "a service has no spillover share any more")
     ENTRY_REFUSED = (408, Severity.WARNING, "a searcher's entry is invalid")
     PEER_STATE = (500, Severity.INFO, "a peer's state changed")
     PEER_UNREACHABLE = (501, Severity.WARNING, "a call to another host failed")
