Merge the decision which requests leave the failure domain

Cause: a constant of 12 ms on each host alone; hosts that see the same relief left together. Change: a share for each service while requests wait at home and away, agreed on by gossip; the fields of all parts are unset while they are empty.

--- a/foxtailseam/dispatch/_searcher.py
+++ b/foxtailseam/dispatch/_searcher.py
@@ -10,6 +10,7 @@
 from foxtailseam.dispatch._health import SearcherHealth
 from foxtailseam.dispatch._searcher_selection import Candidate
 from foxtailseam.http import ExchangeResult
+from foxtailseam.locality import DistanceCosts
 
 # Number of requests beyond its slots that one host sends to a searcher, so that the
 # slots stay busy while requests and answers are in transit.
@@ -228,13 +229,13 @@
             return own
         return self.gate.slowness.apply(own, self.health.last_response_at, now)
 
-    def candidate(self, failure_domain: str, now: float) -> Candidate:
+    def candidate(self, distance_costs: DistanceCosts, now: float) -> Candidate:
         """Return a snapshot of this searcher for the selection.
 
         Parameters
         ----------
-        failure_domain : str
-            Failure domain of this host.
+        distance_costs : DistanceCosts
+            Cost of the request in each failure domain.
         now : float
             Current monotonic time in seconds.
         """
@@ -249,8 +250,9 @@
             len(self._in_flight),
             entry.slots,
             # A request that probes the searcher goes there from any failure domain.
-            entry.failure_domain == failure_domain
-            or (shared is not None and shared.is_probing(now)),
+            0.0
+            if shared is not None and shared.is_probing(now)
+            else distance_costs[entry.failure_domain],
             self.pool.has_idle,
             now < self._warmup_ends_at,
             self.is_stalled(now),
--- a/foxtailseam/fleet/_messages.py
+++ b/foxtailseam/fleet/_messages.py
@@ -16,6 +16,7 @@
     SlownessNotice,
 )
 from foxtailseam.fleet._host_record import HostRecord, MemberNews
+from foxtailseam.locality import SpilloverNotice
 from foxtailseam.quarantine import SuspicionNotice
 from foxtailseam.store import Change, Item, Position, Removal
 from foxtailseam.utils import (
@@ -60,6 +61,8 @@
         if there are none.
     admission : tuple of AdmissionNotice
         Admitted shares of requests that exceed the capacity of their searchers.
+    spillover : tuple of SpilloverNotice
+        Spillover shares that the sender keeps; not sent while its services are calm.
     """
 
     records: tuple[HostRecord, ...]
@@ -71,9 +74,10 @@
     digest: Integer = 0
     wants_view: bool = False
     view: bytes = b""
-    # Without notices the field takes no byte.
+    # Unset instead of empty, so that they take no bytes of a message.
     slowness: tuple[SlownessNotice, ...] | msgspec.UnsetType = msgspec.UNSET
-    admission: tuple[AdmissionNotice, ...] = ()
+    admission: tuple[AdmissionNotice, ...] | msgspec.UnsetType = msgspec.UNSET
+    spillover: tuple[SpilloverNotice, ...] | msgspec.UnsetType = msgspec.UNSET
 
     @property
     def conditions(self) -> ConditionNotices:
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -42,6 +42,7 @@
 )
 from foxtailseam.front._settings_file import read_settings
 from foxtailseam.front._shutdown import Shutdown, plan_shutdown
+from foxtailseam.front._spillover_log import SpilloverLog
 from foxtailseam.front._timing import TimingSettings
 from foxtailseam.http import BufferSpace, ConnectionPool, Listener, PoolSettings
 from foxtailseam.launch import EarlySignals, ExitCode
@@ -136,6 +137,7 @@
         self._host_log = HostLog(self.log, self.metrics)
         self.dispatcher.on_ejected = self._host_log.record_ejected
         self._condition_log = ConditionLog(self.dispatcher, self.log, self.metrics)
+        self._spillover_log = SpilloverLog(self.dispatcher.locality, self.log)
         gates = self.dispatcher.gates
         gates.drain_seconds = bounds.searcher_drain.total_seconds()
         gates.warmup_excess = bounds.warmup_excess
@@ -216,6 +218,7 @@
         self._quarantine_guard.on_update = self._fleet.gossip_now
         gates.conditions.on_slowness_news = self._fleet.gossip_now
         self._connect_admission()
+        self._fleet.state_exchange.register("spillover", self.dispatcher.locality)
         self._forward_sender = ChannelForwardSender(self.clock, self._supervisor)
         self._connect_peers()
         self._caller_listener = Listener(
@@ -261,6 +264,7 @@
                 "check idle links": self.dispatcher.links.check_idle,
                 "remove expired slowness": self.dispatcher.gates.remove_expired,
                 "log closed connections": self._connection_log.check,
+                "update spillover shares": self.dispatcher.locality.update,
                 "log readiness": self._readiness.log_change,
                 "log admission": self._admission_log.update,
                 "flush log": self.log.flush,
--- a/foxtailseam/front/_metrics_page.py
+++ b/foxtailseam/front/_metrics_page.py
@@ -111,6 +111,9 @@
         evacuation = self.configuration_manager.evacuation
         metrics.set("evacuated_domains", len(evacuation.domains))
         metrics.set("searchers_evacuated_now", dispatcher.evacuated_searchers)
+        shares = dispatcher.locality.shares.values()
+        metrics.set("spillover_services", len(shares))
+        metrics.set("spillover_share_lowest", min(shares, default=1.0))
         self.condition_log.set_gauges()
         ejected = sum(item.health.is_ejected for item in dispatcher.searchers)
         metrics.set("searchers_ejected_now", ejected)
--- a/foxtailseam/logs/_catalogue.py
+++ b/foxtailseam/logs/_catalogue.py
@@ -108,6 +108,8 @@
     )
     ACCUSER_DISTRUSTED = (434, Severity.WARNING, "a host reports too many as slow")
     LINKS_CHANGED = (416, Severity.WARNING, "the host lost or regained the searchers")
+    SPILLOVER_STARTED = (420, Severity.INFO, "a service's spillover share is kept")
+    SPILLOVER_ENDED = (421, Severity.INFO, "a service has no spillover share any more")
     ENTRY_REFUSED = (408, Severity.WARNING, "a searcher's entry is invalid")
     PEER_STATE = (500, Severity.INFO, "a peer's state changed")
     PEER_UNREACHABLE = (501, Severity.WARNING, "a call to another host failed")
