--- a/foxtailseam/admission/_fleet.py
+++ b/foxtailseam/admission/_fleet.py
@@ -28,14 +28,13 @@
 # Longest time for which one request stands, in seconds.
 MAX_SAMPLE_SECONDS = 1.0
 # Lower bounds of the share after one and two requests in a row that were delayed too
-# long, while too few other hosts report an overload. More may lower it freely. With a
-# third bound, the goodput of 40 hosts in an overload fell from 90 to 85 a second.
+# long, while too few other hosts report an overload. More may lower it freely.
 UNCONFIRMED_SHARES = (0.9, 0.6)
-# A share is told to others, and believed from them, below this bound: one late request
+# A share is sent to others, and accepted from them, below this bound: one late request
 # causes no message.
 REPORTED_SHARE = 0.85
 # Number of other hosts that have to report an overload, and time for which a report
-# counts, in seconds. With two, 75 hosts refused calls of a load that they can serve.
+# counts, in seconds. Two late hosts are common on a load that the fleet can serve.
 MIN_REPORTERS = 3
 REPORT_SECONDS = 4.0
 # Half-life of the evidence behind a share, and of the counts of requests, in seconds.
@@ -43,13 +42,15 @@
 # Weight of this host's requests in the mean demand of its failure domain. At half a
 # query a second the count of one host alone varies by four fifths.
 OWN_WEIGHT = 0.2
+# Largest number of requests that counts behind the share of another host.
+MAX_EVIDENCE = 1_000.0
 # Maximum number of notices, and of failure domains in one, in a message.
 MAX_NOTICES = 16
 MAX_DOMAINS = 16
 # Maximum number of priority classes told apart; lower ones count as the last.
 MAX_RANKS = 4
-# The fleet counts as cut off while fewer than this share of the hosts known in the last
-# minute are alive.
+# This host counts as cut off while at most this share of the hosts known is alive, and
+# time for which the greatest number of them is remembered, in seconds.
 MIN_ALIVE_SHARE = 0.5
 MEMBERSHIP_SECONDS = 60.0
 # A group is forgotten after this time without requests and reports, in seconds; further
@@ -86,7 +87,7 @@
     group : str
         Name of the service, or of the first shard of the set.
     share : float
-        Share of the requests that the sender believes the fleet can serve, 0 to 1.
+        Share of the requests that the fleet can serve by the sender's estimate, 0 to 1.
     evidence : float
         Number of recent requests on which the share is based.
     demands : tuple of DomainDemand
@@ -101,6 +102,8 @@
 
 @dataclass
 class _GroupState:
+    """Estimate, recent requests and reports of one group on this host."""
+
     updated_at: float
     share: float = 1.0
     evidence: float = 0.0
@@ -119,10 +122,10 @@
 class FleetAdmission:
     """Joint shares of the fleet; a source of `StateExchange`.
 
-    Each host lowers and raises its own estimate by the delays of its requests; an
-    exchange replaces the estimates of both hosts by their mean, weighted by evidence.
-    The mean over the fleet thus follows the requests of all hosts. The joint share is
-    used only while other hosts report an overload, too.
+    Each host lowers and raises its own estimate by the delays of its requests. A notice
+    moves the receiver's estimate towards the sender's, by the evidence of both.
+    Estimates of `REPORTED_SHARE` and more are not sent. The joint share is used only
+    while other hosts report an overload, too.
 
     Parameters
     ----------
@@ -180,7 +183,8 @@
         fall = DECREASE_PER_SECOND * min(delay, MAX_DELAY_FACTOR) * elapsed
         share = state.share * math.exp(-fall)
         if not self._is_confirmed(state):
-            bound = dict(enumerate(UNCONFIRMED_SHARES)).get(state.late_in_a_row, 0.0)
+            bounds = (*UNCONFIRMED_SHARES, 0.0)
+            bound = bounds[min(state.late_in_a_row, len(UNCONFIRMED_SHARES))]
             share = max(share, min(state.share, bound))
         state.late_in_a_row += 1
         state.share = max(MIN_SHARE, share)
@@ -214,12 +218,16 @@
         return shares[min(rank, MAX_RANKS - 1)]
 
     def is_cut_off(self) -> bool:
-        """Return whether half of the hosts have disappeared within a minute."""
+        """Return whether at most half of the hosts known lately are alive.
+
+        Updates the number known.
+        """
         now = self.clock.monotonic()
         alive = sum(self.domain_sizes().values())
         known, seen_at = self._known_hosts
         if alive >= known or now - seen_at > MEMBERSHIP_SECONDS:
-            self._known_hosts = known, _ = alive, now
+            known = alive
+            self._known_hosts = known, now
         return alive <= MIN_ALIVE_SHARE * known
 
     def joint_shares(self) -> dict[str, float]:
@@ -258,18 +266,19 @@
         """
         now = self.clock.monotonic()
         for notice in notices[:MAX_NOTICES]:
-            is_known = notice.group in self._groups
-            if notice.share >= REPORTED_SHARE or not (
-                is_known or len(self._groups) < MAX_GROUPS
-            ):
+            has_room = notice.group in self._groups or len(self._groups) < MAX_GROUPS
+            # NaN passes the bounds of the types and fails these comparisons.
+            is_valid = 0.0 <= notice.share < REPORTED_SHARE and notice.evidence >= 0.0
+            if not (has_room and is_valid):
                 continue
             state = self._state(notice.group)
             state.reporters[sender.address] = state.used_at = now
             # At least one each, so that a host without requests adopts the joint share
             # but no single report replaces what a host has seen itself.
-            own, other = 1.0 + state.evidence, 1.0 + notice.evidence
+            evidence = min(MAX_EVIDENCE, notice.evidence)
+            own, other = 1.0 + state.evidence, 1.0 + evidence
             state.share = (own * state.share + other * notice.share) / (own + other)
-            state.evidence = (state.evidence + notice.evidence) / 2
+            state.evidence = (state.evidence + evidence) / 2
             self._merge_demands(state, notice.demands, now)
 
     def _forget_unused(self) -> None:
@@ -284,6 +293,8 @@
         self, state: _GroupState, demands: tuple[DomainDemand, ...], now: float
     ) -> None:
         for demand in demands:
+            if not all(rate >= 0.0 for rate in demand.rates):
+                continue
             counted_at = now - demand.age_ms / 1000
             known = state.demands.get(demand.failure_domain)
             rates = (*demand.rates, *[0.0] * MAX_RANKS)[:MAX_RANKS]
@@ -292,7 +303,7 @@
                 state.demands[demand.failure_domain] = (rates, counted_at)
 
     def _state(self, group: str) -> _GroupState:
-        """Return the state of a group as of now."""
+        """Return the state of a group after decaying it to the current time."""
         now = self.clock.monotonic()
         state = self._groups.get(group)
         if state is None:
@@ -315,6 +326,11 @@
             for address, at in state.reporters.items()
             if now - at < REPORT_SECONDS
         }
+        state.demands = {
+            domain: (rates, at)
+            for domain, (rates, at) in state.demands.items()
+            if now - at < REPORT_SECONDS
+        }
         return state
 
     def _is_confirmed(self, state: _GroupState) -> bool:
--- a/foxtailseam/admission/tests/test_fleet.py
+++ b/foxtailseam/admission/tests/test_fleet.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from foxtailseam.admission import AdmissionNotice, FleetAdmission
+from foxtailseam.admission import AdmissionNotice, DomainDemand, FleetAdmission
 from foxtailseam.clocks import ManualClock
 from foxtailseam.fleet import HostRecord
 
@@ -127,6 +127,38 @@
         assert admission.share(GROUP) is not None
 
 
+class TestForeignNotices:
+    """Guards against numbers of other hosts that spoil the share of all."""
+
+    NAN = float("nan")
+
+    @pytest.mark.parametrize(
+        "notice",
+        [
+            AdmissionNotice(GROUP, NAN, 10.0),
+            AdmissionNotice(GROUP, 0.2, NAN),
+            AdmissionNotice(GROUP, 0.2, 10.0, (DomainDemand("d2", (NAN,), 0),)),
+        ],
+        ids=["share", "evidence", "demand"],
+    )
+    def test_no_number_that_is_none_is_kept_or_passed_on(self, admission, notice):
+        for number in (1, 2, 3):
+            admission.merge(record(number), (notice,))
+        report(admission)
+        share = admission.admitted_share(GROUP, 0)
+        assert 0.0 < share <= 1.0
+        (sent,) = admission.notices()
+        assert sent.share == sent.share
+        assert sent.evidence == sent.evidence
+        assert all(rate >= 0 for demand in sent.demands for rate in demand.rates)
+
+    def test_evidence_of_one_host_is_bounded(self, admission, clock):
+        run(admission, clock, [0.0] * 20)
+        admission.merge(record(1), (AdmissionNotice(GROUP, 0.02, 1e9),))
+        report(admission, 0.8, senders=(2, 3))
+        assert admission.share(GROUP) > 0.02
+
+
 class TestNotices:
     """Guards against messages and memory without bound."""
 
--- a/foxtailseam/conditions/__init__.py
+++ b/foxtailseam/conditions/__init__.py
@@ -27,7 +27,7 @@
     MAX_SLOW_FACTOR,
     MIN_SLOW_FACTOR,
     Slowness,
-    SlownessBelief,
+    SlownessEstimate,
     SlownessReport,
 )
 
@@ -46,7 +46,7 @@
     "RateLimit",
     "SearcherConditions",
     "Slowness",
-    "SlownessBelief",
+    "SlownessEstimate",
     "SlownessNotice",
     "SlownessReport",
     "round_rate",
--- a/foxtailseam/conditions/_registry.py
+++ b/foxtailseam/conditions/_registry.py
@@ -17,7 +17,7 @@
 from foxtailseam.conditions._slowness import (
     REPORT_SECONDS,
     Slowness,
-    SlownessBelief,
+    SlownessEstimate,
     SlownessReport,
 )
 from foxtailseam.conditions._slowness_spread import RunKey, SlownessSpread
@@ -29,10 +29,11 @@
 # Maximum number of runs of one searcher whose conditions are kept.
 MAX_RUNS = 4
 
-# Part of the searchers that a host may accuse before it is not believed, and the number
-# that it may accuse in any case. A host accuses fewer itself (see the dispatcher).
-MAX_BELIEVED_SHARE = 0.5
-MIN_BELIEVED = 3
+# Part of the searchers that a host may report as slow before its reports are ignored,
+# and the number that it may report in any case. A host itself reports fewer
+# (`MAX_REPORTED_SHARE` of `dispatch._gates`).
+MAX_TRUSTED_SHARE = 0.5
+MIN_TRUSTED_LIMIT = 3
 
 # A host that knows only of a measurement older by this is told the latest one, in
 # seconds.
@@ -63,18 +64,18 @@
         # Called with the identifier of a searcher whose conditions another host's
         # notice has changed.
         self.on_notice: Callable[[str], None] = lambda searcher: None
-        # Called when it has changed whether a searcher is believed to be slow.
-        self.on_slowness_news: Callable[[], None] = lambda: None
-        # Called with a host that accuses too many searchers to be believed.
-        self.on_distrust: Callable[[str], None] = lambda host: None
+        # Called when it has changed whether a searcher is estimated to be slow.
+        self.on_slowness_change: Callable[[], None] = lambda: None
+        # Called with a host that reports so many searchers that it is ignored.
+        self.on_host_ignored: Callable[[str], None] = lambda host: None
         # Returns the number of searchers; 0 if it is not known yet.
         self.count_searchers: Callable[[], int] = lambda: 0
         # Number of failure domains of the hosts.
         self.failure_domains = 1
         self._spread = SlownessSpread(clock, generator)
-        # Times of the accusations of each host by searcher and start time.
-        self._accusations: dict[str, dict[RunKey, float]] = {}
-        self._distrusted: set[str] = set()
+        # Times of the reports of slowness of each host by searcher and start time.
+        self._slow_reports: dict[str, dict[RunKey, float]] = {}
+        self._ignored_hosts: set[str] = set()
         # By searcher and start time; the run that has changed last is the last one.
         self._known: dict[str, dict[int, SearcherConditions]] = {}
 
@@ -120,9 +121,9 @@
             del runs[next(iter(runs))]
         return True
 
-    def belief(self, slowness: Slowness, now: float) -> SlownessBelief:
-        """Return what to believe of a searcher's slowness at a monotonic time."""
-        return slowness.belief(now, self._is_credible, self.failure_domains)
+    def estimate(self, slowness: Slowness, now: float) -> SlownessEstimate:
+        """Return the estimate of a searcher's slowness at a monotonic time."""
+        return slowness.estimate(now, self._is_trusted, self.failure_domains)
 
     def notices(
         self,
@@ -212,38 +213,42 @@
         now = self.clock.monotonic()
         for report in after.reports:
             if report.is_slow:
-                accused = self._accusations.setdefault(report.host, {})
-                accused[key] = max(report.observed_at, accused.get(key, 0.0))
-        belief = self.belief(after, now)
-        believed = self.belief(before or Slowness(()), now)
-        is_reversed = bool(belief.accusers) != bool(believed.accusers)
-        is_news = is_reversed or belief.is_confirmed != believed.is_confirmed
+                reported = self._slow_reports.setdefault(report.host, {})
+                reported[key] = max(report.observed_at, reported.get(key, 0.0))
+        estimate = self.estimate(after, now)
+        previous = self.estimate(before or Slowness(()), now)
+        is_reversed = bool(estimate.reporters) != bool(previous.reporters)
+        is_news = is_reversed or estimate.is_confirmed != previous.is_confirmed
         self._spread.record_change(
             key, after.reports[0].observed_at, is_news or before is None
         )
         if is_reversed and self._spread.has_room:
-            self.on_slowness_news()
+            self.on_slowness_change()
 
-    def _is_credible(self, host: str) -> bool:
-        """Return whether a host accuses no more searchers than may be slow."""
-        accused = self._accusations.get(host)
+    def _is_trusted(self, host: str) -> bool:
+        """Return whether a host reports no more searchers than may be slow.
+
+        Drops its expired reports. The first time that it exceeds the bound, calls
+        `on_host_ignored`, and `on_notice` for each searcher that it reports.
+        """
+        reported = self._slow_reports.get(host)
         searchers = self.count_searchers()
-        if not accused or not searchers:
+        if not reported or not searchers:
             return True
-        max_accused = max(MIN_BELIEVED, MAX_BELIEVED_SHARE * searchers)
-        if len(accused) > max_accused:
+        max_reported = max(MIN_TRUSTED_LIMIT, MAX_TRUSTED_SHARE * searchers)
+        if len(reported) > max_reported:
             expired_at = self.clock.monotonic() - REPORT_SECONDS
-            for key in [key for key, at in accused.items() if at < expired_at]:
-                del accused[key]
-        is_credible = len(accused) <= max_accused
-        if is_credible:
-            self._distrusted.discard(host)
-        elif host not in self._distrusted:
-            self._distrusted.add(host)
-            self.on_distrust(host)
-            for searcher, _ in list(accused):
+            for key in [key for key, at in reported.items() if at < expired_at]:
+                del reported[key]
+        is_trusted = len(reported) <= max_reported
+        if is_trusted:
+            self._ignored_hosts.discard(host)
+        elif host not in self._ignored_hosts:
+            self._ignored_hosts.add(host)
+            self.on_host_ignored(host)
+            for searcher, _ in list(reported):
                 self.on_notice(searcher)
-        return is_credible
+        return is_trusted
 
     def _remove_expired(self, now: float) -> None:
         current = {
@@ -252,10 +257,10 @@
         }
         self._known = {searcher: runs for searcher, runs in current.items() if runs}
         expired_at = now - REPORT_SECONDS
-        for host, accused in list(self._accusations.items()):
-            if all(at < expired_at for at in accused.values()):
-                del self._accusations[host]
-                self._distrusted.discard(host)
+        for host, reported in list(self._slow_reports.items()):
+            if all(at < expired_at for at in reported.values()):
+                del self._slow_reports[host]
+                self._ignored_hosts.discard(host)
 
 
 def _without_expired(
--- a/foxtailseam/conditions/_slowness.py
+++ b/foxtailseam/conditions/_slowness.py
@@ -1,4 +1,4 @@
-"""What hosts have measured of a searcher's slowness, and what to believe of it."""
+"""What hosts have measured of a searcher's slowness, and the estimate from it."""
 
 import math
 from collections import Counter
@@ -39,7 +39,7 @@
 
     @property
     def is_slow(self) -> bool:
-        """Return whether the host accuses the searcher."""
+        """Return whether the host reports the searcher as slow."""
         return self.factor >= MIN_SLOW_FACTOR
 
     def is_expired(self, now: float) -> bool:
@@ -48,21 +48,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SlownessBelief:
-    """What a host believes of a searcher.
+class SlownessEstimate:
+    """Estimate of a searcher's slowness.
 
     Parameters
     ----------
     factor : float
-        Response time as a multiple of the usual one; 1 if no accusation counts.
+        Response time as a multiple of the usual one; 1 if no report of slowness counts.
     until : float
-        Monotonic time at which the last accusation expires; negative infinity if none
+        Monotonic time at which the last report expires; negative infinity if none
         counts.
     cleared_at : float
         Monotonic time of the last report that it is as fast as others; negative
         infinity if there is none.
-    accusers : tuple of str
-        Hosts whose accusations count, the latest first.
+    reporters : tuple of str
+        Hosts whose reports of slowness count, the latest first.
     is_confirmed : bool
         Whether hosts of different failure domains agree.
     """
@@ -70,7 +70,7 @@
     factor: float
     until: float
     cleared_at: float
-    accusers: tuple[str, ...]
+    reporters: tuple[str, ...]
     is_confirmed: bool
 
 
@@ -111,22 +111,22 @@
         """Return whether no report counts any more."""
         return all(report.is_expired(now) for report in self.reports)
 
-    def belief(
+    def estimate(
         self,
         now: float,
-        is_credible: Callable[[str], bool] = lambda host: True,
+        is_trusted: Callable[[str], bool] = lambda host: True,
         failure_domains: int = 1,
-    ) -> SlownessBelief:
-        """Return what to believe.
+    ) -> SlownessEstimate:
+        """Return the estimate.
 
-        A report that the searcher is as fast as others cancels older accusations.
+        A report that the searcher is as fast as others cancels older ones of slowness.
 
         Parameters
         ----------
         now : float
             Current monotonic time in seconds.
-        is_credible : callable
-            Returns whether the accusations of a host count.
+        is_trusted : callable
+            Returns whether the reports of a host count.
         failure_domains : int
             Number of failure domains of the hosts. With one, two hosts of it agree.
         """
@@ -135,19 +135,19 @@
             (item.observed_at for item in current if not item.is_slow),
             default=-math.inf,
         )
-        accusing = [
+        slow_reports = [
             item
             for item in current
-            if item.is_slow and item.observed_at > cleared_at and is_credible(item.host)
+            if item.is_slow and item.observed_at > cleared_at and is_trusted(item.host)
         ]
-        if not accusing:
-            return SlownessBelief(1.0, -math.inf, cleared_at, (), False)
-        hosts = {item.host for item in accusing}
-        domains = {item.failure_domain for item in accusing}
-        return SlownessBelief(
-            max(item.factor for item in accusing),
-            accusing[0].observed_at + REPORT_SECONDS,
+        if not slow_reports:
+            return SlownessEstimate(1.0, -math.inf, cleared_at, (), False)
+        hosts = {item.host for item in slow_reports}
+        domains = {item.failure_domain for item in slow_reports}
+        return SlownessEstimate(
+            max(item.factor for item in slow_reports),
+            slow_reports[0].observed_at + REPORT_SECONDS,
             cleared_at,
-            tuple(item.host for item in accusing),
+            tuple(item.host for item in slow_reports),
             len(hosts) > 1 and (failure_domains == 1 or len(domains) > 1),
         )
--- a/foxtailseam/conditions/tests/test_slowness.py
+++ b/foxtailseam/conditions/tests/test_slowness.py
@@ -1,4 +1,4 @@
-"""Tests of what hosts tell one another about slow searchers, and what they believe."""
+"""Tests of the reports of slow searchers that hosts exchange, and of the estimates."""
 
 import random
 from datetime import timedelta
@@ -36,76 +36,76 @@
     return ConditionRegistry(clock, random.Random(1))
 
 
-def accuse(registry, host, searcher="i-1", domain="d1", factor=8.0, started_ms=7):
+def report(registry, host, searcher="i-1", domain="d1", factor=8.0, started_ms=7):
     report = SlownessReport(registry.clock.monotonic(), factor, host, domain)
     slowness = Slowness.from_reports((report,))
     registry.record(searcher, SearcherConditions(started_ms, slowness=slowness))
 
 
-def belief(registry, searcher="i-1", started_ms=7):
+def estimate(registry, searcher="i-1", started_ms=7):
     known = registry.get(searcher, started_ms)
     if known is None:
         return None
-    return registry.belief(known.slowness, registry.clock.monotonic())
+    return registry.estimate(known.slowness, registry.clock.monotonic())
 
 
 class TestBelief:
     def test_hosts_of_two_domains_have_to_agree(self, clock):
         host = registry(clock)
         host.failure_domains = 3
-        accuse(host, "a")
-        assert belief(host).factor == 8.0
-        assert not belief(host).is_confirmed
-        accuse(host, "b")
-        assert not belief(host).is_confirmed
-        accuse(host, "c", domain="d2")
-        assert belief(host).is_confirmed
+        report(host, "a")
+        assert estimate(host).factor == 8.0
+        assert not estimate(host).is_confirmed
+        report(host, "b")
+        assert not estimate(host).is_confirmed
+        report(host, "c", domain="d2")
+        assert estimate(host).is_confirmed
 
     def test_in_one_domain_two_hosts_are_enough(self, clock):
         host = registry(clock)
-        accuse(host, "a")
-        assert not belief(host).is_confirmed
-        accuse(host, "b")
-        assert belief(host).is_confirmed
+        report(host, "a")
+        assert not estimate(host).is_confirmed
+        report(host, "b")
+        assert estimate(host).is_confirmed
 
-    def test_a_report_that_it_is_fast_cancels_older_accusations_only(self, clock):
+    def test_a_report_that_it_is_fast_cancels_older_reports_only(self, clock):
         host = registry(clock)
-        accuse(host, "a")
+        report(host, "a")
         clock.advance(timedelta(seconds=1))
-        accuse(host, "b", factor=1.0)
-        assert belief(host).factor == 1.0
+        report(host, "b", factor=1.0)
+        assert estimate(host).factor == 1.0
         clock.advance(timedelta(seconds=1))
-        accuse(host, "c", factor=5.0)
-        assert belief(host).accusers == ("c",)
+        report(host, "c", factor=5.0)
+        assert estimate(host).reporters == ("c",)
 
     def test_a_report_expires(self, clock):
         host = registry(clock)
-        accuse(host, "a")
+        report(host, "a")
         clock.advance(timedelta(seconds=REPORT_SECONDS + 0.1))
-        assert belief(host) is None
+        assert estimate(host) is None
 
     # Guards against: a searcher replaced at an address is avoided for its predecessor.
-    def test_another_run_is_not_accused(self, clock):
+    def test_another_run_is_not_reported(self, clock):
         host = registry(clock)
-        accuse(host, "a")
-        assert belief(host, started_ms=8) is None
+        report(host, "a")
+        assert estimate(host, started_ms=8) is None
 
     # Guards against: one host with a fault of its own empties the searchers.
-    def test_a_host_that_accuses_all_is_not_believed(self, clock):
+    def test_a_host_that_reports_all_is_not_estimated(self, clock):
         host = registry(clock)
         host.count_searchers = lambda: 20
-        distrusted = []
-        host.on_distrust = distrusted.append
+        ignored = []
+        host.on_host_ignored = ignored.append
         for number in range(20):
-            accuse(host, "liar", f"i-{number}")
-        accuse(host, "other", "i-3")
-        assert distrusted == ["liar"]
-        assert belief(host, "i-0").factor == 1.0
-        assert belief(host, "i-3").accusers == ("other",)
+            report(host, "faulty_host", f"i-{number}")
+        report(host, "other", "i-3")
+        assert ignored == ["faulty_host"]
+        assert estimate(host, "i-0").factor == 1.0
+        assert estimate(host, "i-3").reporters == ("other",)
         clock.advance(timedelta(seconds=REPORT_SECONDS + 1))
         host.notices()
-        accuse(host, "liar")
-        assert belief(host).accusers == ("liar",)
+        report(host, "faulty_host")
+        assert estimate(host).reporters == ("faulty_host",)
 
 
 class TestNotices:
@@ -115,50 +115,50 @@
     def test_other_hosts_learn_and_news_is_reported_once(self, clock):
         first, second = registry(clock), registry(clock)
         news = []
-        second.on_slowness_news = lambda: news.append(1)
-        accuse(first, "a")
+        second.on_slowness_change = lambda: news.append(1)
+        report(first, "a")
         for _ in range(3):
             second.merge(first.notices())
-        assert belief(second).factor == 8.0
+        assert estimate(second).factor == 8.0
         assert news == [1]
 
-    # Guards against: two hosts keep an accusation alive by repeating it.
+    # Guards against: two hosts keep an report alive by repeating it.
     def test_a_report_does_not_get_younger_by_going_round(self, clock):
         first, second = registry(clock), registry(clock)
-        accuse(first, "a")
+        report(first, "a")
         for _ in range(int(REPORT_SECONDS / 0.2) + 1):
             for sender, receiver in ((first, second), (second, first)):
                 notices = sender.notices(is_complete=True)
                 clock.advance(timedelta(milliseconds=90))
                 receiver.merge(notices)
         clock.advance(timedelta(milliseconds=700))
-        assert belief(first) is None
-        assert belief(second) is None
+        assert estimate(first) is None
+        assert estimate(second) is None
 
     def test_a_notice_is_passed_on_a_few_times_and_again_after_a_change(self, clock):
         host = registry(clock)
         for number in range(FEW_NOTICES + 1):
-            accuse(host, "a", f"i-{number}")
+            report(host, "a", f"i-{number}")
         sent = 0
         for _ in range(3 * MAX_SENDS):
             sent += len(host.notices().slowness)
             clock.advance(timedelta(milliseconds=100))
         assert 0 < sent <= MAX_SENDS * (FEW_NOTICES + 1)
         assert host.notices().slowness == ()
-        accuse(host, "b", "i-3")
+        report(host, "b", "i-3")
         assert [item.searcher for item in host.notices().slowness] == ["i-3"]
 
     # Guards against: a host that misses the renewals forgets a searcher that is slow.
     def test_few_notices_go_into_each_message(self, clock):
         host = registry(clock)
-        accuse(host, "a")
+        report(host, "a")
         for _ in range(3 * MAX_SENDS):
             assert len(host.notices().slowness) == 1
             clock.advance(timedelta(milliseconds=100))
 
     def test_the_receiver_is_not_told_what_it_has_just_said(self, clock):
         first, second = registry(clock), registry(clock)
-        accuse(first, "a")
+        report(first, "a")
         request = first.notices()
         second.merge(request)
         assert second.notices(known=request.slowness).slowness == ()
@@ -166,7 +166,7 @@
     def test_messages_are_bounded_and_so_is_their_rate(self, clock):
         host = registry(clock)
         for number in range(1000):
-            accuse(host, "a", f"i-{number}")
+            report(host, "a", f"i-{number}")
         first = host.notices().slowness
         assert len(first) == MAX_NOTICES
         sent = 0
@@ -182,7 +182,7 @@
         host = registry(clock)
         for number in range(86):
             for other in range(MAX_REPORTS):
-                accuse(
+                report(
                     host,
                     f"10.100.200.{other}:18080",
                     f"searcher-{number:05}",
@@ -201,10 +201,10 @@
         first = registry(clock)
         other_clock = ManualClock()
         second = registry(other_clock)
-        accuse(first, "a")
+        report(first, "a")
         second.merge(first.notices())
         other_clock.advance(timedelta(seconds=REPORT_SECONDS - 0.5))
-        assert belief(second).factor == 8.0
+        assert estimate(second).factor == 8.0
 
 
 reports = st.builds(
--- a/foxtailseam/dispatch/__init__.py
+++ b/foxtailseam/dispatch/__init__.py
@@ -34,7 +34,7 @@
 from foxtailseam.dispatch._searcher_selection import Candidate, choose_searcher
 from foxtailseam.dispatch._shard_selection import ShardEstimate, select_shards
 from foxtailseam.dispatch._single import SingleQuery, SingleResult
-from foxtailseam.dispatch._slowness_judge import SlownessVerdict
+from foxtailseam.dispatch._slowness_detector import SlownessMeasurement
 from foxtailseam.dispatch._wait_queue import WaitQueue, clamp_retry_after, expected_wait
 from foxtailseam.dispatch._wire_format import (
     MALFORMED_LIMIT,
@@ -83,7 +83,7 @@
     "SingleQuery",
     "SingleResult",
     "WaitQueue",
-    "SlownessVerdict",
+    "SlownessMeasurement",
     "choose_searcher",
     "clamp_retry_after",
     "decide_query",
--- a/foxtailseam/dispatch/_attempts.py
+++ b/foxtailseam/dispatch/_attempts.py
@@ -73,7 +73,8 @@
     ended_at : float or None
         Time of its result; None while the attempt is in progress.
     outcome : str
-        Response status or kind of failure; empty while the attempt is in progress.
+        Response status, kind of failure, ``abandoned`` or ``withdrawn``; empty while in
+        progress.
     """
 
     searcher: Searcher
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -375,7 +375,7 @@
         can_connect = self.links.is_connected
         locality = self.locality
         # Asked only where a share is kept: a selection is made for each shard call.
-        distance_costs = locality.calm_costs
+        distance_costs = locality.default_costs
         if service in locality.kept:
             distance_costs = locality.distance_costs(service)
         candidates = [
--- a/foxtailseam/dispatch/_gate.py
+++ b/foxtailseam/dispatch/_gate.py
@@ -7,7 +7,7 @@
     Condition,
     Pause,
     SearcherConditions,
-    SlownessBelief,
+    SlownessEstimate,
 )
 from foxtailseam.dispatch._slowness import SharedSlowness
 from foxtailseam.rate_limits import HostGroup, RequestPacer, WarmupPacer
@@ -113,23 +113,25 @@
         if hosts_changed or rate != self.rate:
             self._update_pacer(now)
 
-    def set_belief(self, belief: SlownessBelief | None, now: float) -> None:
-        """Set what is believed of the searcher's slowness; None if nothing is known.
+    def set_estimate(self, estimate: SlownessEstimate | None, now: float) -> None:
+        """Set what is estimated of the searcher's slowness; None if nothing is known.
 
         Parameters
         ----------
-        belief : SlownessBelief or None
-            What is believed.
+        estimate : SlownessEstimate or None
+            What is previous.
         now : float
             Current monotonic time in seconds.
         """
-        if belief is None:
+        if estimate is None:
             self.slowness = None
         elif self.slowness is None:
             context = self.context
-            self.slowness = SharedSlowness(context.searcher, context.hosts, belief, now)
+            self.slowness = SharedSlowness(
+                context.searcher, context.hosts, estimate, now
+            )
         else:
-            self.slowness.update(self.context.hosts, belief)
+            self.slowness.update(self.context.hosts, estimate)
 
     def take(self, now: float) -> None:
         """Count a request that is sent."""
--- a/foxtailseam/dispatch/_gates.py
+++ b/foxtailseam/dispatch/_gates.py
@@ -12,15 +12,15 @@
     RateLimit,
     SearcherConditions,
     Slowness,
-    SlownessBelief,
+    SlownessEstimate,
     SlownessReport,
 )
 from foxtailseam.dispatch._gate import GateContext, SearcherGate, changed_conditions
 from foxtailseam.dispatch._searcher import Searcher
-from foxtailseam.dispatch._slowness_judge import (
-    PartTime,
-    SlownessJudge,
-    SlownessVerdict,
+from foxtailseam.dispatch._slowness_detector import (
+    PartTiming,
+    SlownessDetector,
+    SlownessMeasurement,
 )
 from foxtailseam.dispatch._wire_format import AnswerMetadata
 from foxtailseam.rate_limits import (
@@ -40,10 +40,14 @@
 LOST_HOST_RETENTION = 600.0
 # A host repeats its report on a searcher no more often than this, in seconds.
 REPEAT_SECONDS = 1.0
-# Part of the searchers that this host accuses at most, and the number that it may
-# accuse in any case. Other hosts believe one that accuses some more.
-MAX_ACCUSED_SHARE = 0.4
-MIN_ACCUSED = 3
+# Part of the searchers that this host reports as slow at most, and the number that it
+# may report in any case. Other hosts accept some more from one host.
+MAX_REPORTED_SHARE = 0.4
+MIN_REPORT_LIMIT = 3
+
+
+def _ignore(*_: object) -> None:
+    pass
 
 
 class SearcherGates:
@@ -85,14 +89,14 @@
         # Called with the service of a searcher whose gate changed by another host's
         # notice.
         self.on_gate_change: Callable[[str], None] = lambda service: None
-        # Called with a searcher and the verdict of this host on its slowness.
-        self.on_verdict: Callable[[Searcher, SlownessVerdict], None] = lambda *_: None
-        # Called with a searcher that is no longer believed to be slow, and the belief.
-        self.on_slowness_end: Callable[[Searcher, SlownessBelief], None] = lambda *_: (
-            None
+        # Called with a searcher and this host's measurement of its slowness.
+        self.on_measurement: Callable[[Searcher, SlownessMeasurement], None] = (
+            lambda *_: None
         )
-        self._judge = SlownessJudge()
-        # Identifiers of the searchers that are believed to be slow.
+        # Called with a searcher that no longer counts as slow, and the estimate.
+        self.on_slowness_end: Callable[[Searcher, SlownessEstimate], None] = _ignore
+        self._detector = SlownessDetector()
+        # Identifiers of the searchers that are estimated to be slow.
         self._slow: set[str] = set()
         # The latest report of this host on each searcher.
         self._own_reports: dict[str, SlownessReport] = {}
@@ -173,7 +177,7 @@
         else:
             gate.update(context, known, now)
         self._update_warmup(searcher, is_bounded, now)
-        self._set_belief(searcher, known, now)
+        self._set_estimate(searcher, known, now)
         for condition in changed_conditions(before, known):
             self.on_change(searcher, condition)
 
@@ -230,26 +234,26 @@
         if self.conditions.record(entry.identifier, conditions):
             self.update(searcher)
 
-    def record_parts(self, parts: Sequence[PartTime]) -> None:
-        """Judge the searchers by the parts of one query and note what is found.
+    def record_part_timings(self, parts: Sequence[PartTiming]) -> None:
+        """Compare the searchers by the parts of one query and record what is found.
 
         A host that knows no other one has nobody to tell and goes by its own averages.
 
         Parameters
         ----------
-        parts : sequence of PartTime
+        parts : sequence of PartTiming
             Parts of one query of all shards.
         """
         if len(self._hosts.addresses) == 1:
             return
         now = self.clock.monotonic()
-        for verdict in self._judge.judge(parts, self._slow):
-            searcher = self.find(verdict.searcher)
+        for measurement in self._detector.measure(parts, self._slow):
+            searcher = self.find(measurement.searcher)
             if searcher is not None:
-                self._record_verdict(searcher, verdict, now)
+                self._record_measurement(searcher, measurement, now)
 
     def remove_expired(self) -> None:
-        """End what is believed of slow searchers if it has expired."""
+        """End what is estimated of slow searchers if it has expired."""
         now = self.clock.monotonic()
         for searcher in self.gated:
             shared = searcher.gate.slowness
@@ -258,25 +262,25 @@
             identifier = searcher.entry.identifier
             if identifier in self._slow:
                 self._slow.discard(identifier)
-                self.on_slowness_end(searcher, shared.belief)
+                self.on_slowness_end(searcher, shared.estimate)
             known = self.conditions.get(identifier, searcher.entry.started_ms)
             if known is None or known.slowness is None:
                 self.update(searcher)
 
-    def _record_verdict(
-        self, searcher: Searcher, verdict: SlownessVerdict, now: float
+    def _record_measurement(
+        self, searcher: Searcher, measurement: SlownessMeasurement, now: float
     ) -> None:
         entry = searcher.entry
         own = self._own_reports.get(entry.identifier)
         is_repeated = (
             own is not None
-            and own.is_slow == verdict.is_slow
+            and own.is_slow == measurement.is_slow
             and now - own.observed_at < REPEAT_SECONDS
         )
-        if is_repeated or (verdict.is_slow and not self._may_accuse(now)):
+        if is_repeated or (measurement.is_slow and not self._may_report(now)):
             return
         report = SlownessReport(
-            now, verdict.factor, self._hosts.own_address, self.failure_domain
+            now, measurement.factor, self._hosts.own_address, self.failure_domain
         )
         self._own_reports[entry.identifier] = report
         conditions = SearcherConditions(
@@ -284,35 +288,35 @@
         )
         if self.conditions.record(entry.identifier, conditions):
             self.update(searcher)
-        self.on_verdict(searcher, verdict)
+        self.on_measurement(searcher, measurement)
 
-    def _may_accuse(self, now: float) -> bool:
-        """Return whether this host accuses few enough searchers to be believed."""
+    def _may_report(self, now: float) -> bool:
+        """Return whether this host reports few enough searchers to be previous."""
         self._own_reports = {
             name: report
             for name, report in self._own_reports.items()
             if not report.is_expired(now)
         }
-        accused = sum(report.is_slow for report in self._own_reports.values())
+        reported = sum(report.is_slow for report in self._own_reports.values())
         searchers = self.conditions.count_searchers()
-        return accused < max(MIN_ACCUSED, MAX_ACCUSED_SHARE * searchers)
+        return reported < max(MIN_REPORT_LIMIT, MAX_REPORTED_SHARE * searchers)
 
-    def _set_belief(
+    def _set_estimate(
         self, searcher: Searcher, known: SearcherConditions, now: float
     ) -> None:
         identifier = searcher.entry.identifier
         if known.slowness is None:
-            searcher.gate.set_belief(None, now)
+            searcher.gate.set_estimate(None, now)
             return
-        belief = self.conditions.belief(known.slowness, now)
-        searcher.gate.set_belief(belief, now)
-        is_slow = now < belief.until
+        estimate = self.conditions.estimate(known.slowness, now)
+        searcher.gate.set_estimate(estimate, now)
+        is_slow = now < estimate.until
         if is_slow and identifier not in self._slow:
             self._slow.add(identifier)
             self.on_change(searcher, known.slowness)
         elif not is_slow and identifier in self._slow:
             self._slow.discard(identifier)
-            self.on_slowness_end(searcher, belief)
+            self.on_slowness_end(searcher, estimate)
 
     def _on_notice(self, identifier: str) -> None:
         searcher = self.find(identifier)
--- a/foxtailseam/dispatch/_gather.py
+++ b/foxtailseam/dispatch/_gather.py
@@ -17,7 +17,7 @@
 )
 from foxtailseam.dispatch._searcher import Searcher
 from foxtailseam.dispatch._shard_selection import select_shards
-from foxtailseam.dispatch._slowness_judge import PartTime
+from foxtailseam.dispatch._slowness_detector import PartTiming
 from foxtailseam.outcomes import TopRecords
 from foxtailseam.reachability import MIN_SILENCE_SECONDS
 from foxtailseam.routing import AllShards
@@ -462,18 +462,18 @@
 
     def _finish(self, result: GatherResult) -> None:
         self._stop()
-        self.dispatcher.gates.record_parts(self._part_list())
+        self.dispatcher.gates.record_part_timings(self._part_timings())
         for call in (*self._waiting, *self._deferred):
             call.close()
         if any(call.is_running for call in self._calls):
             self.dispatcher.timers.call_later(GRACE_SECONDS, self._cancel_calls)
         self.on_result(result)
 
-    def _part_list(self) -> list[PartTime]:
+    def _part_timings(self) -> list[PartTiming]:
         """Return the time that each attempt has taken, as far as it was run."""
         now = self._now()
         return [
-            PartTime(
+            PartTiming(
                 attempt.searcher.entry.identifier,
                 attempt.searcher.entry.failure_domain,
                 (attempt.ended_at or now) - attempt.written_at,
--- a/foxtailseam/dispatch/_searcher.py
+++ b/foxtailseam/dispatch/_searcher.py
@@ -100,7 +100,7 @@
         self.health = SearcherHealth(clock)
         # Whether the published entry is missing.
         self.is_lapsed = False
-        # None if the searcher has reported no conditions.
+        # None if no conditions are known and its requests are not bounded.
         self.gate: SearcherGate | None = None
         self._warmup_ends_at = clock.monotonic() + entry.warmup.total_seconds()
         # End of the cold period; minus infinity if it was never cold.
@@ -243,16 +243,16 @@
         entry = self.entry
         gate = self.gate
         shared = None if gate is None else gate.slowness
+        is_probing = shared is not None and shared.is_probing(now)
+        # A request that probes the searcher goes there from any failure domain.
+        distance_cost = 0.0 if is_probing else distance_costs[entry.failure_domain]
         return Candidate(
             entry.identifier,
             health.slowness_at(now) if shared is None else self.slowness_at(now),
             health.failure_share_at(now),
             len(self._in_flight),
             entry.slots,
-            # A request that probes the searcher goes there from any failure domain.
-            0.0
-            if shared is not None and shared.is_probing(now)
-            else distance_costs[entry.failure_domain],
+            distance_cost,
             self.pool.has_idle,
             now < self._warmup_ends_at,
             self.is_stalled(now),
--- a/foxtailseam/dispatch/_slowness.py
+++ b/foxtailseam/dispatch/_slowness.py
@@ -2,7 +2,7 @@
 
 import math
 
-from foxtailseam.conditions import SlownessBelief
+from foxtailseam.conditions import SlownessEstimate
 from foxtailseam.hosts import rendezvous_draw, rendezvous_subset
 from foxtailseam.rate_limits import HostGroup
 
@@ -19,7 +19,7 @@
 
 
 class SharedSlowness:
-    """Applies what the hosts believe of a searcher to the choices of this host.
+    """Applies what the hosts estimate of a searcher to the choices of this host.
 
     Parameters
     ----------
@@ -27,43 +27,45 @@
         Identifier of the searcher.
     hosts : HostGroup
         Hosts that share the searcher.
-    belief : SlownessBelief
-        What is believed.
+    estimate : SlownessEstimate
+        What is previous.
     now : float
         Current monotonic time in seconds.
     """
 
     def __init__(
-        self, searcher: str, hosts: HostGroup, belief: SlownessBelief, now: float
+        self, searcher: str, hosts: HostGroup, estimate: SlownessEstimate, now: float
     ):
         self._searcher = searcher
         self._hosts = hosts
-        self.belief = belief
+        self.estimate = estimate
         self._next_probe_at = now + PROBE_SECONDS
         draw = rendezvous_draw(f"return {searcher}", hosts.own_address)
         self._return_delay = RETURN_SECONDS * draw
         self._is_prober = self._is_chosen()
 
-    def update(self, hosts: HostGroup, belief: SlownessBelief) -> None:
-        """Replace the hosts and what is believed."""
+    def update(self, hosts: HostGroup, estimate: SlownessEstimate) -> None:
+        """Replace the hosts and what is previous."""
         if hosts != self._hosts:
             self._hosts = hosts
             self._is_prober = self._is_chosen()
-        self.belief = belief
+        self.estimate = estimate
 
     def is_slow(self, now: float) -> bool:
-        """Return whether the searcher is believed to be slow at a monotonic time."""
-        return now < self.belief.until
+        """Return whether the searcher is estimated to be slow at a monotonic time."""
+        return now < self.estimate.until
 
     def is_avoided(self, now: float) -> bool:
         """Return whether it is left out while another one can serve."""
-        belief = self.belief
-        return belief.is_confirmed and now < belief.until and not self.is_probing(now)
+        estimate = self.estimate
+        return (
+            estimate.is_confirmed and now < estimate.until and not self.is_probing(now)
+        )
 
     def is_probing(self, now: float) -> bool:
         """Return whether this host is to send it a request to see how fast it is."""
         return (
-            self._is_prober and now >= self._next_probe_at and now < self.belief.until
+            self._is_prober and now >= self._next_probe_at and now < self.estimate.until
         )
 
     def take(self, now: float) -> None:
@@ -82,17 +84,17 @@
         now : float
             Current monotonic time in seconds.
         """
-        belief = self.belief
-        if now < belief.until:
+        estimate = self.estimate
+        if now < estimate.until:
             if self.is_probing(now):
                 return PROBE_SLOWNESS
-            return max(own, belief.factor)
-        if belief.cleared_at == -math.inf:
+            return max(own, estimate.factor)
+        if estimate.cleared_at == -math.inf:
             return own
-        if now < belief.cleared_at + self._return_delay:
+        if now < estimate.cleared_at + self._return_delay:
             return max(own, RETURN_SLOWNESS)
         # What this host measured before the searcher was found to be fast is outdated.
-        return min(own, 1.0) if measured_at < belief.cleared_at else own
+        return min(own, 1.0) if measured_at < estimate.cleared_at else own
 
     def _is_chosen(self) -> bool:
         addresses = self._hosts.addresses
--- a/foxtailseam/dispatch/_slowness_judge.py
+++ b/foxtailseam/dispatch/_slowness_detector.py
@@ -26,7 +26,7 @@
 MAX_USUAL_STEP = 2.0
 
 
-class PartTime(NamedTuple):
+class PartTiming(NamedTuple):
     """Time of one sub-request of a query.
 
     A named tuple, since there is one for each shard of each query.
@@ -50,7 +50,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SlownessVerdict:
+class SlownessMeasurement:
     """What one query says of a searcher.
 
     Parameters
@@ -66,49 +66,49 @@
 
     @property
     def is_slow(self) -> bool:
-        """Return whether the searcher is accused."""
+        """Return whether the searcher is reported."""
         return self.factor >= MIN_SLOW_FACTOR
 
 
-class SlownessJudge:
+class SlownessDetector:
     """Compares the parts of queries; keeps the usual time to each failure domain."""
 
     def __init__(self):
         self._usual: dict[str, float] = {}
 
-    def judge(
-        self, parts: Sequence[PartTime], watched: Iterable[str] = ()
-    ) -> tuple[SlownessVerdict, ...]:
+    def measure(
+        self, parts: Sequence[PartTiming], watched: Iterable[str] = ()
+    ) -> tuple[SlownessMeasurement, ...]:
         """Return the searchers that are slow, and those of `watched` that are not.
 
         Parameters
         ----------
-        parts : sequence of PartTime
+        parts : sequence of PartTiming
             Parts of one query.
         watched : iterable of str
-            Identifiers of the searchers that are believed to be slow.
+            Identifiers of the searchers that are estimated to be slow.
         """
         if len(parts) < MIN_PARTS:
             return ()
         overall = median([part.seconds for part in parts])
-        verdicts: list[SlownessVerdict] = []
+        measurements: list[SlownessMeasurement] = []
         for domain in dict.fromkeys([part.failure_domain for part in parts]):
             group = [part for part in parts if part.failure_domain == domain]
             is_alone = len(group) < MIN_PARTS
             common = overall if is_alone else median([part.seconds for part in group])
-            verdicts += self._judge_group(group, common, frozenset(watched))
+            measurements += self._compare_group(group, common, frozenset(watched))
             if not is_alone:
                 self._record_usual(domain, common)
-        return tuple(verdicts)
+        return tuple(measurements)
 
-    def _judge_group(
-        self, group: Sequence[PartTime], common: float, watched: frozenset[str]
-    ) -> list[SlownessVerdict]:
-        """Return the verdicts on the parts from one failure domain."""
+    def _compare_group(
+        self, group: Sequence[PartTiming], common: float, watched: frozenset[str]
+    ) -> list[SlownessMeasurement]:
+        """Return the measurements on the parts from one failure domain."""
         expected = max(common, self._usual.get(group[0].failure_domain, 0.0), 1e-4)
         threshold = max(MIN_SLOW_FACTOR * expected, expected + MIN_EXCESS)
         slow = [
-            SlownessVerdict(
+            SlownessMeasurement(
                 part.searcher, min(MAX_SLOW_FACTOR, part.seconds / expected)
             )
             for part in group
@@ -120,7 +120,7 @@
         if not watched:
             return slow
         normal = [
-            SlownessVerdict(part.searcher, 1.0)
+            SlownessMeasurement(part.searcher, 1.0)
             for part in group
             if part.is_answered
             and part.searcher in watched
--- a/foxtailseam/dispatch/tests/test_decisions.py
+++ b/foxtailseam/dispatch/tests/test_decisions.py
@@ -30,7 +30,7 @@
     min_hedge_delay,
     select_shards,
 )
-from foxtailseam.locality import CROSSING_PRICE
+from foxtailseam.locality import CROSS_DOMAIN_COST_SECONDS
 
 MEDIAN_TIME = 0.012
 
@@ -42,7 +42,7 @@
             ({"slowness": 2.0}, "slow"),
             ({"in_flight": 2}, "busy"),
             ({"failure_share": 0.5}, "fails"),
-            ({"distance_cost": CROSSING_PRICE}, "far"),
+            ({"distance_cost": CROSS_DOMAIN_COST_SECONDS}, "far"),
             ({"has_connection": False}, "needs a connection"),
             ({"is_warming": True}, "just started"),
             ({"is_stalled": True}, "stalls"),
--- a/foxtailseam/dispatch/tests/test_slowness.py
+++ b/foxtailseam/dispatch/tests/test_slowness.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from foxtailseam.conditions import SlownessBelief
+from foxtailseam.conditions import SlownessEstimate
 from foxtailseam.dispatch._slowness import (
     PROBE_SECONDS,
     PROBE_SLOWNESS,
@@ -12,88 +12,88 @@
     RETURN_SECONDS,
     SharedSlowness,
 )
-from foxtailseam.dispatch._slowness_judge import PartTime, SlownessJudge
+from foxtailseam.dispatch._slowness_detector import PartTiming, SlownessDetector
 from foxtailseam.rate_limits import HostGroup
 
 USUAL = 0.01
 
 
 def parts(count, domain="d1", seconds=USUAL):
-    return [PartTime(f"{domain}-{n}", domain, seconds, True) for n in range(count)]
+    return [PartTiming(f"{domain}-{n}", domain, seconds, True) for n in range(count)]
 
 
 def part(seconds, domain="d1", is_answered=True):
-    return PartTime(f"{domain}-slow", domain, seconds, is_answered)
+    return PartTiming(f"{domain}-slow", domain, seconds, is_answered)
 
 
-def accused(verdicts):
-    return [item.searcher for item in verdicts if item.is_slow]
+def reported(measurements):
+    return [item.searcher for item in measurements if item.is_slow]
 
 
 @pytest.fixture
-def judge():
-    """Judge that has seen some usual queries."""
-    judge = SlownessJudge()
+def detector():
+    """Detector that has seen some usual queries."""
+    detector = SlownessDetector()
     for _ in range(20):
-        judge.judge(parts(10) + parts(10, "d2"))
-    return judge
+        detector.measure(parts(10) + parts(10, "d2"))
+    return detector
 
 
-class TestJudge:
-    def test_a_searcher_that_is_slower_than_the_others_is_accused(self, judge):
-        (verdict,) = judge.judge([*parts(10), part(0.1)])
-        assert verdict.searcher == "d1-slow"
-        assert verdict.factor == pytest.approx(10.0)
+class TestDetector:
+    def test_a_searcher_that_is_slower_than_the_others_is_reported(self, detector):
+        (measurement,) = detector.measure([*parts(10), part(0.1)])
+        assert measurement.searcher == "d1-slow"
+        assert measurement.factor == pytest.approx(10.0)
 
-    def test_a_part_without_an_answer_counts_with_the_time_so_far(self, judge):
-        assert accused(judge.judge([*parts(10), part(0.09, is_answered=False)]))
+    def test_a_part_without_an_answer_counts_with_the_time_so_far(self, detector):
+        assert reported(detector.measure([*parts(10), part(0.09, is_answered=False)]))
 
     # Guards against: a host that is slow itself empties the searchers of requests.
-    def test_a_slow_host_accuses_no_searcher(self, judge):
-        assert judge.judge(parts(20, seconds=0.2)) == ()
+    def test_a_slow_host_reports_no_searcher(self, detector):
+        assert detector.measure(parts(20, seconds=0.2)) == ()
 
-    # Guards against: a slow or full link to a failure domain accuses all behind it.
-    def test_slow_links_to_a_domain_accuse_no_searcher(self, judge):
-        assert judge.judge(parts(10) + parts(10, "d2", 0.1)) == ()
+    # Guards against: a slow or full link to a failure domain reports all behind it.
+    def test_slow_links_to_a_domain_report_no_searcher(self, detector):
+        assert detector.measure(parts(10) + parts(10, "d2", 0.1)) == ()
 
     def test_few_parts_over_slow_links_are_compared_with_the_usual_time(self):
-        judge = SlownessJudge()
+        detector = SlownessDetector()
         for _ in range(50):
-            judge.judge(parts(10) + parts(4, "d2", 0.08))
-        assert judge.judge([*parts(10), part(0.08, "d2")]) == ()
+            detector.measure(parts(10) + parts(4, "d2", 0.08))
+        assert detector.measure([*parts(10), part(0.08, "d2")]) == ()
 
-    # Guards against: a pause of the host in the middle of a query, or a cut, accuses
+    # Guards against: a pause of the host in the middle of a query, or a cut, reports
     # the searchers whose answers come after it.
-    def test_many_slow_parts_accuse_no_searcher(self, judge):
-        slow = [PartTime(f"late-{n}", "d1", 0.1, False) for n in range(8)]
-        assert judge.judge(parts(10) + slow) == ()
+    def test_many_slow_parts_report_no_searcher(self, detector):
+        slow = [PartTiming(f"late-{n}", "d1", 0.1, False) for n in range(8)]
+        assert detector.measure(parts(10) + slow) == ()
 
-    def test_a_third_of_the_searchers_may_be_accused_at_once(self, judge):
-        slow = [PartTime(f"late-{n}", "d1", 0.1, True) for n in range(5)]
-        assert len(accused(judge.judge(parts(10) + slow))) == 5
+    def test_a_third_of_the_searchers_may_be_reported_at_once(self, detector):
+        slow = [PartTiming(f"late-{n}", "d1", 0.1, True) for n in range(5)]
+        assert len(reported(detector.measure(parts(10) + slow))) == 5
 
-    def test_a_query_of_few_parts_accuses_no_searcher(self, judge):
-        assert judge.judge([*parts(2), part(0.1)]) == ()
+    def test_a_query_of_few_parts_reports_no_searcher(self, detector):
+        assert detector.measure([*parts(2), part(0.1)]) == ()
 
-    def test_a_watched_searcher_that_is_fast_is_cleared(self, judge):
-        (verdict,) = judge.judge([*parts(10), part(0.012)], ["d1-slow"])
-        assert verdict.searcher == "d1-slow"
-        assert not verdict.is_slow
+    def test_a_watched_searcher_that_is_fast_is_cleared(self, detector):
+        (measurement,) = detector.measure([*parts(10), part(0.012)], ["d1-slow"])
+        assert measurement.searcher == "d1-slow"
+        assert not measurement.is_slow
 
-    def test_a_part_without_an_answer_clears_nothing(self, judge):
+    def test_a_part_without_an_answer_clears_nothing(self, detector):
         pending = part(0.001, is_answered=False)
-        assert judge.judge([*parts(10), pending], ["d1-slow"]) == ()
+        assert detector.measure([*parts(10), pending], ["d1-slow"]) == ()
 
 
 GROUP = frozenset(f"host-{number}" for number in range(73))
 
 
-def shared(host, belief, now=0.0):
-    return SharedSlowness("i-1", HostGroup(host, GROUP), belief, now)
+def shared(host, estimate, now=0.0):
+    return SharedSlowness("i-1", HostGroup(host, GROUP), estimate, now)
 
 
 def slow_until(seconds, is_confirmed=True):
-    return SlownessBelief(8.0, seconds, -math.inf, ("host-1",), is_confirmed)
+    return SlownessEstimate(8.0, seconds, -math.inf, ("host-1",), is_confirmed)
 
 
 class TestSharedSlowness:
@@ -102,7 +102,7 @@
         assert item.apply(1.0, 0.0, 0.5) == 8.0
         assert not item.is_avoided(0.5)
 
-    def test_a_belief_that_nobody_renews_ends(self):
+    def test_a_estimate_that_nobody_renews_ends(self):
         item = shared("host-0", slow_until(5.0))
         assert item.is_avoided(0.5)
         assert not item.is_avoided(5.0)
@@ -118,7 +118,7 @@
 
     # Guards against: all hosts return at once to a searcher that has recovered.
     def test_hosts_return_one_after_the_other(self):
-        cleared = SlownessBelief(1.0, -math.inf, 10.0, (), False)
+        cleared = SlownessEstimate(1.0, -math.inf, 10.0, (), False)
         items = [shared(host, cleared, 10.0) for host in sorted(GROUP)]
         returned = [
             sum(item.apply(8.0, 9.0, 10.0 + at) <= 1.0 for item in items)
--- a/foxtailseam/fleet/_peer_server.py
+++ b/foxtailseam/fleet/_peer_server.py
@@ -10,8 +10,9 @@
 from foxtailseam.fleet._settings import PeerLimits
 from foxtailseam.http import BoundedReader, ReceivedData, WorkSchedule
 
-# Bytes that are passed to grpclib at a time: at most 227 frames, of which each takes
-# about 30 microseconds, as against one call for 512 bytes of a long message.
+# Bytes that are passed to grpclib at a time. They hold at most 227 frames, about 7 ms
+# of work, which is the longest excess over a slice; smaller pieces cost more calls for
+# a long message.
 PIECE_BYTES = 2_048
 
 
--- a/foxtailseam/fleet/tests/test_slowness_gossip.py
+++ b/foxtailseam/fleet/tests/test_slowness_gossip.py
@@ -12,7 +12,7 @@
 SEARCHERS = 258
 
 
-def accuse(host, searcher, factor=8.0):
+def report(host, searcher, factor=8.0):
     """Let a host report a searcher."""
     registry = host.gossip.conditions
     report = SlownessReport(
@@ -25,12 +25,12 @@
 
 
 def factor(host, searcher="i-0"):
-    """Return the factor by which a host believes a searcher to be slow."""
+    """Return the factor by which a host estimates a searcher to be slow."""
     registry = host.gossip.conditions
     known = registry.get(searcher, 7)
     if known is None or known.slowness is None:
         return 1.0
-    return registry.belief(known.slowness, registry.clock.monotonic()).factor
+    return registry.estimate(known.slowness, registry.clock.monotonic()).factor
 
 
 def share_that_know(fleet, searcher="i-0"):
@@ -48,14 +48,14 @@
     return sum(host.sent_bytes for host in fleet.hosts.values())
 
 
-def accuse_third(fleet, seconds):
+def report_third(fleet, seconds):
     """Let hosts report a third of the searchers, each every half second."""
     hosts = list(fleet.hosts.values())
     for _ in range(round(seconds / 0.5)):
         for number in range(SEARCHERS // 3):
             host = fleet.generator.choice(hosts)
             fleet.time.call_later(
-                fleet.generator.uniform(0, 0.5), accuse, host, f"searcher-{number:05}"
+                fleet.generator.uniform(0, 0.5), report, host, f"searcher-{number:05}"
             )
         fleet.run(0.5)
 
@@ -65,29 +65,29 @@
     @pytest.mark.parametrize("size", [6, 73, 195])
     def test_most_hosts_know_within_a_second(self, size):
         fleet = settled(size)
-        accuse(next(iter(fleet.hosts.values())), "i-0")
+        report(next(iter(fleet.hosts.values())), "i-0")
         fleet.run(1.0)
         assert share_that_know(fleet) >= 0.9
 
     def test_the_end_spreads_as_fast(self):
         fleet = settled(73)
         hosts = list(fleet.hosts.values())
-        accuse(hosts[0], "i-0")
+        report(hosts[0], "i-0")
         fleet.run(2.0)
-        accuse(hosts[40], "i-0", factor=1.0)
+        report(hosts[40], "i-0", factor=1.0)
         fleet.run(1.0)
         assert share_that_know(fleet) <= 0.1
 
     def test_without_a_renewal_it_ends_everywhere(self):
         fleet = settled(73)
-        accuse(next(iter(fleet.hosts.values())), "i-0")
+        report(next(iter(fleet.hosts.values())), "i-0")
         fleet.run(REPORT_SECONDS + 0.1)
         assert share_that_know(fleet) == 0.0
 
     def test_a_host_that_starts_learns_at_once(self):
         fleet = settled(73)
         hosts = list(fleet.hosts.values())
-        accuse(hosts[0], "i-0")
+        report(hosts[0], "i-0")
         fleet.run(1.5)
         fleet.restart(hosts[50])
         fleet.run(0.25)
@@ -101,14 +101,14 @@
             (one.address in half) == (other.address in half)
         )
         for _ in range(4):
-            accuse(hosts[0], "i-0")
+            report(hosts[0], "i-0")
             fleet.run(1.0)
         assert all(factor(host) == 8.0 for host in hosts[:12])
         assert all(factor(host) == 1.0 for host in hosts[12:])
         fleet.is_connected = lambda one, other: True
         # Hosts that took one another for lost find one another by the seeds.
         for _ in range(15):
-            accuse(hosts[0], "i-0")
+            report(hosts[0], "i-0")
             fleet.run(1.0)
         assert share_that_know(fleet) == 1.0
 
@@ -129,12 +129,12 @@
         usual = (sent_bytes(quiet) - before) / seconds / 195
         fleet = settled(195)
         before = sent_bytes(fleet)
-        accuse_third(fleet, 6.0)
+        report_third(fleet, 6.0)
         known = [
             share_that_know(fleet, f"searcher-{number:05}")
             for number in range(SEARCHERS // 3)
         ]
-        accuse_third(fleet, seconds - 6.0)
+        report_third(fleet, seconds - 6.0)
         sent = (sent_bytes(fleet) - before) / seconds / 195
         assert sent - usual <= 3000
         assert sum(known) / len(known) >= 0.8
--- a/foxtailseam/front/_condition_log.py
+++ b/foxtailseam/front/_condition_log.py
@@ -8,14 +8,14 @@
     Pause,
     RateLimit,
     Slowness,
-    SlownessBelief,
+    SlownessEstimate,
 )
 from foxtailseam.dispatch import (
     MALFORMED_LIMIT,
     MALFORMED_PAUSE,
     Dispatcher,
     Searcher,
-    SlownessVerdict,
+    SlownessMeasurement,
 )
 from foxtailseam.logs import EventCode, LogWriter
 from foxtailseam.metrics import Metrics
@@ -73,35 +73,39 @@
                     pause_ms=-self._milliseconds_since(ends_at),
                 )
             case Slowness():
-                self.metrics.add("searchers_believed_slow")
-                belief = searcher.gate.slowness.belief
+                self.metrics.add("searchers_reported_slow")
+                estimate = searcher.gate.slowness.estimate
                 self._write(
                     EventCode.SEARCHER_SLOW,
                     searcher,
-                    factor=round(belief.factor, 1),
-                    hosts=" ".join(belief.accusers),
-                    agreed=belief.is_confirmed,
+                    factor=round(estimate.factor, 1),
+                    hosts=" ".join(estimate.reporters),
+                    agreed=estimate.is_confirmed,
                 )
 
-    def record_verdict(self, searcher: Searcher, verdict: SlownessVerdict) -> None:
+    def record_measurement(
+        self, searcher: Searcher, measurement: SlownessMeasurement
+    ) -> None:
         """Write the event of what this host has measured of a searcher."""
-        if verdict.is_slow:
-            self.metrics.add("searchers_accused")
-            code = EventCode.SEARCHER_ACCUSED
+        if measurement.is_slow:
+            self.metrics.add("searchers_measured_slow")
+            code = EventCode.SEARCHER_MEASURED_SLOW
         else:
-            self.metrics.add("searchers_cleared")
-            code = EventCode.SEARCHER_CLEARED
-        self._write(code, searcher, factor=round(verdict.factor, 1))
-
-    def record_slowness_end(self, searcher: Searcher, belief: SlownessBelief) -> None:
-        """Write the event of a searcher that is no longer believed to be slow."""
-        reason = "expired" if math.isinf(belief.cleared_at) else "measured"
+            self.metrics.add("searchers_measured_normal")
+            code = EventCode.SEARCHER_MEASURED_NORMAL
+        self._write(code, searcher, factor=round(measurement.factor, 1))
+
+    def record_slowness_end(
+        self, searcher: Searcher, estimate: SlownessEstimate
+    ) -> None:
+        """Write the event of a searcher that is no longer estimated to be slow."""
+        reason = "expired" if math.isinf(estimate.cleared_at) else "measured"
         self._write(EventCode.SEARCHER_SLOW_ENDED, searcher, reason=reason)
 
-    def record_distrust(self, host: str) -> None:
+    def record_ignored_host(self, host: str) -> None:
         """Write the event of a host that reports too many searchers as slow."""
-        self.metrics.add("accusers_distrusted")
-        self.log.write(EventCode.ACCUSER_DISTRUSTED, peer=host)
+        self.metrics.add("slowness_reporters_ignored")
+        self.log.write(EventCode.SLOWNESS_REPORTS_IGNORED, peer=host)
 
     def record_malformed(self, searcher: Searcher, condition: str) -> None:
         """Write the event of a condition that cannot be read."""
--- a/foxtailseam/front/_host.py
+++ b/foxtailseam/front/_host.py
@@ -145,9 +145,9 @@
         gates.on_change = self._condition_log.record_change
         gates.on_cold = self._condition_log.record_cold
         gates.on_malformed = self._condition_log.record_malformed
-        gates.on_verdict = self._condition_log.record_verdict
+        gates.on_measurement = self._condition_log.record_measurement
         gates.on_slowness_end = self._condition_log.record_slowness_end
-        gates.conditions.on_distrust = self._condition_log.record_distrust
+        gates.conditions.on_host_ignored = self._condition_log.record_ignored_host
         self.configuration_manager = ConfigurationManager(
             self.dispatcher,
             self.clock,
@@ -216,7 +216,7 @@
             self._supervisor,
         )
         self._quarantine_guard.on_update = self._fleet.gossip_now
-        gates.conditions.on_slowness_news = self._fleet.gossip_now
+        gates.conditions.on_slowness_change = self._fleet.gossip_now
         self._connect_admission()
         self._fleet.state_exchange.register("spillover", self.dispatcher.locality)
         self._forward_sender = ChannelForwardSender(self.clock, self._supervisor)
--- a/foxtailseam/front/_overload_guard.py
+++ b/foxtailseam/front/_overload_guard.py
@@ -32,11 +32,10 @@
 # above it, but never less than MIN_LIMIT_SHARE of the limit.
 PRIORITY_STEP = 0.25
 MIN_LIMIT_SHARE = 0.4
-# Range of the random factor by which the duration of the route's last query is
-# multiplied to get the Retry-After of a refused query.
+# Range of the random factor of the Retry-After of a refused query.
 RETRY_JITTER = (0.5, 2.0)
-# Time for which refused callers are spread at least, in seconds, if the fleet could
-# serve half of the requests; and the longest such time.
+# Period whose refused queries the fleet is to serve within the Retry-After, before
+# jitter, and the upper bound of the time for that, in seconds.
 DRAIN_SECONDS = 1.0
 MAX_DRAIN_SECONDS = 5.0
 
--- a/foxtailseam/front/tests/test_shared_slowness.py
+++ b/foxtailseam/front/tests/test_shared_slowness.py
@@ -35,7 +35,7 @@
             self.fleet = join_by_gossip(tiers, seed)
         else:
             for tier in tiers:
-                tier.dispatcher.gates.record_parts = lambda parts: None
+                tier.dispatcher.gates.record_part_timings = lambda parts: None
         self.sent_until = 0.0
 
     def run_until(self, end):
@@ -60,8 +60,8 @@
     def arrivals(self, searchers, start, end):
         return sum(start <= at < end for item in searchers for at, _ in item.arrivals)
 
-    def believed(self):
-        """Return the numbers of searchers that each host believes to be slow."""
+    def estimated(self):
+        """Return the numbers of searchers that each host estimates to be slow."""
         now = self.time.monotonic()
         return [
             sum(
@@ -187,7 +187,7 @@
             load.slow_down(slow, 1.0)
             load.run_until(SLOW_FROM + 8.0 + REPORT_SECONDS + 2 * RETURN_SECONDS)
         assert load.score(SLOW_FROM, SLOW_FROM + 8.0) >= 0.9
-        assert sum(load.believed()) == 0
+        assert sum(load.estimated()) == 0
 
     # Guards against: a searcher that replaces a slow one is avoided like it.
     def test_another_run_at_the_address_is_used_at_once(self):
@@ -200,42 +200,42 @@
             load.slow_down([slow], 1.0)
             for tier in tiers:
                 tier.publish("shard0", 0, started_ms=1)
-            assert sum(load.believed()) == 0
+            assert sum(load.estimated()) == 0
             load.run_until(SLOW_FROM + 8.0)
         used = load.arrivals([slow], SLOW_FROM + 4.0, SLOW_FROM + 8.0)
         before = load.arrivals([slow], 4.0, 8.0)
         assert used >= 0.5 * before
 
 
-class TestFalseAccusations:
-    # Guards against: a host with a full link accuses the searchers behind it.
-    def test_a_host_with_a_slow_link_accuses_nobody(self):
+class TestFalseReports:
+    # Guards against: a host with a full link reports the searchers behind it.
+    def test_a_host_with_a_slow_link_reports_nobody(self):
         with hosts(6) as tiers:
             load = Load(tiers, rate=2.0)
             load.run_until(4.0)
             tiers[0].link.call_seconds = 0.004
             load.run_until(12.0)
-        assert load.believed() == [0] * 6
+        assert load.estimated() == [0] * 6
 
-    def test_a_failure_domain_that_is_slow_as_a_whole_is_not_accused(self):
+    def test_a_failure_domain_that_is_slow_as_a_whole_is_not_reported(self):
         with hosts(24) as tiers:
             load = Load(tiers)
             load.run_until(SLOW_FROM)
             # The first searcher of each shard is in one domain.
             load.slow_down(load.searchers[::2], 5.0)
             load.run_until(SLOW_FROM + 6.0)
-        assert max(load.believed()) <= 0.1 * len(load.searchers)
+        assert max(load.estimated()) <= 0.1 * len(load.searchers)
 
-    def test_one_host_that_accuses_all_changes_little(self):
+    def test_one_host_that_reports_all_changes_little(self):
         with hosts(24) as tiers:
             load = Load(tiers)
             load.run_until(SLOW_FROM)
-            liar = tiers[0].dispatcher.gates
+            faulty_host = tiers[0].dispatcher.gates
             for _ in range(6):
                 now = load.time.monotonic()
                 for searcher in tiers[0].dispatcher.searchers:
                     report = SlownessReport(now, 20.0, "host-0", "d1")
-                    liar.conditions.record(
+                    faulty_host.conditions.record(
                         searcher.entry.identifier,
                         SearcherConditions(
                             0, slowness=Slowness.from_reports((report,))
@@ -246,5 +246,5 @@
                 for searcher in tier.dispatcher.searchers:
                     gate = searcher.gate
                     assert gate is None or not gate.is_slow(load.time.monotonic())
-        assert sum(load.believed()) == 0
+        assert sum(load.estimated()) == 0
         assert load.score(SLOW_FROM, SLOW_FROM + 6.0) >= 0.98
--- a/foxtailseam/http/_received_data.py
+++ b/foxtailseam/http/_received_data.py
@@ -4,7 +4,7 @@
 
 # Number of bytes that are read from a connection in one iteration of the event loop.
 READ_BYTES = 16_384
-# Unprocessed bytes above which reading pauses.
+# Unprocessed bytes from which on reading pauses.
 MAX_UNPROCESSED_BYTES = 16_384
 
 # A read and the copy of what it has received are one step of the event loop, so that
@@ -31,7 +31,7 @@
         self._transport = transport
 
     def append(self, data: bytes) -> None:
-        """Add received bytes; reading pauses above the limit."""
+        """Add received bytes; reading pauses at the limit."""
         self._data = self._data[self._offset :] + data if len(self) else data
         self._offset = 0
         if len(self) >= MAX_UNPROCESSED_BYTES and not self._is_paused:
@@ -47,7 +47,7 @@
         return data
 
     def clear(self) -> None:
-        """Drop all bytes and go on reading."""
+        """Drop all bytes and resume reading."""
         self._data = b""
         self._offset = 0
         if self._is_paused and not self._transport.is_closing():
--- a/foxtailseam/http/_work_schedule.py
+++ b/foxtailseam/http/_work_schedule.py
@@ -1,4 +1,4 @@
-"""Fair shares of the event loop for connections that have received data."""
+"""Time slices of the event loop for connections that have received data."""
 
 import asyncio
 from collections.abc import Callable
@@ -6,11 +6,12 @@
 
 from foxtailseam.clocks import Clock
 
-# Time in seconds that the connections of a listener may use in one iteration of the
-# event loop. Responses of searchers and timers wait for no longer than this.
+# Time that the connections of one listener may use in an iteration of the event loop,
+# in seconds; the last slice may exceed it.
 MAX_TURN_SECONDS = 0.005
-# Time in seconds after which a connection's share of a turn ends.
-MAX_SHARE_SECONDS = 0.0005
+# Time after which a connection leaves the rest of its data to its next turn, in
+# seconds.
+MAX_SLICE_SECONDS = 0.0005
 
 
 class Worker(Protocol):
@@ -83,7 +84,7 @@
         while self._waiting and now < end:
             worker = next(iter(self._waiting))
             del self._waiting[worker]
-            if self._work(worker, now + MAX_SHARE_SECONDS):
+            if self._work(worker, now + MAX_SLICE_SECONDS):
                 self._waiting.setdefault(worker)
             now = self._clock.monotonic()
         if self._waiting and not self._is_scheduled:
--- a/foxtailseam/http/tests/test_caller_connection.py
+++ b/foxtailseam/http/tests/test_caller_connection.py
@@ -13,6 +13,7 @@
 from foxtailseam.clocks import ManualClock
 from foxtailseam.http import BufferSpace, HttpResponse, ListenerLimits
 from foxtailseam.http._caller_connection import CallerConnection
+from foxtailseam.http._connection_use import UseKind
 from foxtailseam.http._work_schedule import WorkSchedule
 
 LIMITS = ListenerLimits(header_bytes=2_000, body_bytes=1_000, buffered_bytes=3_000)
@@ -152,6 +153,21 @@
     return [data[start:end] for start, end in itertools.pairwise(bounds) if end > start]
 
 
+class TestUse:
+    # Guards against: a running request is cut off at the limit of connections, as its
+    # caller has not read the response before it.
+    def test_a_running_request_counts_although_responses_are_unread(self):
+        tested = Connection(answers=[True, False])
+        tested.receive(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        tested.receive(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        connection = tested.connection
+        connection.stalled_time = lambda now: 60.0
+        now = tested.clock.monotonic()
+        assert connection.current_use(now).kind is UseKind.SERVING
+        tested.calls[1].respond(HttpResponse(200))
+        assert connection.current_use(now).kind is UseKind.STALLED
+
+
 class TestUpgrade:
     def test_request_that_follows_one_with_an_upgrade_is_served(self):
         connection = Connection()
--- a/foxtailseam/http/tests/test_work_schedule.py
+++ b/foxtailseam/http/tests/test_work_schedule.py
@@ -4,7 +4,7 @@
 
 from foxtailseam.clocks import ManualClock
 from foxtailseam.http._work_schedule import (
-    MAX_SHARE_SECONDS,
+    MAX_SLICE_SECONDS,
     MAX_TURN_SECONDS,
     WorkSchedule,
 )
@@ -70,9 +70,9 @@
     def test_an_iteration_ends_in_time_and_the_next_goes_on(self):
         loop = Loop()
         for name in range(100):
-            loop.worker(name, steps=100, seconds=MAX_SHARE_SECONDS)
+            loop.worker(name, steps=100, seconds=MAX_SLICE_SECONDS)
         loop.iterate()
-        shares = round(MAX_TURN_SECONDS / MAX_SHARE_SECONDS)
+        shares = round(MAX_TURN_SECONDS / MAX_SLICE_SECONDS)
         assert shares <= len(loop.log) <= shares + 1
         first = len(loop.log)
         loop.iterate()
--- a/foxtailseam/locality/__init__.py
+++ b/foxtailseam/locality/__init__.py
@@ -8,21 +8,21 @@
 from foxtailseam.locality._decision import LocalityDecision
 from foxtailseam.locality._notices import SpilloverNotice
 from foxtailseam.locality._share import (
-    CROSSING_PRICE,
+    CROSS_DOMAIN_COST_SECONDS,
     MIN_SHARE,
     Observation,
-    has_ended,
+    may_end,
     next_share,
 )
 
 __all__ = [
-    "CROSSING_PRICE",
+    "CROSS_DOMAIN_COST_SECONDS",
     "MIN_SHARE",
     "DistanceCosts",
     "LocalityDecision",
     "Observation",
     "SpilloverControl",
     "SpilloverNotice",
-    "has_ended",
+    "may_end",
     "next_share",
 ]
--- a/foxtailseam/locality/_control.py
+++ b/foxtailseam/locality/_control.py
@@ -5,16 +5,16 @@
 
 from foxtailseam.locality._share import (
     CONFIRMATIONS,
-    CROSSING_PRICE,
+    CROSS_DOMAIN_COST_SECONDS,
     Observation,
-    has_ended,
+    may_end,
     next_share,
 )
 
 # Length of a window, in seconds. It is extended until there are enough answers.
 WINDOW_SECONDS = 0.5
-MIN_HOME_SAMPLES = 4
-MIN_AWAY_SAMPLES = 2
+MIN_LOCAL_SAMPLES = 4
+MIN_REMOTE_SAMPLES = 2
 # A longer window is discarded: what it holds is out of date.
 MAX_WINDOW_SECONDS = 3.0
 # Relative growth a second of the response time without queueing, so that it follows
@@ -139,19 +139,20 @@
             away.samples.clear()
             self._window_started_at = now
             return
-        if len(home.samples) < MIN_HOME_SAMPLES:
+        if len(home.samples) < MIN_LOCAL_SAMPLES:
             return
         answers = len(home.samples) + len(away.samples)
         growth = 1.0 + BASE_GROWTH * elapsed
-        if len(away.samples) < MIN_AWAY_SAMPLES:
+        if len(away.samples) < MIN_REMOTE_SAMPLES:
             self._close_home_window(growth, now)
             return
-        leaving = len(away.samples) / answers
+        remote_share = len(away.samples) / answers
         home_median, away_median = home.close(growth), away.close(growth)
-        # What has left may have met queues from the beginning, so home counts, too.
-        away_base = min(away.base, home.base + CROSSING_PRICE)
+        # The first requests to other domains may have met queues already, so the local
+        # base bounds theirs.
+        remote_base = min(away.base, home.base + CROSS_DOMAIN_COST_SECONDS)
         observation = Observation(
-            home_median, home.base, away_median, away_base, leaving
+            home_median, home.base, away_median, remote_base, remote_share
         )
         self._window_started_at = now
         self._apply(observation, answers, now)
@@ -169,8 +170,8 @@
             self.away.samples.clear()
             self._confirmations = 0
             return
-        # Without a word from elsewhere a share does not rise, and it ends as home gets
-        # quick again.
+        # Without answers from other domains the share does not rise, and it ends once
+        # the local response time is normal.
         observation = Observation(median, home.base, median, home.base, 0.0)
         self._apply(observation, answers, now)
 
@@ -178,7 +179,7 @@
         is_kept = self.share is not None
         if is_kept:
             self.share = next_share(self.share, observation)
-            is_change = has_ended(self.share, observation)
+            is_change = may_end(self.share, observation)
         else:
             is_change = observation.is_contended
         self._weight = self.weight(now) + answers
--- a/foxtailseam/locality/_crossing.py
+++ b/foxtailseam/locality/_crossing.py
@@ -1,10 +1,10 @@
 """What it costs to ask a searcher in another failure domain."""
 
-from foxtailseam.locality._share import CROSSING_PRICE
+from foxtailseam.locality._share import CROSS_DOMAIN_COST_SECONDS
 
 # Cost that outweighs any queue, in seconds, for the side that a request is not to use.
 # It decides only among searchers that are equally usable.
-HELD_COST = 60.0
+EXCLUSION_COST_SECONDS = 60.0
 
 
 class DistanceCosts(dict[str, float]):
@@ -32,16 +32,16 @@
         return self.away
 
 
-def calm_costs(failure_domain: str) -> DistanceCosts:
+def default_costs(failure_domain: str) -> DistanceCosts:
     """Return the costs while no share is kept: the price of crossing."""
-    return DistanceCosts(failure_domain, 0.0, CROSSING_PRICE)
+    return DistanceCosts(failure_domain, 0.0, CROSS_DOMAIN_COST_SECONDS)
 
 
-def staying_costs(failure_domain: str) -> DistanceCosts:
+def prefer_local_costs(failure_domain: str) -> DistanceCosts:
     """Return the costs of a request that stays if a home searcher is usable."""
-    return DistanceCosts(failure_domain, 0.0, HELD_COST)
+    return DistanceCosts(failure_domain, 0.0, EXCLUSION_COST_SECONDS)
 
 
-def leaving_costs(failure_domain: str) -> DistanceCosts:
+def prefer_remote_costs(failure_domain: str) -> DistanceCosts:
     """Return the costs of a request that leaves if another searcher is usable."""
-    return DistanceCosts(failure_domain, HELD_COST, 0.0)
+    return DistanceCosts(failure_domain, EXCLUSION_COST_SECONDS, 0.0)
--- a/foxtailseam/locality/_decision.py
+++ b/foxtailseam/locality/_decision.py
@@ -9,9 +9,9 @@
 from foxtailseam.locality._control import EXPIRY_SECONDS, SpilloverControl
 from foxtailseam.locality._crossing import (
     DistanceCosts,
-    calm_costs,
-    leaving_costs,
-    staying_costs,
+    default_costs,
+    prefer_local_costs,
+    prefer_remote_costs,
 )
 from foxtailseam.locality._notices import MAX_WEIGHT, SpilloverNotice
 
@@ -55,12 +55,12 @@
         # and the way there and back included, of the answers since the last update.
         self.answers: deque[tuple[str, str, float]] = deque(maxlen=MAX_ANSWERS)
         self._controls: dict[str, SpilloverControl] = {}
-        # Controls of the services for which a share is kept. For others `calm_costs`
+        # Controls of the services for which a share is kept. For others `default_costs`
         # holds, so that selections need not ask.
         self.kept: dict[str, SpilloverControl] = {}
-        self.calm_costs = calm_costs(failure_domain)
-        self._staying_costs = staying_costs(failure_domain)
-        self._leaving_costs = leaving_costs(failure_domain)
+        self.default_costs = default_costs(failure_domain)
+        self._staying_costs = prefer_local_costs(failure_domain)
+        self._leaving_costs = prefer_remote_costs(failure_domain)
 
     @property
     def shares(self) -> Mapping[str, float]:
@@ -77,7 +77,7 @@
         """
         control = self.kept.get(service)
         if control is None:
-            return self.calm_costs
+            return self.default_costs
         may_leave = self.generator.random() < control.share
         return self._leaving_costs if may_leave else self._staying_costs
 
@@ -85,8 +85,8 @@
         """Return whether a hedge may go to a searcher.
 
         While a share is kept, searchers everywhere have queues, and a hedge that leaves
-        lengthens two of them. It is then sent only in the same part of the cases as
-        other requests, or if nothing has come from the first searcher for long.
+        lengthens two of them. It is then sent only if a further draw, made at each
+        check, falls within the share, or if the first searcher is stalled.
 
         Parameters
         ----------
@@ -105,8 +105,8 @@
     def update(self) -> None:
         """Take in the answers since the last update and move the shares.
 
-        To be called a few times a second. The loop makes no call for an answer, since a
-        query has as many as shards.
+        To be called a few times a second. The answers are read in one loop without a
+        call for each, since a query has one for each shard.
         """
         now = self.clock.monotonic()
         home_domain = self.failure_domain
@@ -122,11 +122,11 @@
         self.answers.clear()
         for service, control in changed.items():
             control.update(now)
-            self._follow(service, control)
+            self._update_active(service, control)
         for service, control in list(self.kept.items()):
             if control.is_expired(now):
                 control.end()
-                self._follow(service, control)
+                self._update_active(service, control)
 
     def retain(self, services: Iterable[str]) -> None:
         """Forget all other services.
@@ -139,7 +139,7 @@
         for service in self._controls.keys() - set(services):
             control = self._controls.pop(service)
             control.end()
-            self._follow(service, control)
+            self._update_active(service, control)
 
     def notices(self) -> tuple[SpilloverNotice, ...]:
         """Return the shares that rest on the most answers; empty while all is calm."""
@@ -186,9 +186,9 @@
             if control is None or not is_valid or not is_recent:
                 continue
             control.adopt(notice.share, notice.weight, now)
-            self._follow(notice.service, control)
+            self._update_active(notice.service, control)
 
-    def _follow(self, service: str, control: SpilloverControl) -> None:
+    def _update_active(self, service: str, control: SpilloverControl) -> None:
         """Update which shares are kept after a change of one control."""
         is_kept = control.share is not None
         if is_kept == (service in self.kept):
--- a/foxtailseam/locality/_share.py
+++ b/foxtailseam/locality/_share.py
@@ -9,11 +9,11 @@
 
 # Price of traffic to another failure domain, in seconds of response time. Measured on
 # the deployments before the spillover share existed; it keeps them as they were.
-CROSSING_PRICE = 0.012
+CROSS_DOMAIN_COST_SECONDS = 0.012
 # A response time this many times that without queueing shows queueing.
 QUEUEING_FACTOR = 1.4
 # Part of the requests that leaves before a share is kept, and below which it ends.
-MIN_LEAVING = 0.2
+MIN_REMOTE_SHARE = 0.2
 # Differences of the response times within this part of the larger one move nothing.
 DEAD_BAND = 0.1
 # Largest change of the share in one step, and change for each unit of the relative
@@ -36,37 +36,40 @@
     ----------
     home : float
         Median response time of the searchers in this host's failure domain, in seconds.
-    home_base : float
+    local_base : float
         The same without queueing.
     away : float
         Median response time of the searchers in other failure domains, the way there
         and back included.
-    away_base : float
+    remote_base : float
         The same without queueing.
     leaving : float
         Part of the answers that came from other failure domains, 0 to 1.
     """
 
     home: float
-    home_base: float
+    local_base: float
     away: float
-    away_base: float
+    remote_base: float
     leaving: float
 
     @property
-    def is_home_queueing(self) -> bool:
+    def is_local_queueing(self) -> bool:
         """Return whether requests wait at the searchers of this failure domain."""
-        return self.home > QUEUEING_FACTOR * self.home_base
+        return self.home > QUEUEING_FACTOR * self.local_base
 
     @property
     def is_contended(self) -> bool:
         """Return whether requests wait at home and where those that leave go.
 
-        Only then may hosts that all decide alike move the queue to and fro.
+        Only then can hosts that decide alike shift the queue back and forth between
+        domains.
         """
-        is_away_queueing = self.away > QUEUEING_FACTOR * self.away_base
+        is_away_queueing = self.away > QUEUEING_FACTOR * self.remote_base
         return (
-            self.is_home_queueing and is_away_queueing and self.leaving >= MIN_LEAVING
+            self.is_local_queueing
+            and is_away_queueing
+            and self.leaving >= MIN_REMOTE_SHARE
         )
 
 
@@ -83,7 +86,7 @@
     observation : Observation
         Response times since the share last changed.
     """
-    away = observation.away + CROSSING_PRICE
+    away = observation.away + CROSS_DOMAIN_COST_SECONDS
     difference = (observation.home - away) / max(observation.home, away)
     if abs(difference) <= DEAD_BAND:
         return share
@@ -91,7 +94,7 @@
     return min(1.0, max(MIN_SHARE, share + step))
 
 
-def has_ended(share: float, observation: Observation) -> bool:
+def may_end(share: float, observation: Observation) -> bool:
     """Return whether the share need not be kept any longer.
 
     Either home is quick again, or nearly all requests may leave, so that the share
@@ -104,5 +107,5 @@
     observation : Observation
         Response times since the share last changed.
     """
-    is_relieved = not observation.is_home_queueing and share < MIN_LEAVING
+    is_relieved = not observation.is_local_queueing and share < MIN_REMOTE_SHARE
     return is_relieved or share >= MAX_SHARE
--- a/foxtailseam/locality/tests/test_decision.py
+++ b/foxtailseam/locality/tests/test_decision.py
@@ -7,7 +7,11 @@
 import pytest
 
 from foxtailseam.clocks import ManualClock
-from foxtailseam.locality import CROSSING_PRICE, LocalityDecision, SpilloverNotice
+from foxtailseam.locality import (
+    CROSS_DOMAIN_COST_SECONDS,
+    LocalityDecision,
+    SpilloverNotice,
+)
 
 HOME, AWAY = "d1", "d2"
 CALM, BUSY = 0.03, 0.09
@@ -49,7 +53,7 @@
         replay = Replay()
         replay.windows(40, CALM, CALM, left=1)
         costs = replay.decision.distance_costs("s")
-        assert (costs[HOME], costs[AWAY]) == (0.0, CROSSING_PRICE)
+        assert (costs[HOME], costs[AWAY]) == (0.0, CROSS_DOMAIN_COST_SECONDS)
         assert replay.decision.notices() == ()
 
     def test_a_degraded_home_searcher_keeps_no_share(self):
@@ -95,7 +99,7 @@
     def test_other_services_keep_the_constant(self):
         replay = Replay()
         replay.contend()
-        assert replay.decision.distance_costs("t")[AWAY] == CROSSING_PRICE
+        assert replay.decision.distance_costs("t")[AWAY] == CROSS_DOMAIN_COST_SECONDS
 
     def test_both_full_hardly_exchange_load(self):
         replay = Replay()
--- a/foxtailseam/locality/tests/test_share.py
+++ b/foxtailseam/locality/tests/test_share.py
@@ -5,10 +5,10 @@
 from hypothesis import strategies as st
 
 from foxtailseam.locality import (
-    CROSSING_PRICE,
+    CROSS_DOMAIN_COST_SECONDS,
     MIN_SHARE,
     Observation,
-    has_ended,
+    may_end,
     next_share,
 )
 
@@ -48,7 +48,7 @@
 
     def test_rests_where_both_ways_cost_about_the_same(self):
         away = 0.05
-        assert next_share(0.3, observe(away + CROSSING_PRICE, away)) == 0.3
+        assert next_share(0.3, observe(away + CROSS_DOMAIN_COST_SECONDS, away)) == 0.3
 
     def test_falls_to_the_minimum_where_both_are_full(self):
         share = 0.6
@@ -69,4 +69,4 @@
         [(0.1, 0.03, True), (0.1, 0.1, False), (0.5, 0.03, False), (0.96, 0.1, True)],
     )
     def test_ends_as_it_holds_nothing_back_or_home_is_quick(self, share, home, is_over):
-        assert has_ended(share, observe(home=home, away=home)) is is_over
+        assert may_end(share, observe(home=home, away=home)) is is_over
--- a/foxtailseam/logs/_catalogue.py
+++ b/foxtailseam/logs/_catalogue.py
@@ -70,8 +70,12 @@
     FORWARD_DECLINED = (336, Severity.INFO, "a forwarded request was given back")
     DELEGATION_RETURNED = (337, Severity.INFO, "a delegated query was not answered")
     REQUEST_BROKEN = (339, Severity.ERROR, "the handling of a request failed")
-    ADMISSION_LIMITED = (345, Severity.WARNING, "all hosts admit a share of requests")
-    ADMISSION_RELEASED = (346, Severity.INFO, "that share does not apply any more")
+    ADMISSION_LIMITED = (345, Severity.WARNING, "the joint admitted share applies")
+    ADMISSION_RELEASED = (
+        346,
+        Severity.INFO,
+        "the joint admitted share ended",
+    )
     CONNECTIONS_CLOSED = (340, Severity.WARNING, "connections were closed at the limit")
     PEER_CONNECTIONS_CLOSED = (
         341,
@@ -97,16 +101,24 @@
     SEARCHER_SLOW = (
         430,
         Severity.INFO,
-        "hosts report a searcher as slow; it is avoided",
+        "hosts report a searcher as slow",
     )
     SEARCHER_SLOW_ENDED = (431, Severity.INFO, "a searcher is no longer taken as slow")
-    SEARCHER_ACCUSED = (432, Severity.DEBUG, "this host found a searcher to be slow")
-    SEARCHER_CLEARED = (
+    SEARCHER_MEASURED_SLOW = (
+        432,
+        Severity.DEBUG,
+        "this host found a searcher to be slow",
+    )
+    SEARCHER_MEASURED_NORMAL = (
         433,
         Severity.DEBUG,
         "this host found a slow searcher fast again",
     )
-    ACCUSER_DISTRUSTED = (434, Severity.WARNING, "a host reports too many as slow")
+    SLOWNESS_REPORTS_IGNORED = (
+        434,
+        Severity.WARNING,
+        "a host reports too many as slow",
+    )
     LINKS_CHANGED = (416, Severity.WARNING, "the host lost or regained the searchers")
     SPILLOVER_STARTED = (420, Severity.INFO, "a service's spillover share is kept")
     SPILLOVER_ENDED = (421, Severity.INFO, "a service has no spillover share any more")
--- a/foxtailseam/rate_limits/_warmup.py
+++ b/foxtailseam/rate_limits/_warmup.py
@@ -17,8 +17,8 @@
 RAMP_STEP_SECONDS = 0.5
 RAMP_STEPS = 6
 RAMP_SECONDS = RAMP_STEPS * RAMP_STEP_SECONDS
-# A host is certainly treated as no sender if about this many times as many hosts as
-# there are senders, and this many more, come before it. Spares sorting all hosts.
+# A host does not sort the others if its draw lets expect that more than this many hosts
+# rank before it: this factor times the senders, plus the extra ones.
 CANDIDATE_FACTOR = 4
 EXTRA_CANDIDATES = 8
 
@@ -125,10 +125,6 @@
         """Return whether the cold period has not ended yet."""
         return now < self._ends_at
 
-    def is_over(self, now: float) -> bool:
-        """Return whether the ramp-up has ended, too."""
-        return self._step_at(now) > RAMP_STEPS
-
     def update(
         self, limit: WarmupLimit, hosts: HostGroup, ends_at: float, now: float
     ) -> None:
--- a/foxtailseam/rate_limits/tests/test_warmup.py
+++ b/foxtailseam/rate_limits/tests/test_warmup.py
@@ -93,7 +93,8 @@
         for before, after in zip(steps, steps[1:], strict=False):
             assert before <= after <= 3 * before + 2
         assert pacer.wait(10.0 + RAMP_SECONDS + 0.01) == 0.0
-        assert pacer.is_over(10.0 + RAMP_SECONDS + 0.01)
+        pacer.take(10.0 + RAMP_SECONDS + 0.01)
+        assert pacer.wait(10.0 + RAMP_SECONDS + 0.01) == 0.0
 
     def test_a_host_that_does_not_know_the_others_yet_sends_nothing(self):
         pacer = self.pacer(starts_at=3.0)
--- a/foxtailseam_bench/shared_slowness.py
+++ b/foxtailseam_bench/shared_slowness.py
@@ -109,7 +109,7 @@
         fleet = join_by_gossip(tiers, play.seed) if play.variant == "notices" else None
         if fleet is None:
             for tier in tiers:
-                tier.dispatcher.gates.record_parts = _ignore_parts
+                tier.dispatcher.gates.record_part_timings = _ignore_parts
         at = 0.0
         while at < END:
             at += generator.expovariate(HOST_RATE * play.hosts)
--- a/foxtailseam_bench/simulation/_admission_gossip.py
+++ b/foxtailseam_bench/simulation/_admission_gossip.py
@@ -48,7 +48,7 @@
         self._records: list[HostRecord] = []
 
     def join(self, hosts: Sequence[FleetAdmission]) -> None:
-        """Let hosts exchange notices; three in turn share a failure domain."""
+        """Let hosts exchange notices; every third one is in the same failure domain."""
         self._hosts = list(hosts)
         for number, host in enumerate(hosts):
             host.failure_domain = f"d{number % DOMAINS + 1}"
--- a/foxtailseam_bench/simulation/_fleet.py
+++ b/foxtailseam_bench/simulation/_fleet.py
@@ -175,7 +175,7 @@
         membership.on_urgent_news = lambda: self._schedule(self.hosts[address])
         if registry is None:
             registry = ConditionRegistry(time, generator)
-        registry.on_slowness_news = lambda: self.exchange_soon(self.hosts[address])
+        registry.on_slowness_change = lambda: self.exchange_soon(self.hosts[address])
         return Gossip(
             membership,
             QuarantineController(time, HybridClock(time)),
