Mend what an independent review of the merged parts found

Cause, each shown by a script of the review or by its test, which fails on: a searcher that hosts agree to be slow was left out although the only other one had failed the request; one message with thousands of notices kept the event loop for seconds; data that no call reads was kept up to 4 MB a connection on the hosts' port; the cost that excludes searchers hid how they differ; one host's admitted share of 0 could stop all; a second older copy ended a kept evacuation early; two withdrawn attempts queued one call twice; each slow searcher sorted all hosts at each change of the members; unparsed data timed out. Change: see the tests; smaller HTTP/2 windows on the hosts' port. Measured: tests of dispatch, conditions, evacuation, admission, message sizes, listener, the bound of function calls pass.

--- a/foxtailseam/admission/_fleet.py
+++ b/foxtailseam/admission/_fleet.py
@@ -277,7 +277,8 @@
             # but no single report replaces what a host has seen itself.
             evidence = min(MAX_EVIDENCE, notice.evidence)
             own, other = 1.0 + state.evidence, 1.0 + evidence
-            state.share = (own * state.share + other * notice.share) / (own + other)
+            share = (own * state.share + other * notice.share) / (own + other)
+            state.share = max(MIN_SHARE, share)
             state.evidence = (state.evidence + evidence) / 2
             self._merge_demands(state, notice.demands, now)
 
--- a/foxtailseam/conditions/_registry.py
+++ b/foxtailseam/conditions/_registry.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 from foxtailseam.clocks import Clock
 from foxtailseam.conditions._model import SearcherConditions
@@ -154,6 +155,8 @@
         Notices that have expired on the way are ignored.
         """
         now = self.clock.monotonic()
+        # More are never sent; each is compared with all others of its host.
+        notices = replace(notices, slowness=notices.slowness[:MAX_NOTICES])
         for notice in notices.all:
             conditions = notice.to_conditions(now).without_expired(now)
             if self.record(notice.searcher, conditions):
--- a/foxtailseam/conditions/tests/test_slowness.py
+++ b/foxtailseam/conditions/tests/test_slowness.py
@@ -49,7 +49,7 @@
     return registry.estimate(known.slowness, registry.clock.monotonic())
 
 
-class TestBelief:
+class TestEstimate:
     def test_hosts_of_two_domains_have_to_agree(self, clock):
         host = registry(clock)
         host.failure_domains = 3
--- a/foxtailseam/dispatch/_call.py
+++ b/foxtailseam/dispatch/_call.py
@@ -303,7 +303,9 @@
 
     def _on_withdrawn(self) -> None:
         try:
-            self._on_failure(is_unsent=True)
+            # Two attempts may be withdrawn at once; the first one goes on for both.
+            if self._wait_entry is None:
+                self._on_failure(is_unsent=True)
         finally:
             self._release_callbacks()
 
@@ -418,7 +420,9 @@
     def _has_untried_searcher(self) -> bool:
         return any(
             searcher.entry.identifier not in self._tried
-            for searcher in self.dispatcher.open_searchers(self.plan.service)
+            for searcher in self.dispatcher.open_searchers(
+                self.plan.service, self._tried
+            )
         )
 
     def _fail_without_searcher(self) -> None:
--- a/foxtailseam/dispatch/_dispatcher.py
+++ b/foxtailseam/dispatch/_dispatcher.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from foxtailseam.catalogue import SearcherEntry
 from foxtailseam.clocks import Clock, Timers
@@ -272,7 +272,9 @@
             self._usable[service] = usable
         return usable
 
-    def open_searchers(self, service: str) -> tuple[Searcher, ...]:
+    def open_searchers(
+        self, service: str, excluded: Collection[str] = ()
+    ) -> tuple[Searcher, ...]:
         """Return the searchers of a service that take requests of this host now.
 
         A searcher whose slots are full counts. One that drains, has asked for a pause
@@ -295,7 +297,10 @@
                 else:
                     preferred.append(searcher)
         if slow and not any(
-            searcher.has_capacity and not searcher.health.is_ejected_at(now)
+            searcher.has_capacity
+            and not searcher.health.is_ejected_at(now)
+            and not searcher.is_stalled(now)
+            and searcher.identifier not in excluded
             for searcher in preferred
         ):
             preferred += slow
@@ -380,7 +385,7 @@
             distance_costs = locality.distance_costs(service)
         candidates = [
             searcher.candidate(distance_costs, now)
-            for searcher in self.open_searchers(service)
+            for searcher in self.open_searchers(service, excluded)
             if searcher.entry.identifier not in excluded
             and searcher.has_capacity
             and (can_connect or searcher.pool.has_idle)
--- a/foxtailseam/dispatch/_gate.py
+++ b/foxtailseam/dispatch/_gate.py
@@ -119,7 +119,7 @@
         Parameters
         ----------
         estimate : SlownessEstimate or None
-            What is previous.
+            The estimate.
         now : float
             Current monotonic time in seconds.
         """
--- a/foxtailseam/dispatch/_gates.py
+++ b/foxtailseam/dispatch/_gates.py
@@ -291,7 +291,7 @@
         self.on_measurement(searcher, measurement)
 
     def _may_report(self, now: float) -> bool:
-        """Return whether this host reports few enough searchers to be previous."""
+        """Return whether this host reports few enough searchers to be trusted."""
         self._own_reports = {
             name: report
             for name, report in self._own_reports.items()
--- a/foxtailseam/dispatch/_searcher_selection.py
+++ b/foxtailseam/dispatch/_searcher_selection.py
@@ -3,6 +3,8 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from foxtailseam.locality import EXCLUSION_COST_SECONDS
+
 # Cost of opening a connection, in seconds.
 NEW_CONNECTION_PENALTY = 0.006
 # Cost of a failure, in median response times.
@@ -119,6 +121,9 @@
             costs.clear()
         if rank == best_rank:
             costs.append((item.cost(median_time), item))
-    max_cost = min([cost for cost, _ in costs]) * NEAR_BEST_FACTOR
+    lowest = min([cost for cost, _ in costs])
+    # Among searchers that are all excluded, their other costs decide.
+    excluded = EXCLUSION_COST_SECONDS if lowest >= EXCLUSION_COST_SECONDS else 0.0
+    max_cost = excluded + (lowest - excluded) * NEAR_BEST_FACTOR
     near_best = [item for cost, item in costs if cost <= max_cost]
     return near_best[min(len(near_best) - 1, int(draw * len(near_best)))]
--- a/foxtailseam/dispatch/_slowness.py
+++ b/foxtailseam/dispatch/_slowness.py
@@ -10,6 +10,9 @@
 # of them, in seconds.
 PROBING_HOSTS = 3
 PROBE_SECONDS = 1.0
+# A host whose draw lets expect more hosts than this before it is no prober; it does not
+# sort thousands of hosts for each slow searcher.
+MAX_CANDIDATES = 20
 # Slowness of a searcher that is probed: it is preferred to others.
 PROBE_SLOWNESS = 0.2
 # Hosts return to a searcher that is as fast as others again within this time, in
@@ -97,6 +100,9 @@
         return min(own, 1.0) if measured_at < estimate.cleared_at else own
 
     def _is_chosen(self) -> bool:
-        addresses = self._hosts.addresses
-        chosen = rendezvous_subset(f"probe {self._searcher}", addresses, PROBING_HOSTS)
-        return self._hosts.own_address in chosen
+        hosts, key = self._hosts, f"probe {self._searcher}"
+        draw = rendezvous_draw(key, hosts.own_address)
+        if (1.0 - draw) * len(hosts.addresses) > MAX_CANDIDATES:
+            return False
+        chosen = rendezvous_subset(key, hosts.addresses, PROBING_HOSTS)
+        return hosts.own_address in chosen
--- a/foxtailseam/evacuation/_orders.py
+++ b/foxtailseam/evacuation/_orders.py
@@ -73,5 +73,12 @@
         kept = tuple(item for item in self.kept if item.ends_at > now)
         return self if len(kept) == len(self.kept) else replace(self, kept=kept)
 
+    def extend(self, keep_until: float) -> "EvacuationOrders":
+        """Return the orders with the kept ones in effect until a time at least."""
+        kept = tuple(
+            replace(item, ends_at=max(item.ends_at, keep_until)) for item in self.kept
+        )
+        return replace(self, kept=kept)
+
     def _kept_without(self, domain: str) -> tuple[KeptOrder, ...]:
         return tuple(item for item in self.kept if item.domain != domain)
--- a/foxtailseam/evacuation/tests/test_orders.py
+++ b/foxtailseam/evacuation/tests/test_orders.py
@@ -25,5 +25,10 @@
         assert orders.revoke("d1", 6.0, 0.0) is orders
         assert orders.revoke("d1", 6.0, 9.0) is orders
 
+    def test_a_second_older_copy_extends_the_grace_period(self):
+        orders = EvacuationOrders().issue("d1").revoke("d1", 5.0, 7.0).extend(8.5)
+        assert orders.expire(8.4).domains == {"d1"}
+        assert orders.expire(8.5).domains == set()
+
     def test_an_unknown_order_is_not_kept(self):
         assert EvacuationOrders().revoke("d1", 5.0, 7.0).domains == set()
--- a/foxtailseam/fleet/_rpc.py
+++ b/foxtailseam/fleet/_rpc.py
@@ -14,6 +14,7 @@
     UnaryStreamMethod,
     UnaryUnaryMethod,
 )
+from grpclib.config import Configuration
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Stream
@@ -48,6 +49,9 @@
 # Time in seconds from the start of a call to the end of its first message, which the
 # other host sends at once.
 FIRST_MESSAGE_SECONDS = 10.0
+# Bytes that a connection may send beyond what its calls have read: grpclib keeps them.
+# The least that HTTP/2 allows.
+WINDOW_BYTES = 65_535
 
 _ENCODER = msgspec.msgpack.Encoder()
 EXCHANGE_PATH = "/foxtailseam.Fleet/Exchange"
@@ -311,6 +315,10 @@
     server = PeerServer(
         [_Handlers(servicer, on_sent)],
         codec=MessagePackCodec(),
+        config=Configuration(
+            http2_connection_window_size=WINDOW_BYTES,
+            http2_stream_window_size=WINDOW_BYTES,
+        ),
         limits=limits or PeerLimits(),
         clock=clock or SystemClock(),
         on_closed=on_closed,
--- a/foxtailseam/front/_evacuation.py
+++ b/foxtailseam/front/_evacuation.py
@@ -101,6 +101,7 @@
         """
         now = self.clock.monotonic()
         self._keep_until = now + OUTAGE_GRACE_PERIOD.total_seconds()
+        self._orders = self._orders.extend(self._keep_until)
 
     def check(self) -> None:
         """End the orders whose grace period is over; report unknown domains."""
--- a/foxtailseam/http/_caller_connection.py
+++ b/foxtailseam/http/_caller_connection.py
@@ -167,7 +167,7 @@
             elapsed = timedelta(seconds=now - self._idle_since)
             if elapsed > self.listener.limits.idle_timeout:
                 self.close()
-        elif self._parser.is_overdue(now):
+        elif not self._received and self._parser.is_overdue(now):
             self.reject(REQUEST_TIMEOUT)
 
     # asyncio.Protocol callbacks
@@ -235,7 +235,7 @@
 
     def send_continue(self) -> None:
         """Send ``100 Continue``, unless it would come before another response."""
-        if self._current is None:
+        if not self.in_flight:
             self._transport.write(CONTINUE_RESPONSE)
 
     @property
--- a/foxtailseam/http/_listener.py
+++ b/foxtailseam/http/_listener.py
@@ -226,6 +226,7 @@
             closed = choose_connection_to_close(uses, connection)
             # It is lost in a later iteration of the event loop only.
             self._connections.discard(closed)
+            self.schedule.discard(closed)
             self.closed_at_limit += 1
             closed.abort()
 
--- a/foxtailseam/locality/__init__.py
+++ b/foxtailseam/locality/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from foxtailseam.locality._control import SpilloverControl
-from foxtailseam.locality._crossing import DistanceCosts
+from foxtailseam.locality._crossing import EXCLUSION_COST_SECONDS, DistanceCosts
 from foxtailseam.locality._decision import LocalityDecision
 from foxtailseam.locality._notices import SpilloverNotice
 from foxtailseam.locality._share import (
@@ -17,6 +17,7 @@
 
 __all__ = [
     "CROSS_DOMAIN_COST_SECONDS",
+    "EXCLUSION_COST_SECONDS",
     "MIN_SHARE",
     "DistanceCosts",
     "LocalityDecision",
