Report a searcher as slow only after two queries found it slow

Cause: searchers pause for 200 ms each 4.5 s. A host reported each paused one after a single slow response, so that all hosts avoided it for seconds and sent elsewhere.

Change: a host reports a searcher once two of its queries, 0.5 s or more apart, found it slow.

A test of pauses; the tests of slow searchers pass unchanged.

--- a/foxtailseam/conditions/__init__.py
+++ b/foxtailseam/conditions/__init__.py
@@ -26,6 +26,7 @@
 from foxtailseam.conditions._slowness import (
     MAX_SLOW_FACTOR,
     MIN_SLOW_FACTOR,
+    REPORT_SECONDS,
     Slowness,
     SlownessEstimate,
     SlownessReport,
@@ -35,6 +36,7 @@
     "MAX_PAUSE",
     "MAX_SLOW_FACTOR",
     "MIN_SLOW_FACTOR",
+    "REPORT_SECONDS",
     "Condition",
     "ConditionNotices",
     "ConditionRegistry",
--- a/foxtailseam/dispatch/_gates.py
+++ b/foxtailseam/dispatch/_gates.py
@@ -5,6 +5,7 @@
 
 from foxtailseam.clocks import Clock
 from foxtailseam.conditions import (
+    REPORT_SECONDS,
     Condition,
     ConditionRegistry,
     Leaving,
@@ -40,6 +41,9 @@
 LOST_HOST_RETENTION = 600.0
 # A host repeats its report on a searcher no more often than this, in seconds.
 REPEAT_SECONDS = 1.0
+# A host reports a searcher once two of its queries have found it slow, at least this
+# many seconds apart: a single slow response may be a short pause.
+MIN_SLOW_SECONDS = 0.5
 # Part of the searchers that this host reports as slow at most, and the number that it
 # may report in any case. Other hosts accept some more from one host.
 MAX_REPORTED_SHARE = 0.4
@@ -98,6 +102,8 @@
         self._detector = SlownessDetector()
         # Identifiers of the searchers that are estimated to be slow.
         self._slow: set[str] = set()
+        # When each searcher that is not reported yet was first found to be slow.
+        self._found_slow_at: dict[str, float] = {}
         # The latest report of this host on each searcher.
         self._own_reports: dict[str, SlownessReport] = {}
         self._hosts = HostGroup()
@@ -247,14 +253,35 @@
         if len(self._hosts.addresses) == 1:
             return
         now = self.clock.monotonic()
-        for measurement in self._detector.measure(parts, self._slow):
+        watched = self._slow.union(self._found_slow_at)
+        for measurement in self._detector.measure(parts, watched):
             searcher = self.find(measurement.searcher)
-            if searcher is not None:
+            if searcher is not None and self._is_lasting(measurement, now):
                 self._record_measurement(searcher, measurement, now)
 
+    def _is_lasting(self, measurement: SlownessMeasurement, now: float) -> bool:
+        """Return whether a measurement is more than a single slow response.
+
+        One of a searcher that is estimated to be slow always counts.
+        """
+        searcher = measurement.searcher
+        if searcher in self._slow:
+            self._found_slow_at.pop(searcher, None)
+            return True
+        if not measurement.is_slow:
+            self._found_slow_at.pop(searcher, None)
+            return False
+        found_at = self._found_slow_at.setdefault(searcher, now)
+        return now - found_at >= MIN_SLOW_SECONDS
+
     def remove_expired(self) -> None:
         """End what is estimated of slow searchers if it has expired."""
         now = self.clock.monotonic()
+        self._found_slow_at = {
+            searcher: found_at
+            for searcher, found_at in self._found_slow_at.items()
+            if now - found_at < REPORT_SECONDS
+        }
         for searcher in self.gated:
             shared = searcher.gate.slowness
             if shared is None or shared.is_slow(now):
--- a/foxtailseam/dispatch/tests/test_slow_searchers.py
+++ b/foxtailseam/dispatch/tests/test_slow_searchers.py
@@ -5,6 +5,7 @@
 from foxtailseam.conditions import SearcherConditions, Slowness, SlownessReport
 from foxtailseam.dispatch import ServiceAnswer, SingleQuery
 from foxtailseam.dispatch._searcher_selection import Candidate, choose_searcher
+from foxtailseam.dispatch._slowness_detector import PartTiming
 from foxtailseam.dispatch.tests._stubs import (
     STAMP_HEADER,
     StubService,
@@ -13,6 +14,7 @@
     make_times,
 )
 from foxtailseam.locality import EXCLUSION_COST_SECONDS
+from foxtailseam.rate_limits import HostGroup
 from foxtailseam_bench.simulation import VirtualTime
 
 MEDIAN_SECONDS = 0.05
@@ -41,6 +43,37 @@
     return service
 
 
+def query_with_a_slow_part(service, seconds=0.2):
+    """Record the parts of a query in which a-1 took long."""
+    usual = [PartTiming(f"b-{number}", "d1", 0.02, True) for number in range(10)]
+    slow = PartTiming("a-1", "d1", seconds, True)
+    service.dispatcher.gates.record_part_timings([*usual, slow])
+
+
+class TestPauses:
+    # Guards against: each searcher that pauses for a moment is reported to all hosts,
+    # which then send their requests to other failure domains.
+    def test_a_single_slow_response_is_not_reported(self):
+        time = VirtualTime()
+        service = StubService(time, searchers=2)
+        gates = service.dispatcher.gates
+        gates.set_hosts(HostGroup("10.0.0.1:80", frozenset({"10.0.0.1:80", "b"})))
+        gates.conditions.count_searchers = lambda: 100
+        entry = service.entries["a-1"]
+        query_with_a_slow_part(service)
+        time.run_until(0.1)
+        query_with_a_slow_part(service)
+        assert gates.conditions.get("a-1", entry.started_ms) is None
+        time.run_until(0.2)
+        query_with_a_slow_part(service, seconds=0.02)
+        time.run_until(0.8)
+        query_with_a_slow_part(service)
+        assert gates.conditions.get("a-1", entry.started_ms) is None
+        time.run_until(1.4)
+        query_with_a_slow_part(service)
+        assert gates.conditions.get("a-1", entry.started_ms) is not None
+
+
 class TestSearcherThatIsLeftOut:
     def test_another_one_is_asked_first(self):
         time, results = VirtualTime(), []
