Say truly why a notice's numbers are compared

Cause: the comment said that NaN passes the types; the decoder of messages refuses it, as a review checked. Change: the comment. Measured: tests of admission pass.

--- a/foxtailseam/admission/_fleet.py
+++ b/foxtailseam/admission/_fleet.py
@@ -267,7 +267,7 @@
         now = self.clock.monotonic()
         for notice in notices[:MAX_NOTICES]:
             has_room = notice.group in self._groups or len(self._groups) < MAX_GROUPS
-            # NaN passes the bounds of the types and fails these comparisons.
+            # The decoder of messages refuses NaN; these comparisons fail for it, too.
             is_valid = 0.0 <= notice.share < REPORTED_SHARE and notice.evidence >= 0.0
             if not (has_room and is_valid):
                 continue
