--- a/review/stand_ins/searcher.py
+++ b/review/stand_ins/searcher.py
@@ -152,14 +152,16 @@
 
     async def _reply(self, reader, target: str, headers: dict) -> tuple[Reply, bool]:
         request_id = headers["foxtailseam-request-id"]
+        not_run = [
+            ("Foxtailseam-Not-Executed", "1"),
+            ("Foxtailseam-Request-Id", request_id),
+        ]
         if headers["foxtailseam-expect-instance"] != self.name:
             instance = [("Foxtailseam-Instance-Id", self.name)]
-            return Reply(request_id, 421, instance, b""), False
+            return Reply(request_id, 421, not_run + instance, b""), False
         if self._accepted >= self.slots + self.queue:
             self.journal.record.write("rejected", request_id, self.name)
-            # As `fleetbench wire` prints it: without the identifier.
-            not_executed = [("Foxtailseam-Not-Executed", "1")]
-            return Reply(request_id, 503, not_executed, b""), False
+            return Reply(request_id, 503, not_run, b""), False
         self._accepted += 1
         try:
             async with self._free:
